--- /dev/null
+++ b/app/sassafraswickctl.cc
@@ -0,0 +1,309 @@
+#include <sodium.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <iostream>
+#include <optional>
+
+#include "sassafraswick/config/ini.h"
+#include "sassafraswick/config/settings.h"
+#include "sassafraswick/platform/configuration_store.h"
+
+/// @file
+/// The operators' tool. Exit codes: 0 done, 1 refused or conflicting, 2 bad
+/// usage, settings or tables, 3 the platform or a host did not answer.
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using sassafraswick::configuration;
+using sassafraswick::error;
+using sassafraswick::error_kind;
+using sassafraswick::result;
+
+constexpr int kRefused = 1;
+constexpr int kBadInput = 2;
+constexpr int kUnanswered = 3;
+
+int ExitCode(const error& failure) {
+  switch (failure.kind) {
+    case error_kind::kInvalidSetting:
+    case error_kind::kInvalidTable:
+    case error_kind::kIo:
+      return kBadInput;
+    case error_kind::kUnavailable:
+    case error_kind::kTimeout:
+    case error_kind::kClosed:
+      return kUnanswered;
+    default:
+      return kRefused;
+  }
+}
+
+/// What the command line asked for.
+struct control_request {
+  std::string settings_path;
+  bool as_json = false;
+  std::string tables_path;
+  std::optional<std::uint64_t> expected_version;
+  std::string organisation;
+  std::string key_id;
+};
+
+/// Prints one result as text or JSON.
+void Print(const control_request& request, const std::string& text,
+           const json::value& value) {
+  std::cout << (request.as_json ? json::serialize(value) : text) << "\n";
+}
+
+/// Runs a coroutine to its end.
+template <typename T>
+result<T> Await(asio::awaitable<result<T>> work) {
+  asio::io_context context(1);
+  std::optional<result<T>> outcome;
+  asio::co_spawn(
+      context,
+      [&outcome, &work]() -> asio::awaitable<void> {
+        outcome.emplace(co_await std::move(work));
+      },
+      asio::detached);
+  context.run();
+  return std::move(*outcome);
+}
+
+result<sassafraswick::table_set> LoadTables(const std::string& path,
+                                            std::string& text) {
+  BOOST_OUTCOME_TRY(text, sassafraswick::ReadFile(path));
+  return sassafraswick::ParseTables(text, path);
+}
+
+result<void> Validate(const control_request& request) {
+  std::string text;
+  BOOST_OUTCOME_TRY(sassafraswick::table_set tables,
+                    LoadTables(request.tables_path, text));
+  Print(request,
+        request.tables_path + ": valid, " +
+            std::to_string(tables.routes.size()) + " routes, " +
+            std::to_string(tables.pools.size()) + " pools, " +
+            std::to_string(tables.organisations.size()) + " organisations",
+        json::object{{"valid", true},
+                     {"routes", tables.routes.size()},
+                     {"pools", tables.pools.size()},
+                     {"organisations", tables.organisations.size()}});
+  return boost::outcome_v2::success();
+}
+
+result<void> Diff(const control_request& request,
+                  sassafraswick::etcd_store& store) {
+  std::string text;
+  BOOST_OUTCOME_TRY(sassafraswick::table_set tables,
+                    LoadTables(request.tables_path, text));
+  BOOST_OUTCOME_TRY(sassafraswick::versioned_configuration current,
+                    Await(sassafraswick::ReadConfiguration(store)));
+  json::array lines;
+  std::string printed =
+      "against version " + std::to_string(current.value.version) + ":";
+  for (const std::string& line :
+       sassafraswick::DiffTables(current.value.tables, tables)) {
+    printed += "\n" + line;
+    lines.push_back(json::value(line));
+  }
+  Print(request, printed,
+        json::object{{"version", current.value.version},
+                     {"changes", std::move(lines)}});
+  return boost::outcome_v2::success();
+}
+
+void PrintAccepted(const control_request& request,
+                   const configuration& accepted) {
+  Print(request,
+        "accepted as version " + std::to_string(accepted.version) +
+            " (change " + accepted.change_id + ")",
+        json::object{{"version", accepted.version},
+                     {"change_id", accepted.change_id}});
+}
+
+/// Refuses to drop organisations that still have keys.
+result<void> CheckKeys(const configuration& version,
+                       const sassafraswick::table_set& tables) {
+  for (const std::pair<const std::string, sassafraswick::key_record>& entry :
+       version.keys) {
+    if (!tables.organisations.contains(entry.second.organisation)) {
+      return sassafraswick::MakeError(
+          error_kind::kConflict,
+          "organisation '" + entry.second.organisation + "' still has key " +
+              entry.first + ": withdraw it before removing the organisation");
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void> ApplyTables(const control_request& request,
+                         sassafraswick::etcd_store& store) {
+  std::string text;
+  BOOST_OUTCOME_TRY(sassafraswick::table_set tables,
+                    LoadTables(request.tables_path, text));
+  BOOST_OUTCOME_TRY(
+      configuration accepted,
+      Await(sassafraswick::ChangeConfiguration(
+          store, "apply " + request.tables_path, request.expected_version,
+          [&text, &tables](configuration& next) -> result<void> {
+            BOOST_OUTCOME_TRY(CheckKeys(next, tables));
+            next.tables_text = text;
+            next.tables = tables;
+            return boost::outcome_v2::success();
+          })));
+  PrintAccepted(request, accepted);
+  return boost::outcome_v2::success();
+}
+
+result<void> History(const control_request& request,
+                     sassafraswick::etcd_store& store) {
+  BOOST_OUTCOME_TRY(std::vector<configuration> versions,
+                    Await(sassafraswick::ReadHistory(store)));
+  std::string text;
+  json::array encoded;
+  for (const configuration& version : versions) {
+    text += (text.empty() ? "" : "\n") + std::to_string(version.version) +
+            "  " + version.change_id + "  " + version.summary;
+    encoded.push_back(json::object{{"version", version.version},
+                                   {"change_id", version.change_id},
+                                   {"summary", version.summary}});
+  }
+  Print(request, text, encoded);
+  return boost::outcome_v2::success();
+}
+
+result<void> IssueKey(const control_request& request,
+                      sassafraswick::etcd_store& store) {
+  const sassafraswick::issued_key issued =
+      sassafraswick::IssueKey(request.organisation);
+  BOOST_OUTCOME_TRY(configuration accepted,
+                    Await(sassafraswick::ChangeConfiguration(
+                        store, "issue key " + issued.record.id, std::nullopt,
+                        [&issued](configuration& next) -> result<void> {
+                          if (!next.tables.organisations.contains(
+                                  issued.record.organisation)) {
+                            return sassafraswick::MakeError(
+                                error_kind::kNotFound,
+                                "organisation '" + issued.record.organisation +
+                                    "' does not exist");
+                          }
+                          next.keys[issued.record.id] = issued.record;
+                          return boost::outcome_v2::success();
+                        })));
+  Print(request, issued.text,
+        json::object{{"key", issued.text},
+                     {"id", issued.record.id},
+                     {"version", accepted.version}});
+  return boost::outcome_v2::success();
+}
+
+result<void> WithdrawKey(const control_request& request,
+                         sassafraswick::etcd_store& store) {
+  const std::string id(sassafraswick::KeyId(request.key_id));
+  BOOST_OUTCOME_TRY(configuration accepted,
+                    Await(sassafraswick::ChangeConfiguration(
+                        store, "withdraw key " + id, std::nullopt,
+                        [&id](configuration& next) -> result<void> {
+                          if (next.keys.erase(id) == 0) {
+                            return sassafraswick::MakeError(
+                                error_kind::kNotFound,
+                                "key '" + id + "' does not exist");
+                          }
+                          return boost::outcome_v2::success();
+                        })));
+  PrintAccepted(request, accepted);
+  return boost::outcome_v2::success();
+}
+
+result<void> ListKeys(const control_request& request,
+                      sassafraswick::etcd_store& store) {
+  BOOST_OUTCOME_TRY(sassafraswick::versioned_configuration current,
+                    Await(sassafraswick::ReadConfiguration(store)));
+  std::string text;
+  json::array encoded;
+  for (const std::pair<const std::string, sassafraswick::key_record>& entry :
+       current.value.keys) {
+    text += (text.empty() ? "" : "\n") + entry.first + "  " +
+            entry.second.organisation;
+    encoded.push_back(json::object{
+        {"id", entry.first}, {"organisation", entry.second.organisation}});
+  }
+  Print(request, text, encoded);
+  return boost::outcome_v2::success();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("sassafraswickctl: operates a sassafraswick fleet");
+  control_request request;
+  std::uint64_t expected = 0;
+  app.add_option("--config", request.settings_path, "Settings file (INI)")
+      ->required();
+  app.add_flag("--json", request.as_json, "Print JSON");
+  app.require_subcommand(1);
+  CLI::App* const validate =
+      app.add_subcommand("validate", "Check a table file");
+  CLI::App* const diff =
+      app.add_subcommand("diff", "Compare a table file with what is in force");
+  CLI::App* const apply =
+      app.add_subcommand("apply", "Put a table file in force");
+  for (CLI::App* const command : {validate, diff, apply}) {
+    command->add_option("tables", request.tables_path, "Table file (INI)")
+        ->required();
+  }
+  CLI::Option* const expect = apply->add_option(
+      "--expect", expected, "Refuse unless this version is in force");
+  CLI::App* const history =
+      app.add_subcommand("history", "List accepted versions");
+  CLI::App* const keys = app.add_subcommand("keys", "Manage keys");
+  keys->require_subcommand(1);
+  CLI::App* const issue = keys->add_subcommand("issue", "Issue a key");
+  issue->add_option("organisation", request.organisation)->required();
+  CLI::App* const withdraw = keys->add_subcommand("withdraw", "Withdraw a key");
+  withdraw->add_option("id", request.key_id, "Key id")->required();
+  CLI::App* const list = keys->add_subcommand("list", "List key ids");
+  CLI11_PARSE(app, argc, argv);
+  if (expect->count() > 0) {
+    request.expected_version = expected;
+  }
+  if (sodium_init() < 0) {
+    return kRefused;
+  }
+  const result<sassafraswick::control_settings> settings =
+      sassafraswick::LoadControlSettings(request.settings_path);
+  result<void> outcome = boost::outcome_v2::success();
+  if (!settings) {
+    outcome = settings.error();
+  } else {
+    sassafraswick::etcd_store store(settings.value().platform.store);
+    if (validate->parsed()) {
+      outcome = Validate(request);
+    } else if (diff->parsed()) {
+      outcome = Diff(request, store);
+    } else if (apply->parsed()) {
+      outcome = ApplyTables(request, store);
+    } else if (history->parsed()) {
+      outcome = History(request, store);
+    } else if (issue->parsed()) {
+      outcome = IssueKey(request, store);
+    } else if (withdraw->parsed()) {
+      outcome = WithdrawKey(request, store);
+    } else if (list->parsed()) {
+      outcome = ListKeys(request, store);
+    }
+  }
+  if (!outcome) {
+    std::cerr << outcome.error().message << "\n";
+    return ExitCode(outcome.error());
+  }
+  return 0;
+}
--- /dev/null
+++ b/app/sassafraswickd.cc
@@ -0,0 +1,47 @@
+#include <sodium.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "sassafraswick/core/log.h"
+#include "sassafraswick/proxy/daemon.h"
+
+/// @file
+/// The daemon. Exit codes: 0 after a drained stop, 1 if it cannot start, 2 for
+/// bad settings.
+
+int main(int argc, char** argv) {
+  constexpr int kCannotStart = 1;
+  constexpr int kBadSettings = 2;
+  CLI::App app("sassafraswick: database proxy with session consistency");
+  std::string path;
+  bool check_only = false;
+  app.add_option("--config", path, "Settings file (INI)")->required();
+  app.add_flag("--check", check_only, "Check the settings and exit");
+  CLI11_PARSE(app, argc, argv);
+  const sassafraswick::result<sassafraswick::daemon_settings> settings =
+      sassafraswick::LoadDaemonSettings(path);
+  if (!settings) {
+    std::cerr << settings.error().message << "\n";
+    return kBadSettings;
+  }
+  if (check_only) {
+    std::cout << path << ": settings are valid\n";
+    return 0;
+  }
+  if (sodium_init() < 0) {
+    std::cerr << "libsodium cannot be initialised\n";
+    return kCannotStart;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  sassafraswick::StartLogging("sassafraswickd " + settings.value().host,
+                              settings.value().level);
+  const sassafraswick::result<void> ran =
+      sassafraswick::RunDaemon(settings.value());
+  if (!ran) {
+    std::cerr << ran.error().message << "\n";
+    return kCannotStart;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/sassafraswick/config/configuration.cc
@@ -0,0 +1,95 @@
+#include "sassafraswick/config/configuration.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+namespace sassafraswick {
+namespace {
+
+namespace json = boost::json;
+
+error BadRecord(const std::string& reason) {
+  return MakeError(error_kind::kProtocol, "configuration record: " + reason);
+}
+
+result<std::string> TextField(const json::object& object,
+                              std::string_view name) {
+  const json::value* const found = object.if_contains(name);
+  if (found == nullptr || !found->is_string()) {
+    return BadRecord("'" + std::string(name) + "' is not a text");
+  }
+  return std::string(found->as_string());
+}
+
+result<key_record> ParseKey(const json::value& encoded) {
+  if (!encoded.is_object()) {
+    return BadRecord("a key is not an object");
+  }
+  key_record key;
+  const json::object& object = encoded.as_object();
+  BOOST_OUTCOME_TRY(key.id, TextField(object, "id"));
+  BOOST_OUTCOME_TRY(key.organisation, TextField(object, "organisation"));
+  BOOST_OUTCOME_TRY(key.hash, TextField(object, "hash"));
+  return key;
+}
+
+}  // namespace
+
+std::string SerializeConfiguration(const configuration& version) {
+  json::array keys;
+  for (const std::pair<const std::string, key_record>& entry : version.keys) {
+    keys.push_back(json::object{{"id", entry.second.id},
+                                {"organisation", entry.second.organisation},
+                                {"hash", entry.second.hash}});
+  }
+  return json::serialize(json::object{{"version", version.version},
+                                      {"change_id", version.change_id},
+                                      {"summary", version.summary},
+                                      {"tables", version.tables_text},
+                                      {"keys", std::move(keys)}});
+}
+
+result<configuration> ParseConfiguration(std::string_view text) {
+  boost::system::error_code invalid;
+  const json::value parsed =
+      json::parse(json::string_view(text.data(), text.size()), invalid);
+  if (invalid || !parsed.is_object()) {
+    return BadRecord("is not a JSON object");
+  }
+  const json::object& object = parsed.as_object();
+  const json::value* const number = object.if_contains("version");
+  const json::value* const keys = object.if_contains("keys");
+  if (number == nullptr || !number->is_number() || keys == nullptr ||
+      !keys->is_array()) {
+    return BadRecord("'version' or 'keys' is missing");
+  }
+  configuration version;
+  version.version = number->to_number<std::uint64_t>();
+  BOOST_OUTCOME_TRY(version.change_id, TextField(object, "change_id"));
+  BOOST_OUTCOME_TRY(version.summary, TextField(object, "summary"));
+  BOOST_OUTCOME_TRY(version.tables_text, TextField(object, "tables"));
+  if (!version.tables_text.empty()) {
+    BOOST_OUTCOME_TRY(version.tables,
+                      ParseTables(version.tables_text, "configuration record"));
+  }
+  for (const json::value& encoded : keys->as_array()) {
+    BOOST_OUTCOME_TRY(key_record key, ParseKey(encoded));
+    version.keys[key.id] = std::move(key);
+  }
+  return version;
+}
+
+std::optional<std::string> Authenticate(const configuration& version,
+                                        std::string_view organisation,
+                                        std::string_view key) {
+  const auto found = version.keys.find(KeyId(key));
+  const bool valid = found != version.keys.end() &&
+                     MatchesKey(key, found->second) &&
+                     found->second.organisation == organisation;
+  return valid ? std::optional<std::string>(found->first) : std::nullopt;
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/config/ini.h
@@ -0,0 +1,50 @@
+#ifndef SASSAFRASWICK_CONFIG_INI_H_
+#define SASSAFRASWICK_CONFIG_INI_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sassafraswick/core/error.h"
+
+/// @file
+/// INI text as sections of named values, and checked access to them.
+
+namespace sassafraswick {
+
+/// One `key = value` line.
+struct ini_entry {
+  std::string key;
+  std::string value;
+};
+
+/// One `[section]`, in file order.
+struct ini_section {
+  std::string name;
+  std::vector<ini_entry> entries;
+};
+
+/// Parses INI text. Repeated sections and keys are refused.
+/// @param text The whole file.
+/// @param source Name used in error texts.
+[[nodiscard]] result<std::vector<ini_section>> ParseIni(
+    std::string_view text, const std::string& source);
+
+/// Reads a file whole.
+/// @return Its bytes, or `error_kind::kIo`.
+[[nodiscard]] result<std::string> ReadFile(const std::string& path);
+
+/// Splits text at blanks.
+[[nodiscard]] std::vector<std::string> SplitWords(std::string_view text);
+
+/// Parses a whole number within bounds.
+[[nodiscard]] result<std::uint64_t> ParseNumber(std::string_view text,
+                                                std::uint64_t low,
+                                                std::uint64_t high);
+
+/// Parses `yes`, `no`, `on`, `off`, `true` or `false`.
+[[nodiscard]] result<bool> ParseFlag(std::string_view text);
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_CONFIG_INI_H_
--- /dev/null
+++ b/src/sassafraswick/consistency/token.cc
@@ -0,0 +1,111 @@
+#include "sassafraswick/consistency/token.h"
+
+#include <sodium.h>
+
+#include <charconv>
+#include <vector>
+
+namespace sassafraswick {
+namespace {
+
+constexpr std::size_t kSignatureSize = 16;
+constexpr std::size_t kMaxTokenSize = 512;
+
+using signature = std::array<unsigned char, kSignatureSize>;
+
+const unsigned char* Unsigned(std::string_view bytes) noexcept {
+  return reinterpret_cast<const unsigned char*>(bytes.data());
+}
+
+/// Joins the signed fields; lengths keep them apart.
+std::string SignedBytes(const token_scope& scope, std::string_view point) {
+  std::string bytes;
+  for (const std::string_view field : {scope.organisation, scope.pool, point}) {
+    bytes += std::to_string(field.size());
+    bytes += ':';
+    bytes += field;
+  }
+  return bytes;
+}
+
+template <std::size_t Size>
+signature Sign(const std::array<unsigned char, Size>& key,
+               const std::string& bytes) {
+  signature made{};
+  crypto_generichash(made.data(), made.size(), Unsigned(bytes), bytes.size(),
+                     key.data(), key.size());
+  return made;
+}
+
+std::string ToHex(const signature& bytes) {
+  std::string text(bytes.size() * 2 + 1, '\0');
+  sodium_bin2hex(text.data(), text.size(), bytes.data(), bytes.size());
+  text.pop_back();
+  return text;
+}
+
+/// Reads a number and the separator behind it.
+bool TakeNumber(std::string_view& text, char separator,
+                std::uint64_t& number) noexcept {
+  const char* const end = text.data() + text.size();
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr == end ||
+      *parsed.ptr != separator) {
+    return false;
+  }
+  text.remove_prefix(static_cast<std::size_t>(parsed.ptr - text.data()) + 1);
+  return true;
+}
+
+}  // namespace
+
+token_codec::token_codec(std::string_view secret) {
+  crypto_generichash(key_.data(), key_.size(), Unsigned(secret), secret.size(),
+                     nullptr, 0);
+}
+
+std::string token_codec::Encode(const token_scope& scope,
+                                log_point point) const {
+  const std::string numbers =
+      std::to_string(point.term) + "." + std::to_string(point.position);
+  const signature made = Sign(key_, SignedBytes(scope, numbers));
+  return std::string(kTokenPrefix) + numbers + "." + ToHex(made);
+}
+
+result<log_point> token_codec::Decode(std::string_view text,
+                                      const token_scope& scope) const {
+  const error malformed =
+      MakeError(error_kind::kInvalidToken, "consistency token is malformed");
+  if (text.size() > kMaxTokenSize || !text.starts_with(kTokenPrefix)) {
+    return malformed;
+  }
+  text.remove_prefix(kTokenPrefix.size());
+  std::string_view rest = text;
+  log_point point;
+  if (!TakeNumber(rest, '.', point.term) ||
+      !TakeNumber(rest, '.', point.position)) {
+    return malformed;
+  }
+  const std::string_view numbers =
+      text.substr(0, text.size() - rest.size() - 1);
+  signature given{};
+  std::size_t size = 0;
+  const char* end = nullptr;
+  const int decoded = sodium_hex2bin(given.data(), given.size(), rest.data(),
+                                     rest.size(), nullptr, &size, &end);
+  if (decoded != 0 || size != given.size() ||
+      end != rest.data() + rest.size()) {
+    return malformed;
+  }
+  const signature expected = Sign(key_, SignedBytes(scope, numbers));
+  if (sodium_memcmp(given.data(), expected.data(), expected.size()) != 0) {
+    return MakeError(error_kind::kInvalidToken,
+                     "consistency token is not valid for organisation '" +
+                         std::string(scope.organisation) + "' and pool '" +
+                         std::string(scope.pool) + "'");
+  }
+  return point;
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/limits/fair_order.h
@@ -0,0 +1,66 @@
+#ifndef SASSAFRASWICK_LIMITS_FAIR_ORDER_H_
+#define SASSAFRASWICK_LIMITS_FAIR_ORDER_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// @file
+/// Order in which organisations take turns, by start-time fair queueing.
+
+namespace sassafraswick {
+
+/// Virtual service times of organisations that share something scarce.
+class fair_order {
+ public:
+  /// Sorts organisations by the virtual time at which their next request
+  /// starts; the one served least for its weight comes first.
+  /// @param waiting Names of organisations with a waiting request.
+  [[nodiscard]] std::vector<std::string> Order(
+      std::vector<std::string> waiting) const {
+    std::stable_sort(waiting.begin(), waiting.end(),
+                     [this](const std::string& left, const std::string& right) {
+                       return StartTime(left) < StartTime(right);
+                     });
+    return waiting;
+  }
+
+  /// Charges one request to an organisation.
+  /// @param weight Share of the organisation, at least 1.
+  void Charge(const std::string& organisation, std::uint32_t weight) {
+    const std::uint64_t start = StartTime(organisation);
+    virtual_time_ = std::max(virtual_time_, start);
+    finish_[organisation] = start + kUnit / weight;
+    if (finish_.size() > kMaxIdleEntries) {
+      DropIdle();
+    }
+  }
+
+ private:
+  static constexpr std::uint64_t kUnit = 1'000'000;
+  static constexpr std::size_t kMaxIdleEntries = 10'000;
+
+  /// An organisation that rested starts at the present, not at its past.
+  [[nodiscard]] std::uint64_t StartTime(const std::string& organisation) const {
+    const auto found = finish_.find(organisation);
+    return found == finish_.end() ? virtual_time_
+                                  : std::max(virtual_time_, found->second);
+  }
+
+  void DropIdle() {
+    std::erase_if(
+        finish_,
+        [this](const std::pair<const std::string, std::uint64_t>& entry) {
+          return entry.second <= virtual_time_;
+        });
+  }
+
+  std::map<std::string, std::uint64_t> finish_;
+  std::uint64_t virtual_time_ = 0;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_LIMITS_FAIR_ORDER_H_
--- /dev/null
+++ b/src/sassafraswick/platform/configuration_store.cc
@@ -0,0 +1,156 @@
+#include "sassafraswick/platform/configuration_store.h"
+
+#include <algorithm>
+
+#include "sassafraswick/proxy/async_event.h"
+
+namespace sassafraswick {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int kMaxTries = 8;
+constexpr duration kRetryWait = std::chrono::milliseconds(250);
+constexpr std::size_t kVersionDigits = 20;
+
+/// History keys sort by version.
+std::string HistoryKey(std::uint64_t version) {
+  std::string digits = std::to_string(version);
+  digits.insert(0, kVersionDigits - digits.size(), '0');
+  return std::string(kHistoryPrefix) + digits;
+}
+
+guarded_write MakeWrite(const configuration& next, std::int64_t revision) {
+  const std::string encoded = SerializeConfiguration(next);
+  guarded_write write{std::string(kConfigurationKey),
+                      revision,
+                      {{std::string(kConfigurationKey), encoded},
+                       {HistoryKey(next.version), encoded}}};
+  if (next.version > kHistoryLength) {
+    write.writes.push_back(
+        {HistoryKey(next.version - kHistoryLength), std::nullopt});
+  }
+  return write;
+}
+
+/// Tells whether a change whose answer was lost took effect.
+asio::awaitable<result<bool>> TookEffect(etcd_store& store,
+                                         const configuration& next) {
+  const result<std::optional<stored_record>> record =
+      co_await store.Get(HistoryKey(next.version));
+  if (!record) {
+    co_return record.error();
+  }
+  if (!record.value().has_value()) {
+    co_return false;
+  }
+  const result<configuration> stored =
+      ParseConfiguration(record.value()->value);
+  co_return stored.has_value() && stored.value().change_id == next.change_id;
+}
+
+/// Resolves a lost answer, waiting for the store to come back.
+asio::awaitable<result<bool>> ResolveLostAnswer(etcd_store& store,
+                                                const configuration& next) {
+  result<bool> outcome = false;
+  for (int i = 0; i < kMaxTries; ++i) {
+    outcome = co_await TookEffect(store, next);
+    if (outcome) {
+      break;
+    }
+    co_await Sleep(kRetryWait);
+  }
+  co_return outcome;
+}
+
+}  // namespace
+
+asio::awaitable<result<versioned_configuration>> ReadConfiguration(
+    etcd_store& store) {
+  const result<std::optional<stored_record>> record =
+      co_await store.Get(std::string(kConfigurationKey));
+  if (!record) {
+    co_return record.error();
+  }
+  if (!record.value().has_value()) {
+    co_return versioned_configuration();
+  }
+  result<configuration> parsed = ParseConfiguration(record.value()->value);
+  if (!parsed) {
+    co_return parsed.error();
+  }
+  co_return versioned_configuration{std::move(parsed.value()),
+                                    record.value()->revision};
+}
+
+asio::awaitable<result<configuration>> ChangeConfiguration(
+    etcd_store& store, std::string summary,
+    std::optional<std::uint64_t> expected, configuration_edit edit) {
+  const std::string change_id = RandomId();
+  std::optional<configuration> attempted;
+  for (int i = 0; i < kMaxTries; ++i) {
+    if (attempted.has_value()) {
+      const result<bool> late = co_await TookEffect(store, *attempted);
+      if (late && late.value()) {
+        co_return *attempted;
+      }
+    }
+    result<versioned_configuration> current = co_await ReadConfiguration(store);
+    if (!current) {
+      co_return current.error();
+    }
+    configuration next = std::move(current.value().value);
+    if (expected.has_value() && next.version != *expected) {
+      co_return MakeError(error_kind::kConflict,
+                          "configuration is at version " +
+                              std::to_string(next.version) + ", not " +
+                              std::to_string(*expected) +
+                              ": another operator changed it");
+    }
+    const result<void> edited = edit(next);
+    if (!edited) {
+      co_return edited.error();
+    }
+    ++next.version;
+    next.change_id = change_id;
+    next.summary = summary;
+    attempted = next;
+    result<bool> written =
+        co_await store.Write(MakeWrite(next, current.value().revision));
+    if (!written) {
+      written = co_await ResolveLostAnswer(store, next);
+    }
+    if (!written) {
+      co_return MakeError(error_kind::kUnavailable,
+                          "change " + change_id +
+                              " may or may not have taken "
+                              "effect: " +
+                              written.error().message);
+    }
+    if (written.value()) {
+      co_return next;
+    }
+  }
+  co_return MakeError(error_kind::kConflict,
+                      "configuration kept changing, nothing was applied");
+}
+
+asio::awaitable<result<std::vector<configuration>>> ReadHistory(
+    etcd_store& store) {
+  const result<std::vector<stored_record>> records =
+      co_await store.List(std::string(kHistoryPrefix));
+  if (!records) {
+    co_return records.error();
+  }
+  std::vector<configuration> versions;
+  for (const stored_record& record : records.value()) {
+    result<configuration> parsed = ParseConfiguration(record.value);
+    if (!parsed) {
+      co_return parsed.error();
+    }
+    versions.push_back(std::move(parsed.value()));
+  }
+  co_return versions;
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/platform/etcd_store.cc
@@ -0,0 +1,321 @@
+#include "sassafraswick/platform/etcd_store.h"
+
+#include <sodium.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/stream_parser.hpp>
+#include <charconv>
+
+namespace sassafraswick {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr int kHttpVersion = 11;
+constexpr std::uint64_t kMaxAnswerSize = 8'388'608;
+
+std::string EncodeBase64(std::string_view bytes) {
+  std::string text(
+      sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
+      '\0');
+  sodium_bin2base64(text.data(), text.size(),
+                    reinterpret_cast<const unsigned char*>(bytes.data()),
+                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
+  text.pop_back();
+  return text;
+}
+
+std::string DecodeBase64(std::string_view text) {
+  std::string bytes(text.size(), '\0');
+  std::size_t size = 0;
+  sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()),
+                    bytes.size(), text.data(), text.size(), nullptr, &size,
+                    nullptr, sodium_base64_VARIANT_ORIGINAL);
+  bytes.resize(size);
+  return bytes;
+}
+
+error Unavailable(const endpoint& address, const std::string& what,
+                  const std::string& reason) {
+  return MakeError(
+      error_kind::kUnavailable,
+      "platform at " + FormatEndpoint(address) + ": " + what + ": " + reason);
+}
+
+error BadAnswer(const std::string& what) {
+  return MakeError(error_kind::kProtocol,
+                   "platform: " + what + ": answer is not understood");
+}
+
+http::request<http::string_body> MakeRequest(const endpoint& address,
+                                             const std::string& path,
+                                             const json::object* body) {
+  http::request<http::string_body> request{
+      body == nullptr ? http::verb::get : http::verb::post, path, kHttpVersion};
+  request.set(http::field::host, FormatEndpoint(address));
+  if (body != nullptr) {
+    request.set(http::field::content_type, "application/json");
+    request.body() = json::serialize(*body);
+  }
+  request.prepare_payload();
+  return request;
+}
+
+asio::awaitable<boost::system::error_code> SendRequest(
+    beast::tcp_stream& stream, const endpoint& address,
+    http::request<http::string_body> request) {
+  boost::system::error_code failure;
+  const asio::ip::tcp::endpoint target(
+      asio::ip::make_address(address.address, failure), address.port);
+  co_await stream.async_connect(
+      target, asio::redirect_error(asio::use_awaitable, failure));
+  if (!failure) {
+    co_await http::async_write(
+        stream, request, asio::redirect_error(asio::use_awaitable, failure));
+  }
+  co_return failure;
+}
+
+/// Calls the service once.
+/// @param body Request body; null sends a GET.
+asio::awaitable<result<json::object>> Call(const endpoint& address,
+                                           duration limit, std::string path,
+                                           const json::object* body) {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(limit);
+  boost::system::error_code failure =
+      co_await SendRequest(stream, address, MakeRequest(address, path, body));
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxAnswerSize);
+  if (!failure) {
+    co_await http::async_read(
+        stream, buffer, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+  }
+  if (failure) {
+    co_return Unavailable(address, path, failure.message());
+  }
+  const http::response<http::string_body> response = parser.release();
+  if (response.result() != http::status::ok) {
+    co_return Unavailable(address, path,
+                          "status " + std::to_string(response.result_int()));
+  }
+  boost::system::error_code invalid;
+  json::value parsed = json::parse(response.body(), invalid);
+  if (invalid || !parsed.is_object()) {
+    co_return BadAnswer(path);
+  }
+  co_return std::move(parsed.as_object());
+}
+
+/// Reads an int64, which etcd encodes as a JSON string.
+std::int64_t IntegerField(const json::object& object, std::string_view name) {
+  const json::value* const found = object.if_contains(name);
+  std::int64_t number = 0;
+  if (found != nullptr && found->is_string()) {
+    const json::string& text = found->as_string();
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  } else if (found != nullptr && found->is_number()) {
+    number = found->to_number<std::int64_t>();
+  }
+  return number;
+}
+
+std::string TextField(const json::object& object, std::string_view name) {
+  const json::value* const found = object.if_contains(name);
+  return found != nullptr && found->is_string()
+             ? std::string(found->as_string())
+             : std::string();
+}
+
+stored_record DecodeRecord(const json::object& encoded) {
+  return {DecodeBase64(TextField(encoded, "value")),
+          IntegerField(encoded, "mod_revision")};
+}
+
+std::vector<stored_record> DecodeRecords(const json::object& answer) {
+  std::vector<stored_record> records;
+  const json::value* const found = answer.if_contains("kvs");
+  if (found != nullptr && found->is_array()) {
+    for (const json::value& each : found->as_array()) {
+      if (each.is_object()) {
+        records.push_back(DecodeRecord(each.as_object()));
+      }
+    }
+  }
+  return records;
+}
+
+json::object EncodeWrite(const record_write& write) {
+  const std::string key = EncodeBase64(write.key);
+  if (!write.value.has_value()) {
+    return {{"request_delete_range", json::object{{"key", key}}}};
+  }
+  return {{"request_put",
+           json::object{{"key", key}, {"value", EncodeBase64(*write.value)}}}};
+}
+
+/// Returns the first key past all keys with a prefix.
+std::string PrefixEnd(std::string prefix) {
+  ++prefix.back();
+  return prefix;
+}
+
+/// Reads the last record of a watch answer.
+std::optional<stored_record> DecodeWatch(const json::value& message) {
+  const json::object* const object = message.if_object();
+  const json::value* const outer =
+      object == nullptr ? nullptr : object->if_contains("result");
+  const json::value* const events =
+      outer == nullptr || !outer->is_object()
+          ? nullptr
+          : outer->as_object().if_contains("events");
+  if (events == nullptr || !events->is_array() || events->as_array().empty()) {
+    return std::nullopt;
+  }
+  const json::object* const event = events->as_array().back().if_object();
+  const json::value* const record =
+      event == nullptr ? nullptr : event->if_contains("kv");
+  if (record == nullptr || !record->is_object()) {
+    return std::nullopt;
+  }
+  return DecodeRecord(record->as_object());
+}
+
+/// Takes complete lines from a stream of JSON messages and looks for an event.
+std::optional<stored_record> TakeEvent(std::string& received) {
+  std::optional<stored_record> found;
+  std::size_t end = received.find('\n');
+  while (end != std::string::npos && !found.has_value()) {
+    boost::system::error_code invalid;
+    const json::value message = json::parse(received.substr(0, end), invalid);
+    received.erase(0, end + 1);
+    if (!invalid) {
+      found = DecodeWatch(message);
+    }
+    end = received.find('\n');
+  }
+  return found;
+}
+
+}  // namespace
+
+asio::awaitable<result<std::optional<stored_record>>> etcd_store::Get(
+    std::string key) {
+  const json::object body{{"key", EncodeBase64(key)}};
+  const result<json::object> answer =
+      co_await Call(address_, call_limit_, "/v3/kv/range", &body);
+  if (!answer) {
+    co_return answer.error();
+  }
+  std::vector<stored_record> records = DecodeRecords(answer.value());
+  if (records.empty()) {
+    co_return std::optional<stored_record>();
+  }
+  co_return std::optional<stored_record>(std::move(records.front()));
+}
+
+asio::awaitable<result<std::vector<stored_record>>> etcd_store::List(
+    std::string prefix) {
+  const json::object body{{"key", EncodeBase64(prefix)},
+                          {"range_end", EncodeBase64(PrefixEnd(prefix))}};
+  const result<json::object> answer =
+      co_await Call(address_, call_limit_, "/v3/kv/range", &body);
+  if (!answer) {
+    co_return answer.error();
+  }
+  co_return DecodeRecords(answer.value());
+}
+
+asio::awaitable<result<bool>> etcd_store::Write(guarded_write write) {
+  json::array operations;
+  for (const record_write& each : write.writes) {
+    operations.push_back(EncodeWrite(each));
+  }
+  const json::object comparison{
+      {"target", "MOD"},
+      {"result", "EQUAL"},
+      {"key", EncodeBase64(write.key)},
+      {"mod_revision", std::to_string(write.expected_revision)}};
+  const json::object body{{"compare", json::array{comparison}},
+                          {"success", std::move(operations)}};
+  const result<json::object> answer =
+      co_await Call(address_, call_limit_, "/v3/kv/txn", &body);
+  if (!answer) {
+    co_return answer.error();
+  }
+  const json::value* const succeeded = answer.value().if_contains("succeeded");
+  co_return succeeded != nullptr && succeeded->is_bool() &&
+      succeeded->as_bool();
+}
+
+asio::awaitable<result<std::optional<stored_record>>> etcd_store::Watch(
+    std::string key, std::int64_t revision, duration limit) {
+  const std::string path = "/v3/watch";
+  const json::object body{
+      {"create_request",
+       json::object{{"key", EncodeBase64(key)},
+                    {"start_revision", std::to_string(revision)}}}};
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(limit);
+  boost::system::error_code failure = co_await SendRequest(
+      stream, address_, MakeRequest(address_, path, &body));
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxAnswerSize);
+  std::optional<stored_record> found;
+  while (!failure && !found.has_value()) {
+    co_await http::async_read_some(
+        stream, buffer, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    found = TakeEvent(parser.get().body());
+  }
+  if (found.has_value() || failure == beast::error::timeout) {
+    co_return found;
+  }
+  co_return Unavailable(address_, path, failure.message());
+}
+
+asio::awaitable<result<std::vector<listed_host>>> FetchHosts(endpoint address,
+                                                             duration limit) {
+  const std::string path = "/hosts";
+  const result<json::object> answer =
+      co_await Call(address, limit, path, nullptr);
+  if (!answer) {
+    co_return answer.error();
+  }
+  const json::value* const list = answer.value().if_contains("hosts");
+  if (list == nullptr || !list->is_array()) {
+    co_return BadAnswer(path);
+  }
+  std::vector<listed_host> hosts;
+  for (const json::value& each : list->as_array()) {
+    const json::object* const object = each.if_object();
+    if (object == nullptr) {
+      co_return BadAnswer(path);
+    }
+    const result<endpoint> peers = ParseEndpoint(TextField(*object, "peers"));
+    if (!peers) {
+      co_return peers.error();
+    }
+    hosts.push_back({TextField(*object, "host"),
+                     TextField(*object, "availability_zone"), peers.value(),
+                     TextField(*object, "state") == "leaving"});
+  }
+  co_return hosts;
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/platform/etcd_store.h
@@ -0,0 +1,68 @@
+#ifndef SASSAFRASWICK_PLATFORM_ETCD_STORE_H_
+#define SASSAFRASWICK_PLATFORM_ETCD_STORE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+#include <vector>
+
+#include "sassafraswick/config/endpoint.h"
+#include "sassafraswick/platform/store.h"
+
+/// @file
+/// The platform's services over HTTP: etcd v3's JSON API
+/// (https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/) and the host list.
+
+namespace sassafraswick {
+
+/// Client of etcd v3's JSON API.
+class etcd_store {
+ public:
+  /// @param address Where the service listens.
+  /// @param call_limit Time after which a call is given up.
+  explicit etcd_store(endpoint address,
+                      duration call_limit = std::chrono::seconds(1))
+      : address_(std::move(address)), call_limit_(call_limit) {}
+
+  /// Reads one key.
+  /// @return Nothing if the key does not exist.
+  boost::asio::awaitable<result<std::optional<stored_record>>> Get(
+      std::string key);
+
+  /// Reads all keys with a prefix, in key order.
+  boost::asio::awaitable<result<std::vector<stored_record>>> List(
+      std::string prefix);
+
+  /// Applies a guarded change.
+  /// @return False if the key was at another revision.
+  boost::asio::awaitable<result<bool>> Write(guarded_write write);
+
+  /// Waits for a change of one key.
+  /// @param revision First revision of interest.
+  /// @param limit Longest wait.
+  /// @return Nothing if the wait ended without a change.
+  boost::asio::awaitable<result<std::optional<stored_record>>> Watch(
+      std::string key, std::int64_t revision, duration limit);
+
+ private:
+  endpoint address_;
+  duration call_limit_;
+};
+
+static_assert(platform_store<etcd_store>);
+
+/// A host as the platform lists it.
+struct listed_host {
+  std::string host;
+  std::string availability_zone;
+  /// Where its peers reach it.
+  endpoint peers;
+  bool leaving = false;
+};
+
+/// Fetches the platform's host list.
+boost::asio::awaitable<result<std::vector<listed_host>>> FetchHosts(
+    endpoint address, duration limit);
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_PLATFORM_ETCD_STORE_H_
--- /dev/null
+++ b/src/sassafraswick/proxy/caller_session.h
@@ -0,0 +1,119 @@
+#ifndef SASSAFRASWICK_PROXY_CALLER_SESSION_H_
+#define SASSAFRASWICK_PROXY_CALLER_SESSION_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "sassafraswick/config/configuration.h"
+#include "sassafraswick/proxy/caller_settings.h"
+#include "sassafraswick/proxy/caller_stream.h"
+#include "sassafraswick/proxy/host_runtime.h"
+#include "sassafraswick/proxy/response_relay.h"
+#include "sassafraswick/wire/message.h"
+#include "sassafraswick/wire/request_unit.h"
+
+/// @file
+/// One caller's connection from startup to its end.
+
+namespace sassafraswick {
+
+/// Who the caller is and what it connected to.
+struct caller_identity {
+  std::string organisation;
+  /// Empty on open routes.
+  std::string key_id;
+  std::string route;
+  std::string pool;
+};
+
+/// A session; lives as long as its coroutine runs.
+class caller_session : public std::enable_shared_from_this<caller_session> {
+ public:
+  caller_session(host_runtime& runtime, stream_socket socket);
+  caller_session(const caller_session&) = delete;
+  caller_session& operator=(const caller_session&) = delete;
+  ~caller_session();
+
+  /// Serves the caller until it leaves or is turned away.
+  boost::asio::awaitable<void> Run();
+
+  /// Ends the session if the configuration no longer admits it.
+  void CheckAdmission(const configuration& version);
+
+  /// Ends the session now if it is idle, else after what it is doing.
+  void EndWhenIdle();
+
+  /// Closes the session if it overran a limit.
+  void CheckLimits(time_point now);
+
+ private:
+  enum class activity : std::uint8_t { kStarting, kIdle, kBusy };
+
+  boost::asio::awaitable<bool> Start();
+  boost::asio::awaitable<std::optional<startup_request>> ReadStartup();
+  boost::asio::awaitable<bool> Admit(const startup_request& request);
+  boost::asio::awaitable<std::optional<std::string>> ReadPassword();
+  boost::asio::awaitable<bool> ApplyStartupSettings(
+      const startup_request& request);
+  boost::asio::awaitable<bool> Reject(std::string_view code,
+                                      std::string message);
+
+  boost::asio::awaitable<std::optional<request_unit>> ReadUnit();
+  boost::asio::awaitable<bool> Serve(request_unit& unit);
+  boost::asio::awaitable<bool> ServeProxyStatement(const request_unit& unit);
+  boost::asio::awaitable<bool> ServeRouted(request_unit& unit);
+  boost::asio::awaitable<bool> ServePinned(request_unit& unit);
+  boost::asio::awaitable<relay_outcome> RunUnit(const request_unit& unit,
+                                                const connection_lease& lease,
+                                                bool hold);
+  boost::asio::awaitable<bool> FinishUnit(const request_unit& unit,
+                                          const connection_lease& lease,
+                                          relay_outcome outcome,
+                                          bool may_have_written);
+  boost::asio::awaitable<bool> ReplyError(const request_unit& unit,
+                                          error_message message);
+  boost::asio::awaitable<bool> ReplyRefusal(const request_unit& unit,
+                                            const refusal& refused);
+  boost::asio::awaitable<bool> ServeFailedTransaction(const request_unit& unit);
+  [[nodiscard]] request_entry MakeRequest(const request_unit& unit,
+                                          time_point deadline) const;
+  [[nodiscard]] std::string Prefix(const request_unit& unit,
+                                   target_connection& connection,
+                                   relay_request& expected) const;
+  void RecordPrepared(const request_unit& unit, target_connection& connection,
+                      bool failed);
+  void AppendToken(std::string& out);
+  void ReleaseConnections();
+  void EndWith(std::string_view code, const std::string& message);
+  [[nodiscard]] token_scope Scope() const;
+  [[nodiscard]] duration Deadline() const;
+
+  host_runtime& runtime_;
+  caller_stream stream_;
+  frame_buffer input_;
+  caller_identity identity_;
+  session_id id_ = 0;
+  std::shared_ptr<target_pool> pool_;
+  caller_settings settings_;
+  /// SET statements of the caller, by parameter, replayed on new connections.
+  std::map<std::string, std::string> set_statements_;
+  prepared_map prepared_;
+  /// Held during a transaction or an unfinished batch.
+  std::optional<connection_lease> pinned_;
+  /// The pinned connection ran something that may have changed data.
+  bool pinned_wrote_ = false;
+  /// The transaction ended by a fault; the caller has yet to end it.
+  bool transaction_failed_ = false;
+  bool skip_to_sync_ = false;
+  bool end_when_idle_ = false;
+  activity activity_ = activity::kStarting;
+  time_point active_since_;
+  std::string sent_token_;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_PROXY_CALLER_SESSION_H_
--- /dev/null
+++ b/src/sassafraswick/proxy/caller_startup.cc
@@ -0,0 +1,246 @@
+#include <sodium.h>
+
+#include <algorithm>
+
+#include "sassafraswick/core/log.h"
+#include "sassafraswick/proxy/caller_session.h"
+#include "sassafraswick/wire/message.h"
+
+/// @file
+/// From the first byte of a connection to an admitted session.
+
+namespace sassafraswick {
+namespace {
+
+namespace asio = boost::asio;
+using request_kind = startup_request::request_kind;
+
+constexpr std::size_t kMaxPasswordFrame = 4096;
+constexpr std::string_view kServerVersion = "15.0 (sassafraswick)";
+
+/// Parameters of the startup message that are not settings.
+bool IsConnectionParameter(std::string_view name) {
+  return name == "user" || name == "database" || name == "options" ||
+         name == "replication";
+}
+
+std::string QuoteLiteral(std::string_view text) {
+  std::string quoted = "'";
+  for (const char c : text) {
+    quoted += c == '\'' ? "''" : std::string(1, c);
+  }
+  return quoted + "'";
+}
+
+bool IsParameterName(std::string_view name) {
+  return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '_' ||
+           c == '.';
+  });
+}
+
+const organisation* FindOrganisation(const configuration& version,
+                                     std::string_view name) {
+  const auto found = version.tables.organisations.find(name);
+  return found == version.tables.organisations.end() ? nullptr : &found->second;
+}
+
+bool Admits(const route& entry, const std::string& name) {
+  return entry.organisations.empty() ||
+         std::find(entry.organisations.begin(), entry.organisations.end(),
+                   name) != entry.organisations.end();
+}
+
+}  // namespace
+
+asio::awaitable<bool> caller_session::Start() {
+  const std::optional<startup_request> request = co_await ReadStartup();
+  if (!request.has_value()) {
+    co_return false;
+  }
+  if (!co_await Admit(*request)) {
+    co_return false;
+  }
+  if (!co_await ApplyStartupSettings(*request)) {
+    co_return false;
+  }
+  std::string out;
+  AppendAuthenticationOk(out);
+  AppendParameterStatus(out, "server_version", kServerVersion);
+  AppendParameterStatus(out, "server_encoding", "UTF8");
+  AppendParameterStatus(out, "client_encoding", "UTF8");
+  AppendParameterStatus(out, "DateStyle", "ISO, MDY");
+  AppendParameterStatus(out, "integer_datetimes", "on");
+  AppendParameterStatus(out, "standard_conforming_strings", "on");
+  frame_writer(out, backend::kBackendKeyData)
+      .Int32(static_cast<std::uint32_t>(id_))
+      .Int32(randombytes_random());
+  AppendReadyForQuery(out, transaction_status::kIdle);
+  const result<void> written = co_await stream_.Write(out);
+  co_return written.has_value();
+}
+
+asio::awaitable<std::optional<startup_request>> caller_session::ReadStartup() {
+  while (true) {
+    while (input_.Data().size() < kStartupLengthSize) {
+      if (!co_await stream_.Read(input_, kIdleReadSize)) {
+        co_return std::nullopt;
+      }
+    }
+    const result<std::size_t> size =
+        ParseStartupSize(input_.Data().substr(0, kStartupLengthSize));
+    while (size && input_.Data().size() < size.value()) {
+      if (!co_await stream_.Read(input_, kIdleReadSize)) {
+        co_return std::nullopt;
+      }
+    }
+    result<startup_request> request =
+        MakeError(error_kind::kProtocol, "startup request is malformed");
+    if (size) {
+      request = ParseStartup(input_.Data().substr(
+          kStartupLengthSize, size.value() - kStartupLengthSize));
+      input_.Consume(size.value());
+    }
+    if (!request) {
+      ++runtime_.Metrics().protocol_errors;
+      co_await Reject(sqlstate::kProtocolViolation, request.error().message);
+      co_return std::nullopt;
+    }
+    const request_kind kind = request.value().kind;
+    if (kind == request_kind::kStartup) {
+      co_return std::move(request.value());
+    }
+    if (kind == request_kind::kCancel) {
+      co_return std::nullopt;
+    }
+    const bool start_tls =
+        kind == request_kind::kTls && runtime_.Tls() != nullptr;
+    const result<void> answered = co_await stream_.Write(start_tls ? "S" : "N");
+    if (!answered) {
+      co_return std::nullopt;
+    }
+    // Bytes sent in clear before the handshake must not count as encrypted.
+    if (start_tls && (!input_.Data().empty() ||
+                      !co_await stream_.StartTls(*runtime_.Tls()))) {
+      co_return std::nullopt;
+    }
+  }
+}
+
+asio::awaitable<bool> caller_session::Reject(std::string_view code,
+                                             std::string message) {
+  std::string out;
+  AppendError(
+      out, {error_severity::kFatal, std::string(code), std::move(message), ""});
+  static_cast<void>(co_await stream_.Write(out));
+  co_return false;
+}
+
+asio::awaitable<std::optional<std::string>> caller_session::ReadPassword() {
+  std::string out;
+  AppendCleartextPasswordRequest(out);
+  if (!co_await stream_.Write(out)) {
+    co_return std::nullopt;
+  }
+  while (true) {
+    const result<std::optional<frame_header>> header = input_.Header();
+    if (!header) {
+      co_return std::nullopt;
+    }
+    if (header.value().has_value()) {
+      if (header.value()->type != frontend::kPassword ||
+          header.value()->size > kMaxPasswordFrame) {
+        ++runtime_.Metrics().protocol_errors;
+        co_await Reject(sqlstate::kProtocolViolation,
+                        "expected a password message");
+        co_return std::nullopt;
+      }
+      const std::optional<frame_view> frame = input_.Frame(*header.value());
+      if (frame.has_value()) {
+        std::string password(body_reader(frame->body).String());
+        input_.Consume(header.value()->size);
+        co_return password;
+      }
+    }
+    if (!co_await stream_.Read(input_, kIdleReadSize)) {
+      co_return std::nullopt;
+    }
+  }
+}
+
+asio::awaitable<bool> caller_session::Admit(const startup_request& request) {
+  const auto user = request.parameters.find("user");
+  const auto database = request.parameters.find("database");
+  identity_.organisation = user == request.parameters.end() ? "" : user->second;
+  identity_.route = database == request.parameters.end()
+                        ? identity_.organisation
+                        : database->second;
+  std::shared_ptr<const configuration> version = runtime_.Configuration();
+  if (version == nullptr || runtime_.IsDraining()) {
+    co_return co_await Reject(sqlstate::kCannotConnectNow,
+                              version == nullptr
+                                  ? "no configuration has arrived yet, not run"
+                                  : "host is shutting down, not run");
+  }
+  const auto found = version->tables.routes.find(identity_.route);
+  const bool open = found != version->tables.routes.end() && found->second.open;
+  if (!open) {
+    const std::optional<std::string> password = co_await ReadPassword();
+    if (!password.has_value()) {
+      co_return false;
+    }
+    // The wait for the password may have spanned a change.
+    version = runtime_.Configuration();
+    const std::optional<std::string> key_id =
+        Authenticate(*version, identity_.organisation, *password);
+    if (!key_id.has_value() ||
+        FindOrganisation(*version, identity_.organisation) == nullptr) {
+      ++runtime_.Metrics().authentication_failures;
+      Log(log_level::kWarning, "authentication_failed",
+          {{"organisation", identity_.organisation}});
+      co_return co_await Reject(sqlstate::kInvalidPassword,
+                                "key is not valid for organisation \"" +
+                                    identity_.organisation + "\"");
+    }
+    identity_.key_id = *key_id;
+  }
+  const auto entry = version->tables.routes.find(identity_.route);
+  if (entry == version->tables.routes.end() ||
+      (!open && !Admits(entry->second, identity_.organisation))) {
+    co_return co_await Reject(sqlstate::kInvalidCatalogName,
+                              "service \"" + identity_.route +
+                                  "\" does not exist for organisation \"" +
+                                  identity_.organisation + "\"");
+  }
+  identity_.pool = entry->second.pool;
+  pool_ = runtime_.FindPool(identity_.pool);
+  co_return pool_ != nullptr;
+}
+
+asio::awaitable<bool> caller_session::ApplyStartupSettings(
+    const startup_request& request) {
+  std::map<std::string, std::string, std::less<>> wanted = request.parameters;
+  const auto options = wanted.find("options");
+  if (options != wanted.end()) {
+    std::map<std::string, std::string, std::less<>> parsed =
+        ParseOptions(options->second);
+    wanted.merge(parsed);
+  }
+  for (const std::pair<const std::string, std::string>& entry : wanted) {
+    if (entry.first.starts_with("sassafraswick.")) {
+      const result<void> set = SetParameter(
+          settings_, entry.first, entry.second, runtime_.Tokens(), Scope());
+      if (!set) {
+        co_return co_await Reject(sqlstate::kInvalidParameterValue,
+                                  set.error().message);
+      }
+    } else if (!IsConnectionParameter(entry.first) &&
+               IsParameterName(entry.first)) {
+      set_statements_[entry.first] =
+          "SET " + entry.first + " = " + QuoteLiteral(entry.second);
+    }
+  }
+  co_return true;
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/proxy/caller_stream.h
@@ -0,0 +1,51 @@
+#ifndef SASSAFRASWICK_PROXY_CALLER_STREAM_H_
+#define SASSAFRASWICK_PROXY_CALLER_STREAM_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <memory>
+#include <string_view>
+
+#include "sassafraswick/core/error.h"
+#include "sassafraswick/proxy/stream.h"
+#include "sassafraswick/wire/frame.h"
+
+/// @file
+/// A caller's connection, with or without TLS.
+
+namespace sassafraswick {
+
+/// TCP stream to a caller that may turn to TLS once.
+class caller_stream {
+ public:
+  explicit caller_stream(stream_socket socket) : socket_(std::move(socket)) {}
+
+  /// Runs the server's half of a TLS handshake.
+  boost::asio::awaitable<result<void>> StartTls(
+      boost::asio::ssl::context& context);
+
+  /// Reads at least one byte into the buffer.
+  boost::asio::awaitable<result<void>> Read(frame_buffer& buffer,
+                                            std::size_t size);
+
+  /// Writes all bytes.
+  boost::asio::awaitable<result<void>> Write(std::string_view bytes);
+
+  /// Sends a last message if that needs no waiting, and closes.
+  void CloseWith(std::string_view bytes);
+
+  void Close();
+
+  [[nodiscard]] bool IsOpen() const { return socket_.is_open(); }
+
+ private:
+  using tls_stream = boost::asio::ssl::stream<stream_socket&>;
+
+  stream_socket socket_;
+  std::unique_ptr<tls_stream> tls_;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_PROXY_CALLER_STREAM_H_
--- /dev/null
+++ b/src/sassafraswick/proxy/host_runtime.cc
@@ -0,0 +1,148 @@
+#include "sassafraswick/proxy/host_runtime.h"
+
+#include <algorithm>
+
+#include "sassafraswick/core/log.h"
+#include "sassafraswick/proxy/caller_session.h"
+
+namespace sassafraswick {
+namespace {
+
+/// Connections to each instance that stay free for fencing and promotion.
+constexpr std::uint32_t kReservedConnections = 2;
+
+}  // namespace
+
+host_runtime::host_runtime(boost::asio::io_context& context,
+                           daemon_settings settings)
+    : context_(context),
+      settings_(std::move(settings)),
+      tokens_(settings_.fleet_secret) {}
+
+result<void> host_runtime::LoadTls() {
+  if (settings_.tls_certificate.empty() || settings_.tls_key.empty()) {
+    return boost::outcome_v2::success();
+  }
+  tls_.emplace(boost::asio::ssl::context::tls_server);
+  boost::system::error_code failure;
+  tls_->use_certificate_chain_file(settings_.tls_certificate, failure);
+  if (!failure) {
+    tls_->use_private_key_file(settings_.tls_key,
+                               boost::asio::ssl::context::pem, failure);
+  }
+  if (failure) {
+    return MakeError(error_kind::kInvalidSetting,
+                     "tls.certificate or tls.key: " + failure.message());
+  }
+  return boost::outcome_v2::success();
+}
+
+bool host_runtime::Apply(std::shared_ptr<const configuration> version) {
+  if (configuration_ != nullptr &&
+      version->version <= configuration_->version) {
+    return false;
+  }
+  configuration_ = std::move(version);
+  Log(log_level::kInfo, "configuration_applied",
+      {{"version", std::to_string(configuration_->version)},
+       {"change_id", configuration_->change_id}});
+  UpdatePools();
+  const std::unordered_map<session_id, std::weak_ptr<caller_session>> checked =
+      sessions_;
+  for (const std::pair<const session_id, std::weak_ptr<caller_session>>& entry :
+       checked) {
+    if (const std::shared_ptr<caller_session> session = entry.second.lock()) {
+      session->CheckAdmission(*configuration_);
+    }
+  }
+  return true;
+}
+
+void host_runtime::UpdatePools() {
+  for (const std::pair<const std::string, pool>& entry :
+       configuration_->tables.pools) {
+    std::shared_ptr<target_pool>& running = pools_[entry.first];
+    if (running != nullptr && running->Update(entry.second)) {
+      continue;
+    }
+    if (running != nullptr) {
+      running->Retire();
+    }
+    running = std::make_shared<target_pool>(context_, entry.second,
+                                            MakeEnvironment());
+    running->Start();
+  }
+  std::erase_if(pools_,
+                [this](const std::pair<const std::string,
+                                       std::shared_ptr<target_pool>>& entry) {
+                  const bool removed =
+                      !configuration_->tables.pools.contains(entry.first);
+                  if (removed) {
+                    entry.second->Retire();
+                  }
+                  return removed;
+                });
+}
+
+pool_environment host_runtime::MakeEnvironment() {
+  pool_environment environment;
+  environment.dispatch.availability_zone = settings_.availability_zone;
+  environment.dispatch.permit_window = environment.failover.permit_window;
+  environment.budget = [this](const pool& definition) {
+    const std::uint32_t hosts = static_cast<std::uint32_t>(
+        std::max<std::size_t>(fleet_.members.size(), 1));
+    const std::uint32_t taken = kReservedConnections + hosts;
+    const std::uint32_t left =
+        definition.connections > taken ? definition.connections - taken : 0;
+    return std::max<std::uint32_t>(left / hosts, 1);
+  };
+  environment.peers = [this](const std::string& pool) {
+    static_cast<void>(pool);
+    peer_view view;
+    view.rank = static_cast<std::uint32_t>(std::distance(
+        fleet_.members.begin(), fleet_.members.find(settings_.host)));
+    return view;
+  };
+  return environment;
+}
+
+std::shared_ptr<target_pool> host_runtime::FindPool(
+    std::string_view name) const {
+  const auto found = pools_.find(name);
+  return found == pools_.end() ? nullptr : found->second;
+}
+
+session_id host_runtime::Register(
+    const std::shared_ptr<caller_session>& session) {
+  const session_id id = next_session_++;
+  sessions_[id] = session;
+  return id;
+}
+
+void host_runtime::Unregister(session_id id) { sessions_.erase(id); }
+
+void host_runtime::Drain() {
+  draining_ = true;
+  const std::unordered_map<session_id, std::weak_ptr<caller_session>> open =
+      sessions_;
+  for (const std::pair<const session_id, std::weak_ptr<caller_session>>& entry :
+       open) {
+    if (const std::shared_ptr<caller_session> session = entry.second.lock()) {
+      session->EndWhenIdle();
+    }
+  }
+}
+
+void host_runtime::Sweep() {
+  const time_point now = monotonic_clock::now();
+  const std::unordered_map<session_id, std::weak_ptr<caller_session>> open =
+      sessions_;
+  for (const std::pair<const session_id, std::weak_ptr<caller_session>>& entry :
+       open) {
+    if (const std::shared_ptr<caller_session> session = entry.second.lock()) {
+      session->CheckLimits(now);
+    }
+  }
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/proxy/host_runtime.h
@@ -0,0 +1,102 @@
+#ifndef SASSAFRASWICK_PROXY_HOST_RUNTIME_H_
+#define SASSAFRASWICK_PROXY_HOST_RUNTIME_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "sassafraswick/config/configuration.h"
+#include "sassafraswick/config/settings.h"
+#include "sassafraswick/consistency/token.h"
+#include "sassafraswick/peer/fleet.h"
+#include "sassafraswick/proxy/async_event.h"
+#include "sassafraswick/proxy/metrics.h"
+#include "sassafraswick/proxy/target_pool.h"
+#include "sassafraswick/routing/attempt.h"
+
+/// @file
+/// Everything that one daemon holds. Runs on one thread.
+
+namespace sassafraswick {
+
+class caller_session;
+
+/// State shared by a host's sessions, pools and services.
+class host_runtime {
+ public:
+  host_runtime(boost::asio::io_context& context, daemon_settings settings);
+
+  /// Puts a configuration in force unless it is older than the one in force.
+  /// @return True if it is now in force.
+  bool Apply(std::shared_ptr<const configuration> version);
+
+  /// The configuration in force; null before the first one arrived.
+  [[nodiscard]] const std::shared_ptr<const configuration>& Configuration()
+      const noexcept {
+    return configuration_;
+  }
+
+  /// Finds a running pool.
+  [[nodiscard]] std::shared_ptr<target_pool> FindPool(
+      std::string_view name) const;
+
+  /// Registers a session for as long as it lives.
+  session_id Register(const std::shared_ptr<caller_session>& session);
+  void Unregister(session_id id);
+
+  /// Stops taking callers and ends sessions as they become idle.
+  void Drain();
+
+  /// Closes sessions that overran a limit. Called every second.
+  void Sweep();
+
+  [[nodiscard]] boost::asio::io_context& Context() noexcept { return context_; }
+  [[nodiscard]] const daemon_settings& Settings() const noexcept {
+    return settings_;
+  }
+  [[nodiscard]] const token_codec& Tokens() const noexcept { return tokens_; }
+  [[nodiscard]] retry_budget& Retries() noexcept { return retries_; }
+  [[nodiscard]] host_metrics& Metrics() noexcept { return metrics_; }
+  [[nodiscard]] fleet_table& Fleet() noexcept { return fleet_; }
+  [[nodiscard]] bool IsDraining() const noexcept { return draining_; }
+  [[nodiscard]] std::size_t SessionCount() const noexcept {
+    return sessions_.size();
+  }
+  /// Context for TLS towards callers; null without a certificate.
+  [[nodiscard]] boost::asio::ssl::context* Tls() noexcept {
+    return tls_.has_value() ? &*tls_ : nullptr;
+  }
+  [[nodiscard]] const std::map<std::string, std::shared_ptr<target_pool>,
+                               std::less<>>&
+  Pools() const noexcept {
+    return pools_;
+  }
+  /// Reads certificate and key.
+  [[nodiscard]] result<void> LoadTls();
+
+ private:
+  void UpdatePools();
+  [[nodiscard]] pool_environment MakeEnvironment();
+
+  boost::asio::io_context& context_;
+  daemon_settings settings_;
+  token_codec tokens_;
+  std::shared_ptr<const configuration> configuration_;
+  std::map<std::string, std::shared_ptr<target_pool>, std::less<>> pools_;
+  std::unordered_map<session_id, std::weak_ptr<caller_session>> sessions_;
+  session_id next_session_ = 1;
+  retry_budget retries_;
+  host_metrics metrics_;
+  fleet_table fleet_;
+  std::optional<boost::asio::ssl::context> tls_;
+  bool draining_ = false;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_PROXY_HOST_RUNTIME_H_
--- /dev/null
+++ b/src/sassafraswick/proxy/instance_watch.cc
@@ -0,0 +1,117 @@
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "sassafraswick/core/log.h"
+#include "sassafraswick/failover/group_contract.h"
+#include "sassafraswick/proxy/target_pool.h"
+
+/// @file
+/// Questions and commands of a pool to its instances.
+
+namespace sassafraswick {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr duration kOpenLimit = std::chrono::milliseconds(300);
+/// Time beyond the heartbeat after which a question counts as unanswered.
+constexpr duration kAnswerGrace = std::chrono::milliseconds(200);
+/// Least time between two questions while nothing waits for an answer.
+constexpr duration kQuestionGap = std::chrono::milliseconds(20);
+constexpr duration kReopenWait = std::chrono::milliseconds(30);
+constexpr duration kCommandLimit = std::chrono::milliseconds(700);
+
+contact OutcomeOf(const error& failure) {
+  return failure.kind == error_kind::kClosed ? contact::kRefused
+                                             : contact::kSilent;
+}
+
+}  // namespace
+
+asio::awaitable<void> target_pool::WatchInstance(instance_index instance) {
+  const std::shared_ptr<target_pool> self = shared_from_this();
+  while (!IsDone()) {
+    result<std::shared_ptr<target_connection>> opened =
+        co_await target_connection::Open(group_.instances[instance].address,
+                                         instance, Credentials(), kOpenLimit);
+    result<void> asked = boost::outcome_v2::success();
+    if (!opened) {
+      asked = opened.error();
+    }
+    while (asked && !IsDone()) {
+      asked = co_await AskInstance(instance, *opened.value());
+    }
+    if (!asked) {
+      RecordFailure(group_, instance, OutcomeOf(asked.error()));
+      OnGroupChanged();
+    }
+    co_await Sleep(kReopenWait);
+  }
+}
+
+asio::awaitable<result<void>> target_pool::AskInstance(
+    instance_index instance, target_connection& connection) {
+  const std::optional<instance_report>& known =
+      group_.instances[instance].report;
+  const log_position after = known.has_value() ? known->log_end.position : 0;
+  const time_point asked_at = monotonic_clock::now();
+  const std::chrono::milliseconds wait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          environment_.heartbeat);
+  const result<std::string> answer = co_await connection.QueryValue(
+      StatusQuery(after, wait), environment_.heartbeat + kAnswerGrace);
+  if (!answer) {
+    co_return answer.error();
+  }
+  const result<instance_report> report = ParseReport(answer.value());
+  if (!report) {
+    co_return report.error();
+  }
+  const time_point now = monotonic_clock::now();
+  RecordReport(group_, instance, report.value(), asked_at, now);
+  OnGroupChanged();
+  if (acknowledgements_waiting_ == 0 && now - asked_at < kQuestionGap) {
+    co_await ask_now_.Wait(kQuestionGap);
+  }
+  co_return boost::outcome_v2::success();
+}
+
+asio::awaitable<void> target_pool::RunCommand(failover_command command) {
+  const bool is_fence = command.kind == command_kind::kFence;
+  const result<std::shared_ptr<target_connection>> opened =
+      co_await target_connection::Open(
+          group_.instances[command.instance].address, command.instance,
+          Credentials(), kCommandLimit);
+  result<control_answer> answer =
+      MakeError(error_kind::kUnavailable, "target cannot be reached");
+  if (opened) {
+    const std::string sql =
+        is_fence ? FenceQuery(command.term) : PromoteQuery(command.term);
+    const result<std::string> text =
+        co_await opened.value()->QueryValue(sql, kCommandLimit);
+    if (text) {
+      answer = ParseControlAnswer(text.value());
+    } else {
+      answer = text.error();
+    }
+  }
+  const time_point now = monotonic_clock::now();
+  const bool accepted = answer && answer.value().accepted;
+  Log(log_level::kInfo, is_fence ? "fence" : "promote",
+      {{"pool", group_.pool},
+       {"target", FormatEndpoint(group_.instances[command.instance].address)},
+       {"term", std::to_string(command.term)},
+       {"cause", std::to_string(static_cast<int>(failover_.cause))},
+       {"accepted", accepted ? "yes" : "no"}});
+  if (is_fence) {
+    RecordFence(failover_, group_, command, accepted,
+                accepted ? answer.value().report.log_end : log_point(), now);
+  } else {
+    counts_.promotions += accepted ? 1 : 0;
+    RecordPromotion(failover_, command, accepted, now);
+  }
+  ask_now_.NotifyAll();
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/proxy/target_connection.h
@@ -0,0 +1,87 @@
+#ifndef SASSAFRASWICK_PROXY_TARGET_CONNECTION_H_
+#define SASSAFRASWICK_PROXY_TARGET_CONNECTION_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "sassafraswick/config/tables.h"
+#include "sassafraswick/core/error.h"
+#include "sassafraswick/core/log_point.h"
+#include "sassafraswick/failover/group_state.h"
+#include "sassafraswick/proxy/stream.h"
+#include "sassafraswick/wire/frame.h"
+
+/// @file
+/// A connection to an instance of a database group.
+
+namespace sassafraswick {
+
+/// Identifies a caller's session within its host; 0 is nobody.
+using session_id = std::uint64_t;
+
+/// What a pool shows to its instances; never a caller's key.
+struct target_credentials {
+  std::string user;
+  std::string password;
+  std::string database;
+};
+
+/// An authenticated connection, used by one session at a time.
+class target_connection
+    : public std::enable_shared_from_this<target_connection> {
+ public:
+  target_connection(stream_socket socket, instance_index instance)
+      : socket_(std::move(socket)), instance_(instance) {}
+
+  /// Connects and authenticates.
+  /// @param limit Time after which the attempt is given up.
+  static boost::asio::awaitable<result<std::shared_ptr<target_connection>>>
+  Open(endpoint address, instance_index instance,
+       target_credentials credentials, duration limit);
+
+  /// Runs a query that returns one text value.
+  boost::asio::awaitable<result<std::string>> QueryValue(std::string sql,
+                                                         duration limit);
+
+  /// Takes note of a ParameterStatus.
+  /// @return True if the caller should see it.
+  bool NoteParameter(const frame_view& frame);
+
+  /// Tells whether the other side has closed an idle connection, or sent
+  /// something nobody asked for.
+  [[nodiscard]] bool IsStale();
+
+  void Close();
+
+  [[nodiscard]] stream_socket& Socket() noexcept { return socket_; }
+  [[nodiscard]] frame_buffer& Input() noexcept { return input_; }
+  [[nodiscard]] instance_index Instance() const noexcept { return instance_; }
+  /// Point that the last statement saw, as far as the instance reported.
+  [[nodiscard]] std::optional<log_point> Position() const noexcept {
+    return position_;
+  }
+
+  /// Session whose state the connection carries.
+  session_id owner = 0;
+  /// Names of statements prepared for `owner`.
+  std::set<std::string> prepared;
+  /// When the current use began.
+  time_point leased_at;
+
+ private:
+  boost::asio::awaitable<result<void>> Authenticate(
+      target_credentials credentials);
+
+  stream_socket socket_;
+  frame_buffer input_;
+  instance_index instance_;
+  std::optional<log_point> position_;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_PROXY_TARGET_CONNECTION_H_
--- /dev/null
+++ b/src/sassafraswick/proxy/target_pool.h
@@ -0,0 +1,168 @@
+#ifndef SASSAFRASWICK_PROXY_TARGET_POOL_H_
+#define SASSAFRASWICK_PROXY_TARGET_POOL_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "sassafraswick/config/tables.h"
+#include "sassafraswick/failover/promotion.h"
+#include "sassafraswick/proxy/async_event.h"
+#include "sassafraswick/proxy/target_connection.h"
+#include "sassafraswick/routing/dispatch.h"
+
+/// @file
+/// One pool at run time: carries out what dispatch and failover decide.
+
+namespace sassafraswick {
+
+/// The right to use a connection until it is given back.
+struct connection_lease {
+  std::shared_ptr<target_connection> connection;
+  /// Term of the group when the lease was given.
+  term_number term = 0;
+  bool on_primary = false;
+};
+
+/// A connection, or why there is none.
+using acquire_result = std::variant<connection_lease, refusal>;
+
+/// What became of a write that waits to be acknowledged.
+enum class durability : std::uint8_t {
+  /// A majority holds it and no successor can have acknowledged anything.
+  kAcknowledge,
+  /// The primary was replaced, or the limit passed.
+  kUnknown,
+};
+
+/// What the pool needs to know of its host.
+struct pool_environment {
+  dispatch_settings dispatch;
+  failover_settings failover;
+  /// Longest time between two questions to an instance.
+  duration heartbeat = std::chrono::milliseconds(75);
+  /// Most connections of this host to one instance.
+  std::function<std::uint32_t(const pool&)> budget;
+  /// What other hosts say of the group.
+  std::function<peer_view(const std::string& pool)> peers;
+};
+
+/// Counts for status and dump.
+struct pool_counts {
+  std::uint64_t reads_on_replica = 0;
+  std::uint64_t reads_on_primary = 0;
+  std::uint64_t writes = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t outcome_unknown = 0;
+  std::uint64_t promotions = 0;
+  std::uint64_t retries = 0;
+};
+
+/// Connections, group state and waiting requests of one pool.
+class target_pool : public std::enable_shared_from_this<target_pool> {
+ public:
+  target_pool(boost::asio::io_context& context, pool definition,
+              pool_environment environment);
+
+  /// Starts watching the instances.
+  void Start();
+
+  /// Ends the watching once no request is left; waiting ones are still served.
+  void Retire();
+
+  /// Takes over a changed definition.
+  /// @return False if the instances differ, which needs a new pool.
+  [[nodiscard]] bool Update(const pool& definition);
+
+  /// Waits for a connection that may serve the request.
+  boost::asio::awaitable<acquire_result> Acquire(request_entry request);
+
+  /// Gives a connection back.
+  /// @param reusable False closes it.
+  void Release(const connection_lease& lease, bool reusable);
+
+  /// Rolls an open transaction back and gives the connection back.
+  void RollbackAndRelease(connection_lease lease);
+
+  /// Waits until a write may be acknowledged.
+  /// @param term Term of the primary that ran it.
+  /// @param written What the primary reported after it.
+  boost::asio::awaitable<durability> AwaitDurable(term_number term,
+                                                  log_point written,
+                                                  time_point limit);
+
+  /// Tells whether acknowledging on a term is permitted at this moment.
+  [[nodiscard]] bool MayAcknowledge(term_number term) const;
+
+  /// Feeds a position seen on a data connection.
+  void NotePosition(instance_index instance, log_point position);
+
+  [[nodiscard]] const pool& Definition() const noexcept { return definition_; }
+  [[nodiscard]] const group_state& Group() const noexcept { return group_; }
+  [[nodiscard]] const failover_state& Failover() const noexcept {
+    return failover_;
+  }
+  [[nodiscard]] const dispatch_table& Table() const noexcept { return table_; }
+  [[nodiscard]] const pool_environment& Environment() const noexcept {
+    return environment_;
+  }
+  [[nodiscard]] pool_counts& Counts() noexcept { return counts_; }
+  [[nodiscard]] std::uint64_t Random() { return random_(); }
+
+ private:
+  struct waiter {
+    explicit waiter(const boost::asio::any_io_executor& executor)
+        : decided(executor) {}
+    std::optional<acquire_result> outcome;
+    async_event decided;
+  };
+
+  [[nodiscard]] bool IsDone() const;
+  [[nodiscard]] target_credentials Credentials() const;
+  boost::asio::awaitable<void> Tick();
+  boost::asio::awaitable<void> WatchInstance(instance_index instance);
+  boost::asio::awaitable<result<void>> AskInstance(
+      instance_index instance, target_connection& connection);
+  boost::asio::awaitable<void> RunCommand(failover_command command);
+  boost::asio::awaitable<void> OpenConnection(instance_index instance);
+  boost::asio::awaitable<void> RollbackTransaction(connection_lease lease);
+  void OnGroupChanged();
+  void CloseReplaced();
+  void Pump();
+  void Assign(const assignment& assigned);
+  void Decide(request_id id, acquire_result outcome);
+  void ApplyBudgets();
+
+  boost::asio::io_context& context_;
+  pool definition_;
+  pool_environment environment_;
+  group_state group_;
+  failover_state failover_;
+  dispatch_table table_;
+  pool_counts counts_;
+  std::vector<std::deque<std::shared_ptr<target_connection>>> idle_;
+  std::unordered_map<target_connection*, connection_lease> leased_;
+  std::unordered_map<request_id, std::shared_ptr<waiter>> waiters_;
+  request_id next_request_ = 1;
+  std::uint32_t acknowledgements_waiting_ = 0;
+  term_number seen_term_ = 0;
+  bool retired_ = false;
+  bool pumping_ = false;
+  bool pump_again_ = false;
+  async_event changed_;
+  async_event ask_now_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_PROXY_TARGET_POOL_H_
--- /dev/null
+++ b/src/sassafraswick/routing/attempt.h
@@ -0,0 +1,113 @@
+#ifndef SASSAFRASWICK_ROUTING_ATTEMPT_H_
+#define SASSAFRASWICK_ROUTING_ATTEMPT_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "sassafraswick/core/time.h"
+
+/// @file
+/// Decides what becomes of a request whose attempt failed, so that a request
+/// which may not be repeated runs at most once.
+
+namespace sassafraswick {
+
+/// How far an attempt got.
+enum class attempt_state : std::uint8_t {
+  /// No target got a byte of it.
+  kNotSent,
+  /// A target may have run it.
+  kSent,
+  /// The target answered that it did not run it.
+  kRejected,
+};
+
+/// What is known of a failed attempt.
+struct attempt {
+  attempt_state state = attempt_state::kNotSent;
+  /// The caller has received part of the answer.
+  bool answer_begun = false;
+  /// The statement cannot change data, or the caller declared it idempotent.
+  bool repeatable = false;
+  std::uint32_t attempts_made = 1;
+  time_point deadline;
+};
+
+enum class verdict : std::uint8_t {
+  kRetry,
+  /// True by construction: no target ran it.
+  kSayNotRun,
+  /// The error must not claim that it did not run.
+  kSayUnknown,
+  /// Part of the answer is out: only closing the connection is honest.
+  kAbort,
+};
+
+/// Retries allowed in proportion to requests, so that retries cannot multiply
+/// an overload.
+class retry_budget {
+ public:
+  /// Counts one first attempt.
+  void RecordRequest() noexcept {
+    credit_ = std::min(credit_ + kCreditPerRequest, kMaxCredit);
+  }
+
+  /// Takes one retry if the budget allows it.
+  [[nodiscard]] bool TryTake() noexcept {
+    if (credit_ < kCreditPerRetry) {
+      return false;
+    }
+    credit_ -= kCreditPerRetry;
+    return true;
+  }
+
+ private:
+  static constexpr std::uint32_t kCreditPerRequest = 1;
+  static constexpr std::uint32_t kCreditPerRetry = 5;
+  static constexpr std::uint32_t kMaxCredit = 500;
+
+  std::uint32_t credit_ = kMaxCredit;
+};
+
+/// Most attempts of one request.
+inline constexpr std::uint32_t kMaxAttempts = 10;
+
+/// Decides about a failed attempt.
+/// @param now Time of the failure.
+/// @param budget Taken from only if a sent request is repeated; a request that
+/// no target got costs the targets nothing.
+[[nodiscard]] inline verdict DecideAfterFailure(const attempt& failed,
+                                                retry_budget& budget,
+                                                time_point now) noexcept {
+  const bool may_run_again = failed.state != attempt_state::kSent ||
+                             (failed.repeatable && !failed.answer_begun);
+  const bool in_time =
+      now < failed.deadline && failed.attempts_made < kMaxAttempts;
+  if (failed.answer_begun) {
+    return verdict::kAbort;
+  }
+  if (may_run_again && in_time) {
+    const bool free = failed.state == attempt_state::kNotSent;
+    if (free || budget.TryTake()) {
+      return verdict::kRetry;
+    }
+  }
+  return failed.state == attempt_state::kSent ? verdict::kSayUnknown
+                                              : verdict::kSayNotRun;
+}
+
+/// Wait before the next attempt: exponential with full jitter.
+/// @param random Uniform random number.
+[[nodiscard]] inline duration RetryDelay(std::uint32_t attempts_made,
+                                         std::uint64_t random) noexcept {
+  constexpr duration kFirst = std::chrono::milliseconds(5);
+  constexpr duration kLongest = std::chrono::milliseconds(200);
+  constexpr std::uint32_t kMaxDoublings = 6;
+  const std::uint32_t doublings = std::min(attempts_made, kMaxDoublings);
+  const duration ceiling = std::min(kLongest, kFirst * (1U << doublings));
+  return duration(random % (static_cast<std::uint64_t>(ceiling.count()) + 1));
+}
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_ROUTING_ATTEMPT_H_
--- /dev/null
+++ b/src/sassafraswick/routing/dispatch.cc
@@ -0,0 +1,216 @@
+#include "sassafraswick/routing/dispatch.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace sassafraswick {
+namespace {
+
+/// Requests of one organisation looked at when the first cannot be placed.
+constexpr std::size_t kMaxScan = 64;
+/// Weight of one sample in the smoothed service time.
+constexpr int kSmoothing = 16;
+
+/// What one pass of dispatching works on.
+struct dispatch_pass {
+  dispatch_table& table;
+  const group_state& group;
+  const dispatch_settings& settings;
+  time_point now;
+  std::optional<instance_index> primary;
+  dispatch_plan plan;
+  /// Requests that found no idle connection, by instance they would take.
+  std::vector<std::uint32_t> unmet;
+};
+
+std::uint32_t TotalBudget(const dispatch_table& table) {
+  std::uint32_t total = 0;
+  for (const connection_counts& counts : table.connections) {
+    total += counts.budget;
+  }
+  return std::max<std::uint32_t>(total, 1);
+}
+
+std::uint32_t Load(const connection_counts& counts) {
+  return counts.busy + counts.opening;
+}
+
+/// Picks the least loaded instance with an idle connection; equal loads go to
+/// this host's own availability zone.
+std::optional<instance_index> PickIdle(
+    const dispatch_pass& pass, const std::vector<instance_index>& candidates) {
+  std::optional<instance_index> best;
+  const auto rank = [&pass](instance_index i) {
+    const bool remote = pass.group.instances[i].availability_zone !=
+                        pass.settings.availability_zone;
+    return std::pair<std::uint32_t, bool>(Load(pass.table.connections[i]),
+                                          remote);
+  };
+  for (const instance_index i : candidates) {
+    if (pass.table.connections[i].idle > 0 &&
+        (!best.has_value() || rank(i) < rank(*best))) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+/// Lists the instances that may take a request now.
+std::vector<instance_index> Candidates(const dispatch_pass& pass,
+                                       const request_entry& request) {
+  std::vector<instance_index> candidates;
+  const bool replica_allowed = request.access == access_kind::kRead &&
+                               !request.needs_primary &&
+                               AcceptsReplica(request.requirement);
+  if (replica_allowed) {
+    candidates = FreshReplicas(pass.group, request.requirement,
+                               pass.settings.permit_window, pass.now);
+    const bool may_wait =
+        pass.now < request.arrived + pass.settings.freshness_wait;
+    if (!candidates.empty() || may_wait) {
+      return candidates;
+    }
+  }
+  if (pass.primary.has_value()) {
+    candidates.push_back(*pass.primary);
+  }
+  return candidates;
+}
+
+bool IsHistoryLost(const dispatch_pass& pass, const request_entry& request) {
+  return request.requirement.at_least.has_value() &&
+         IsDiscarded(*request.requirement.at_least, KnownHistory(pass.group));
+}
+
+/// Tries to place one request.
+/// @return True if it left the queue.
+bool Place(dispatch_pass& pass, const request_entry& request) {
+  if (pass.now >= request.deadline) {
+    pass.plan.refusals.push_back(
+        {request.id, refusal_reason::kNoInstance, pass.table.service_time});
+    return true;
+  }
+  if (IsHistoryLost(pass, request)) {
+    pass.plan.refusals.push_back(
+        {request.id, refusal_reason::kHistoryLost, duration::zero()});
+    return true;
+  }
+  const std::vector<instance_index> candidates = Candidates(pass, request);
+  const std::optional<instance_index> chosen = PickIdle(pass, candidates);
+  if (chosen.has_value()) {
+    connection_counts& counts = pass.table.connections[*chosen];
+    --counts.idle;
+    ++counts.busy;
+    pass.plan.assignments.push_back({request.id, *chosen});
+    pass.table.order.Charge(request.organisation, request.weight);
+    return true;
+  }
+  for (const instance_index i : candidates) {
+    ++pass.unmet[i];
+  }
+  return false;
+}
+
+/// Places at most one request of an organisation.
+/// @return True if one left the queue.
+bool PlaceNext(dispatch_pass& pass, std::deque<request_entry>& queue) {
+  const std::size_t scan = std::min(queue.size(), kMaxScan);
+  for (std::size_t i = 0; i < scan; ++i) {
+    if (Place(pass, queue[i])) {
+      queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
+      --pass.table.waiting_count;
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<std::string> WaitingOrganisations(const dispatch_table& table) {
+  std::vector<std::string> names;
+  for (const std::pair<const std::string, std::deque<request_entry>>& entry :
+       table.waiting) {
+    if (!entry.second.empty()) {
+      names.push_back(entry.first);
+    }
+  }
+  return names;
+}
+
+void PlanConnects(dispatch_pass& pass) {
+  for (instance_index i = 0; i < pass.table.connections.size(); ++i) {
+    connection_counts& counts = pass.table.connections[i];
+    while (pass.unmet[i] > counts.opening && pass.now >= counts.retry_at &&
+           counts.idle + counts.busy + counts.opening < counts.budget) {
+      ++counts.opening;
+      pass.plan.connects.push_back(i);
+    }
+  }
+}
+
+}  // namespace
+
+std::optional<refusal> Enqueue(dispatch_table& table,
+                               const dispatch_settings& settings,
+                               request_entry request, time_point now) {
+  std::deque<request_entry>& queue = table.waiting[request.organisation];
+  const std::size_t competing = WaitingOrganisations(table).size();
+  const std::int64_t ahead = static_cast<std::int64_t>(
+      queue.size() * std::max<std::size_t>(competing, 1));
+  const duration expected = table.service_time * ahead / TotalBudget(table);
+  if (queue.size() >= settings.queue_limit ||
+      now + expected > request.deadline) {
+    return refusal{request.id, refusal_reason::kOverloaded, expected};
+  }
+  queue.push_back(std::move(request));
+  ++table.waiting_count;
+  return std::nullopt;
+}
+
+dispatch_plan Dispatch(dispatch_table& table, const group_state& group,
+                       const dispatch_settings& settings, time_point now) {
+  dispatch_pass pass{table,
+                     group,
+                     settings,
+                     now,
+                     PermittedPrimary(group, settings.permit_window, now),
+                     {},
+                     std::vector<std::uint32_t>(table.connections.size(), 0)};
+  std::vector<std::string> waiting = WaitingOrganisations(table);
+  while (!waiting.empty()) {
+    std::vector<std::string> progressed;
+    for (const std::string& name : table.order.Order(waiting)) {
+      std::deque<request_entry>& queue = table.waiting[name];
+      if (PlaceNext(pass, queue) && !queue.empty()) {
+        progressed.push_back(name);
+      }
+    }
+    waiting = std::move(progressed);
+  }
+  std::erase_if(
+      table.waiting,
+      [](const std::pair<const std::string, std::deque<request_entry>>& entry) {
+        return entry.second.empty();
+      });
+  PlanConnects(pass);
+  return std::move(pass.plan);
+}
+
+bool Withdraw(dispatch_table& table, const std::string& organisation,
+              request_id id) {
+  const auto found = table.waiting.find(organisation);
+  if (found == table.waiting.end()) {
+    return false;
+  }
+  const std::size_t erased = std::erase_if(
+      found->second,
+      [id](const request_entry& request) { return request.id == id; });
+  table.waiting_count -= erased;
+  return erased > 0;
+}
+
+void RecordServiceTime(dispatch_table& table, duration busy) {
+  table.service_time =
+      (table.service_time * (kSmoothing - 1) + busy) / kSmoothing;
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/routing/fwd.h
@@ -0,0 +1,15 @@
+#ifndef SASSAFRASWICK_ROUTING_FWD_H_
+#define SASSAFRASWICK_ROUTING_FWD_H_
+
+namespace sassafraswick {
+
+struct request_entry;
+struct connection_counts;
+struct dispatch_settings;
+struct dispatch_table;
+struct attempt;
+class retry_budget;
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_ROUTING_FWD_H_
--- /dev/null
+++ b/src/sassafraswick/wire/request_unit.cc
@@ -0,0 +1,126 @@
+#include "sassafraswick/wire/request_unit.h"
+
+namespace sassafraswick {
+namespace {
+
+error Malformed(const std::string& what) {
+  return MakeError(error_kind::kProtocol, what + " message is malformed");
+}
+
+void AddStatement(request_unit& unit, const statement_class& added) {
+  ++unit.statement_count;
+  if (unit.statement_count == 1) {
+    unit.statement = added;
+    return;
+  }
+  const bool unsupported =
+      unit.statement.kind == statement_kind::kUnsupported ||
+      added.kind == statement_kind::kUnsupported;
+  const bool reads = unit.statement.kind == statement_kind::kRead &&
+                     added.kind == statement_kind::kRead;
+  if (unsupported) {
+    unit.statement =
+        added.kind == statement_kind::kUnsupported ? added : unit.statement;
+  } else if (!reads) {
+    unit.statement = {statement_kind::kWrite, "", ""};
+  }
+}
+
+/// Adds the use of a statement prepared before this unit.
+void AddReference(request_unit& unit, const std::string& name,
+                  const prepared_map& known) {
+  const bool is_new =
+      !unit.prepared.contains(name) && unit.references.insert(name).second;
+  const auto found = known.find(name);
+  if (is_new && found != known.end()) {
+    AddStatement(unit, found->second.statement);
+  }
+}
+
+result<bool> AddParse(request_unit& unit, const frame_view& frame,
+                      std::string_view raw) {
+  body_reader reader(frame.body);
+  const std::string name(reader.String());
+  const std::string_view sql = reader.String();
+  if (reader.Failed()) {
+    return Malformed("Parse");
+  }
+  const statement_class statement = ClassifyStatement(sql);
+  AddStatement(unit, statement);
+  unit.prepared[name] = {std::string(raw), statement};
+  ++unit.expected_completions;
+  return false;
+}
+
+result<bool> AddNamed(request_unit& unit, const frame_view& frame,
+                      const prepared_map& known) {
+  body_reader reader(frame.body);
+  if (frame.type == frontend::kBind) {
+    static_cast<void>(reader.String());
+    AddReference(unit, std::string(reader.String()), known);
+  } else {
+    const std::string_view kind = reader.Bytes(1);
+    const std::string name(reader.String());
+    if (kind == "S" && frame.type == frontend::kDescribe) {
+      AddReference(unit, name, known);
+    } else if (kind == "S") {
+      unit.closed.push_back(name);
+    }
+    unit.describes = unit.describes || frame.type == frontend::kDescribe;
+  }
+  if (reader.Failed()) {
+    return Malformed(frame.type == frontend::kBind ? "Bind"
+                                                   : "Describe or Close");
+  }
+  ++unit.expected_completions;
+  return false;
+}
+
+result<bool> AddQuery(request_unit& unit, const frame_view& frame) {
+  body_reader reader(frame.body);
+  const std::string_view sql = reader.String();
+  if (reader.Failed() || !reader.Rest().empty()) {
+    return Malformed("Query");
+  }
+  if (unit.statement_count > 0 || unit.expected_completions > 0) {
+    return MakeError(error_kind::kProtocol,
+                     "Query message inside an extended-protocol batch");
+  }
+  AddStatement(unit, ClassifyStatement(sql));
+  unit.is_simple = true;
+  unit.ends_batch = true;
+  return true;
+}
+
+}  // namespace
+
+result<bool> AddFrame(request_unit& unit, const frame_view& frame,
+                      std::string_view raw, const prepared_map& known) {
+  unit.bytes.append(raw);
+  switch (frame.type) {
+    case frontend::kQuery:
+      return AddQuery(unit, frame);
+    case frontend::kParse:
+      return AddParse(unit, frame, raw);
+    case frontend::kBind:
+    case frontend::kDescribe:
+    case frontend::kClose:
+      return AddNamed(unit, frame, known);
+    case frontend::kExecute:
+      unit.executes = true;
+      ++unit.expected_completions;
+      return false;
+    case frontend::kSync:
+      unit.ends_batch = true;
+      return true;
+    case frontend::kFlush:
+      return true;
+    default:
+      return MakeError(error_kind::kProtocol,
+                       "message type " +
+                           std::to_string(static_cast<int>(frame.type)) +
+                           " is not expected from a caller here");
+  }
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/standin/instance.h
@@ -0,0 +1,149 @@
+#ifndef STANDIN_INSTANCE_H_
+#define STANDIN_INSTANCE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "sassafraswick/config/endpoint.h"
+#include "sassafraswick/core/log_point.h"
+#include "sassafraswick/core/time.h"
+#include "sassafraswick/proxy/async_event.h"
+#include "standin/engine.h"
+
+/// @file
+/// State of one instance of a database group and its replication.
+
+namespace standin {
+
+using sassafraswick::duration;
+using sassafraswick::endpoint;
+using sassafraswick::log_position;
+using sassafraswick::term_number;
+using sassafraswick::time_point;
+
+/// How an instance was started.
+struct instance_settings {
+  std::uint32_t index = 0;
+  endpoint listen;
+  endpoint replication_listen;
+  /// Replication addresses of the other instances.
+  std::vector<endpoint> peers;
+  bool primary = false;
+  std::string user = "pool";
+  std::string password = "pool-secret";
+  std::uint32_t connections = 20;
+  std::uint32_t slots = 3;
+  duration connect_time = std::chrono::milliseconds(10);
+};
+
+/// Switches that tests turn while the instance runs.
+struct instance_switches {
+  /// Time from commit until a replica has received an entry.
+  duration replication_delay = std::chrono::milliseconds(0);
+  /// Time from receipt until a replica shows an entry to readers.
+  duration apply_delay = std::chrono::milliseconds(0);
+  /// Time that each statement occupies its slot.
+  duration statement_time = std::chrono::milliseconds(0);
+  /// Cuts replication in both directions.
+  bool isolated = false;
+};
+
+/// Outcome of a fence or promote request, and the log it applies to.
+struct instance_answer {
+  bool accepted = false;
+  std::string text;
+};
+
+/// One instance's log, role and tables. Single-threaded.
+class instance {
+ public:
+  instance(boost::asio::io_context& context, instance_settings settings);
+
+  /// Starts replication; sessions are started by `ServeSessions`.
+  void StartReplication();
+
+  /// Status as `name=value` words.
+  [[nodiscard]] std::string StatusText() const;
+
+  /// Raises the term; the instance stops being primary.
+  [[nodiscard]] instance_answer Fence(term_number term);
+
+  /// Makes the instance primary of a term it was fenced at.
+  [[nodiscard]] instance_answer Promote(term_number term);
+
+  /// Commits a transaction on the primary.
+  /// @return False if the instance is not primary.
+  [[nodiscard]] bool Commit(transaction& open);
+
+  [[nodiscard]] bool IsPrimary() const noexcept { return is_primary_; }
+  [[nodiscard]] term_number Term() const noexcept { return term_; }
+  [[nodiscard]] log_position Received() const noexcept { return log_.size(); }
+  [[nodiscard]] log_position Applied() const noexcept { return applied_; }
+  /// Term and position that a read sees, as `TERM/POSITION`.
+  [[nodiscard]] std::string AppliedText() const;
+  [[nodiscard]] engine& Engine() noexcept { return engine_; }
+  [[nodiscard]] instance_switches& Switches() noexcept { return switches_; }
+  [[nodiscard]] const instance_settings& Settings() const noexcept {
+    return settings_;
+  }
+  /// Notified whenever log, term or role change.
+  [[nodiscard]] sassafraswick::async_event& Changed() noexcept {
+    return changed_;
+  }
+
+ private:
+  /// A replication message held back by the settable delay.
+  struct delayed_message {
+    time_point due;
+    log_position end = 0;
+    std::int64_t echo = 0;
+  };
+
+  boost::asio::awaitable<void> ApplyEntries();
+  boost::asio::awaitable<void> AcceptReplication();
+  boost::asio::awaitable<void> ReceiveReplication(
+      boost::asio::ip::tcp::socket socket);
+  boost::asio::awaitable<void> SendReplication(endpoint peer);
+  boost::asio::awaitable<void> SendToPeer(boost::asio::ip::tcp::socket socket);
+  /// Handles one message from a primary; empty means hang up.
+  std::string HandleFromPrimary(const boost::json::object& message);
+  void TruncateTo(log_position end);
+  void AppendEntries(const boost::json::object& message);
+  void StepDown(term_number term);
+  [[nodiscard]] log_position CommonPrefix(
+      const boost::json::object& peer_state) const;
+  [[nodiscard]] std::string LogState() const;
+  [[nodiscard]] std::string AppendMessage(log_position begin, log_position end,
+                                          std::int64_t echo) const;
+
+  boost::asio::io_context& context_;
+  instance_settings settings_;
+  instance_switches switches_;
+  engine engine_;
+  std::vector<log_entry> log_;
+  std::vector<time_point> received_at_;
+  sassafraswick::term_history history_;
+  term_number term_ = 1;
+  bool is_primary_ = false;
+  log_position applied_ = 0;
+  /// When the primary was last heard.
+  time_point primary_heard_at_;
+  /// The replica's data is at least as new as the primary's was at this time,
+  /// once `freshness_position_` is applied.
+  time_point fresh_as_of_;
+  log_position freshness_position_ = 0;
+  time_point pending_fresh_as_of_;
+  sassafraswick::async_event changed_;
+};
+
+/// Accepts sessions until the context stops.
+boost::asio::awaitable<void> ServeSessions(instance& served);
+
+}  // namespace standin
+
+#endif  // STANDIN_INSTANCE_H_
--- /dev/null
+++ b/standin/instance_session.cc
@@ -0,0 +1,677 @@
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <map>
+#include <memory>
+
+#include "sassafraswick/proxy/stream.h"
+#include "sassafraswick/wire/message.h"
+#include "standin/instance.h"
+
+/// @file
+/// Sessions of the database stand-in: PostgreSQL protocol version 3, server
+/// half, just enough for the proxy and its tests.
+
+namespace standin {
+namespace {
+
+namespace asio = boost::asio;
+namespace backend = sassafraswick::backend;
+namespace frontend = sassafraswick::frontend;
+using sassafraswick::frame_header;
+using sassafraswick::frame_view;
+using sassafraswick::frame_writer;
+using sassafraswick::result;
+using sassafraswick::startup_request;
+using sassafraswick::transaction_status;
+
+constexpr std::size_t kFlushSize = 65'536;
+constexpr std::size_t kMaxFrame = 16'777'216;
+constexpr std::uint32_t kBigintTypeId = 20;
+constexpr std::uint32_t kTextTypeId = 25;
+constexpr std::uint16_t kBigintSize = 8;
+constexpr std::uint16_t kVariableSize = 0xFFFF;
+constexpr std::uint32_t kNull = 0xFFFFFFFF;
+constexpr duration kSlotRecheck = std::chrono::seconds(1);
+
+/// Counts of one instance that all its sessions share.
+struct session_limits {
+  explicit session_limits(const asio::any_io_executor& executor)
+      : slot_freed(executor) {}
+
+  std::uint32_t sessions = 0;
+  std::uint32_t running = 0;
+  sassafraswick::async_event slot_freed;
+};
+
+struct portal {
+  statement parsed;
+  std::vector<cell> parameters;
+};
+
+std::int64_t IntegerOf(const cell& value) {
+  std::int64_t number = 0;
+  if (value.has_value()) {
+    std::from_chars(value->data(), value->data() + value->size(), number);
+  }
+  return number;
+}
+
+bool ChangesData(statement_type type) {
+  return type == statement_type::kInsert || type == statement_type::kUpdate ||
+         type == statement_type::kDelete ||
+         type == statement_type::kCreateTable ||
+         type == statement_type::kDropTable;
+}
+
+void AppendRowDescription(std::string& out,
+                          const std::vector<column>& columns) {
+  frame_writer writer(out, backend::kRowDescription);
+  writer.Int16(static_cast<std::uint16_t>(columns.size()));
+  for (const column& each : columns) {
+    const bool is_bigint = each.type == column_type::kBigint;
+    writer.String(each.name).Int32(0).Int16(0);
+    writer.Int32(is_bigint ? kBigintTypeId : kTextTypeId);
+    writer.Int16(is_bigint ? kBigintSize : kVariableSize);
+    writer.Int32(kNull).Int16(0);
+  }
+}
+
+void AppendRow(std::string& out, const row& values) {
+  frame_writer writer(out, backend::kDataRow);
+  writer.Int16(static_cast<std::uint16_t>(values.size()));
+  for (const cell& value : values) {
+    if (value.has_value()) {
+      writer.Int32(static_cast<std::uint32_t>(value->size())).Bytes(*value);
+    } else {
+      writer.Int32(kNull);
+    }
+  }
+}
+
+sql_result TextResult(const std::string& name, std::string value) {
+  sql_result answer;
+  answer.columns = {{name}};
+  answer.rows = {{std::move(value)}};
+  answer.tag = "SELECT 1";
+  return answer;
+}
+
+class instance_session : public std::enable_shared_from_this<instance_session> {
+ public:
+  instance_session(instance& served, std::shared_ptr<session_limits> limits,
+                   asio::ip::tcp::socket socket)
+      : instance_(served),
+        limits_(std::move(limits)),
+        socket_(std::move(socket)) {}
+
+  ~instance_session() {
+    instance_.Engine().Rollback(open_);
+    if (counted_) {
+      --limits_->sessions;
+    }
+  }
+
+  instance_session(const instance_session&) = delete;
+  instance_session& operator=(const instance_session&) = delete;
+
+  asio::awaitable<void> Run() {
+    const std::shared_ptr<instance_session> self = shared_from_this();
+    if (!co_await Start()) {
+      co_return;
+    }
+    while (true) {
+      const result<frame_header> header =
+          co_await sassafraswick::ReadFrame(socket_, input_, kMaxFrame);
+      if (!header || header.value().type == frontend::kTerminate) {
+        co_return;
+      }
+      const frame_view frame = *input_.Frame(header.value());
+      co_await Handle(frame);
+      input_.Consume(header.value().size);
+      const char type = header.value().type;
+      const bool answer_now = type == frontend::kQuery ||
+                              type == frontend::kSync ||
+                              type == frontend::kFlush;
+      if ((answer_now || out_.size() > kFlushSize) && !co_await Flush()) {
+        co_return;
+      }
+    }
+  }
+
+ private:
+  asio::awaitable<bool> Start() {
+    co_await sassafraswick::Sleep(instance_.Settings().connect_time);
+    std::map<std::string, std::string, std::less<>> parameters;
+    while (true) {
+      while (input_.Data().size() < sassafraswick::kStartupLengthSize) {
+        if (!co_await sassafraswick::ReadMore(socket_, input_)) {
+          co_return false;
+        }
+      }
+      const result<std::size_t> size =
+          sassafraswick::ParseStartupSize(input_.Data().substr(0, 4));
+      while (size && input_.Data().size() < size.value()) {
+        if (!co_await sassafraswick::ReadMore(socket_, input_)) {
+          co_return false;
+        }
+      }
+      if (!size) {
+        co_return false;
+      }
+      const result<startup_request> request = sassafraswick::ParseStartup(
+          input_.Data().substr(4, size.value() - 4));
+      input_.Consume(size.value());
+      if (!request ||
+          request.value().kind == startup_request::request_kind::kCancel) {
+        co_return false;
+      }
+      if (request.value().kind == startup_request::request_kind::kStartup) {
+        parameters = request.value().parameters;
+        break;
+      }
+      out_ = "N";
+      if (!co_await Flush()) {
+        co_return false;
+      }
+    }
+    co_return co_await Authenticate(parameters);
+  }
+
+  asio::awaitable<bool> Authenticate(
+      const std::map<std::string, std::string, std::less<>>& parameters) {
+    sassafraswick::AppendCleartextPasswordRequest(out_);
+    if (!co_await Flush()) {
+      co_return false;
+    }
+    const result<frame_header> header =
+        co_await sassafraswick::ReadFrame(socket_, input_, kMaxFrame);
+    if (!header) {
+      co_return false;
+    }
+    sassafraswick::body_reader reader(input_.Frame(header.value())->body);
+    const std::string password(reader.String());
+    input_.Consume(header.value().size);
+    const auto user = parameters.find("user");
+    if (user == parameters.end() || user->second != instance_.Settings().user ||
+        password != instance_.Settings().password) {
+      co_await Refuse("28P01", "password authentication failed");
+      co_return false;
+    }
+    if (limits_->sessions >= instance_.Settings().connections) {
+      co_await Refuse("53300", "sorry, too many clients already");
+      co_return false;
+    }
+    ++limits_->sessions;
+    counted_ = true;
+    sassafraswick::AppendAuthenticationOk(out_);
+    sassafraswick::AppendParameterStatus(out_, "server_version", "15.0");
+    sassafraswick::AppendParameterStatus(out_, "client_encoding", "UTF8");
+    sassafraswick::AppendParameterStatus(out_, "standard_conforming_strings",
+                                         "on");
+    Ready();
+    co_return co_await Flush();
+  }
+
+  asio::awaitable<void> Refuse(std::string code, std::string message) {
+    sassafraswick::AppendError(out_, {sassafraswick::error_severity::kFatal,
+                                      std::move(code), std::move(message), ""});
+    co_await Flush();
+  }
+
+  asio::awaitable<bool> Flush() {
+    const result<void> written =
+        co_await sassafraswick::WriteAll(socket_, out_);
+    out_.clear();
+    co_return written.has_value();
+  }
+
+  void Ready() {
+    const std::string applied = instance_.AppliedText();
+    if (applied != reported_position_) {
+      reported_position_ = applied;
+      sassafraswick::AppendParameterStatus(out_, "group_position", applied);
+    }
+    transaction_status status = transaction_status::kIdle;
+    if (in_block_) {
+      status = failed_ ? transaction_status::kFailed
+                       : transaction_status::kInTransaction;
+    }
+    sassafraswick::AppendReadyForQuery(out_, status);
+  }
+
+  void Fail(const sql_error& failure) {
+    failed_ = true;
+    sassafraswick::AppendError(out_, {sassafraswick::error_severity::kError,
+                                      failure.code, failure.message, ""});
+  }
+
+  /// Ends the open transaction: commits it unless a statement failed.
+  /// @return False if it should have committed and could not.
+  [[nodiscard]] bool EndTransaction() {
+    bool committed = true;
+    if (failed_) {
+      instance_.Engine().Rollback(open_);
+    } else {
+      committed = instance_.Commit(open_) || !wrote_;
+    }
+    failed_ = false;
+    wrote_ = false;
+    return committed;
+  }
+
+  /// Ends the implicit transaction of a query or of a Sync.
+  void EndImplicit() {
+    if (!in_block_ && !EndTransaction()) {
+      out_.clear();
+      Fail({"25006", "instance is no longer primary"});
+      failed_ = false;
+    }
+  }
+
+  asio::awaitable<void> Handle(const frame_view& frame) {
+    if (frame.type == frontend::kQuery) {
+      co_await HandleQuery(frame);
+    } else if (frame.type == frontend::kSync) {
+      skip_to_sync_ = false;
+      EndImplicit();
+      Ready();
+    } else if (!skip_to_sync_) {
+      co_await HandleExtended(frame);
+    }
+  }
+
+  asio::awaitable<void> HandleQuery(const frame_view& frame) {
+    sassafraswick::body_reader reader(frame.body);
+    const std::string sql(reader.String());
+    const result<std::vector<statement>> parsed = ParseSql(sql);
+    if (!parsed) {
+      Fail({"42601", parsed.error().message});
+    } else if (parsed.value().empty()) {
+      frame_writer(out_, 'I');
+    } else {
+      for (const statement& each : parsed.value()) {
+        if (!co_await RunStatement(each, {}, true)) {
+          break;
+        }
+      }
+    }
+    EndImplicit();
+    Ready();
+  }
+
+  asio::awaitable<void> HandleExtended(const frame_view& frame) {
+    sassafraswick::body_reader reader(frame.body);
+    switch (frame.type) {
+      case frontend::kParse:
+        HandleParse(reader);
+        break;
+      case frontend::kBind:
+        HandleBind(reader);
+        break;
+      case frontend::kDescribe:
+        HandleDescribe(reader);
+        break;
+      case frontend::kExecute: {
+        const std::string name(reader.String());
+        const auto found = portals_.find(name);
+        if (found == portals_.end()) {
+          FailBatch({"34000", "portal does not exist"});
+        } else if (!co_await RunStatement(found->second.parsed,
+                                          found->second.parameters, false)) {
+          skip_to_sync_ = true;
+        }
+        break;
+      }
+      case frontend::kClose: {
+        const std::string_view kind = reader.Bytes(1);
+        const std::string name(reader.String());
+        if (kind == "S") {
+          prepared_.erase(name);
+        } else {
+          portals_.erase(name);
+        }
+        frame_writer(out_, backend::kCloseComplete);
+        break;
+      }
+      case frontend::kFlush:
+        break;
+      default:
+        FailBatch({"08P01", "unexpected message"});
+    }
+  }
+
+  void FailBatch(const sql_error& failure) {
+    Fail(failure);
+    skip_to_sync_ = true;
+  }
+
+  void HandleParse(sassafraswick::body_reader& reader) {
+    const std::string name(reader.String());
+    const std::string sql(reader.String());
+    result<std::vector<statement>> parsed = ParseSql(sql);
+    if (!parsed) {
+      FailBatch({"42601", parsed.error().message});
+      return;
+    }
+    if (parsed.value().size() > 1) {
+      FailBatch({"42601", "cannot insert multiple commands"});
+      return;
+    }
+    if (!name.empty() && prepared_.contains(name)) {
+      FailBatch({"42P05", "prepared statement \"" + name + "\" exists"});
+      return;
+    }
+    prepared_[name] =
+        parsed.value().empty() ? statement() : parsed.value().front();
+    frame_writer(out_, backend::kParseComplete);
+  }
+
+  void HandleBind(sassafraswick::body_reader& reader) {
+    const std::string portal_name(reader.String());
+    const std::string statement_name(reader.String());
+    const auto found = prepared_.find(statement_name);
+    if (found == prepared_.end()) {
+      FailBatch({"26000", "prepared statement \"" + statement_name +
+                              "\" does not exist"});
+      return;
+    }
+    portal bound{found->second, {}};
+    const std::uint16_t formats = reader.Int16();
+    for (std::uint16_t i = 0; i < formats; ++i) {
+      static_cast<void>(reader.Int16());
+    }
+    const std::uint16_t count = reader.Int16();
+    for (std::uint16_t i = 0; i < count && !reader.Failed(); ++i) {
+      const std::uint32_t size = reader.Int32();
+      bound.parameters.push_back(
+          size == kNull ? cell() : cell(std::string(reader.Bytes(size))));
+    }
+    portals_[portal_name] = std::move(bound);
+    frame_writer(out_, '2');
+  }
+
+  void HandleDescribe(sassafraswick::body_reader& reader) {
+    const std::string_view kind = reader.Bytes(1);
+    const std::string name(reader.String());
+    const statement* described = nullptr;
+    if (kind == "S") {
+      const auto found = prepared_.find(name);
+      described = found == prepared_.end() ? nullptr : &found->second;
+    } else {
+      const auto found = portals_.find(name);
+      described = found == portals_.end() ? nullptr : &found->second.parsed;
+    }
+    if (described == nullptr) {
+      FailBatch({"26000", "prepared statement does not exist"});
+      return;
+    }
+    if (kind == "S") {
+      DescribeParameters(*described);
+    }
+    const std::vector<column> columns = Columns(*described);
+    if (columns.empty()) {
+      frame_writer(out_, 'n');
+    } else {
+      AppendRowDescription(out_, columns);
+    }
+  }
+
+  void DescribeParameters(const statement& described) {
+    std::size_t count = 0;
+    for (const std::vector<operand>& values : described.rows) {
+      for (const operand& each : values) {
+        count = std::max(count, each.parameter);
+      }
+    }
+    for (const assignment& each : described.assignments) {
+      count = std::max(count, each.value.parameter);
+    }
+    if (described.where.has_value()) {
+      count = std::max(count, described.where->value.parameter);
+    }
+    frame_writer writer(out_, 't');
+    writer.Int16(static_cast<std::uint16_t>(count));
+    for (std::size_t i = 0; i < count; ++i) {
+      writer.Int32(kTextTypeId);
+    }
+  }
+
+  std::vector<column> Columns(const statement& described) {
+    return instance_.Engine().Describe(described);
+  }
+
+  /// Runs one statement and appends its answer.
+  /// @return False if it failed.
+  asio::awaitable<bool> RunStatement(const statement& parsed,
+                                     const std::vector<cell>& parameters,
+                                     bool describe) {
+    if (failed_ && parsed.type != statement_type::kCommit &&
+        parsed.type != statement_type::kRollback) {
+      Fail({"25P02",
+            "current transaction is aborted, commands ignored until "
+            "end of transaction block"});
+      co_return false;
+    }
+    sql_result answer;
+    std::optional<sql_result> control = ControlTransaction(parsed);
+    if (control.has_value()) {
+      answer = std::move(*control);
+    } else if (parsed.type == statement_type::kShow) {
+      answer = TextResult(parsed.name, "");
+      answer.tag = "SHOW";
+    } else if (parsed.type == statement_type::kSelectFunction) {
+      answer = co_await CallFunction(parsed, parameters);
+    } else {
+      answer = co_await RunInSlot(parsed, parameters);
+    }
+    if (answer.failure.has_value()) {
+      Fail(*answer.failure);
+      co_return false;
+    }
+    if (describe && !answer.columns.empty()) {
+      AppendRowDescription(out_, answer.columns);
+    }
+    for (const row& values : answer.rows) {
+      AppendRow(out_, values);
+      if (out_.size() > kFlushSize && !co_await Flush()) {
+        co_return false;
+      }
+    }
+    if (!answer.tag.empty()) {
+      sassafraswick::AppendCommandComplete(out_, answer.tag);
+    }
+    co_return true;
+  }
+
+  /// Handles transaction and session control.
+  /// @return The answer, or nothing for other statements.
+  std::optional<sql_result> ControlTransaction(const statement& parsed) {
+    switch (parsed.type) {
+      case statement_type::kBegin:
+        in_block_ = true;
+        read_only_ = parsed.read_only;
+        return sql_result{{}, {}, "BEGIN", {}};
+      case statement_type::kCommit: {
+        const bool aborted = failed_;
+        in_block_ = false;
+        if (!EndTransaction()) {
+          return sql_result{
+              {}, {}, "", sql_error{"25006", "instance is no longer primary"}};
+        }
+        return sql_result{{}, {}, aborted ? "ROLLBACK" : "COMMIT", {}};
+      }
+      case statement_type::kRollback:
+        failed_ = true;
+        in_block_ = false;
+        static_cast<void>(EndTransaction());
+        return sql_result{{}, {}, "ROLLBACK", {}};
+      case statement_type::kSet:
+        return sql_result{{}, {}, "SET", {}};
+      case statement_type::kDiscard:
+        prepared_.clear();
+        portals_.clear();
+        return sql_result{{}, {}, "DISCARD ALL", {}};
+      case statement_type::kEmpty:
+        return sql_result{};
+      default:
+        return std::nullopt;
+    }
+  }
+
+  asio::awaitable<sql_result> RunInSlot(const statement& parsed,
+                                        const std::vector<cell>& parameters) {
+    while (limits_->running >= instance_.Settings().slots) {
+      co_await limits_->slot_freed.Wait(kSlotRecheck);
+    }
+    ++limits_->running;
+    const duration time = instance_.Switches().statement_time;
+    if (time > duration::zero()) {
+      co_await sassafraswick::Sleep(time);
+    }
+    --limits_->running;
+    limits_->slot_freed.NotifyAll();
+    if (ChangesData(parsed.type)) {
+      if (!instance_.IsPrimary() || (in_block_ && read_only_)) {
+        co_return sql_result{
+            {},
+            {},
+            "",
+            sql_error{"25006", "cannot execute in a read-only transaction"}};
+      }
+      wrote_ = true;
+    }
+    co_return instance_.Engine().Execute(parsed, parameters, open_);
+  }
+
+  asio::awaitable<sql_result> CallFunction(
+      const statement& parsed, const std::vector<cell>& parameters) {
+    std::vector<cell> arguments;
+    for (const operand& each : parsed.rows.front()) {
+      const bool given =
+          each.parameter > 0 && each.parameter <= parameters.size();
+      arguments.push_back(given ? parameters[each.parameter - 1]
+                                : each.literal);
+    }
+    arguments.resize(std::max<std::size_t>(arguments.size(), 2));
+    if (parsed.name == "group_status") {
+      co_await AwaitProgress(
+          IntegerOf(arguments[0]),
+          std::chrono::milliseconds(IntegerOf(arguments[1])));
+      co_return TextResult(parsed.name, instance_.StatusText());
+    }
+    if (parsed.name == "group_fence" || parsed.name == "group_promote") {
+      const term_number term =
+          static_cast<term_number>(IntegerOf(arguments[0]));
+      const instance_answer answer = parsed.name == "group_fence"
+                                         ? instance_.Fence(term)
+                                         : instance_.Promote(term);
+      co_return TextResult(parsed.name, std::string("accepted=") +
+                                            (answer.accepted ? "1 " : "0 ") +
+                                            answer.text);
+    }
+    if (parsed.name == "standin_set") {
+      co_return SetSwitch(arguments[0].value_or(""), IntegerOf(arguments[1]));
+    }
+    if (parsed.name == "pg_sleep") {
+      ++limits_->running;
+      co_await sassafraswick::Sleep(
+          std::chrono::seconds(IntegerOf(arguments[0])));
+      --limits_->running;
+      limits_->slot_freed.NotifyAll();
+      co_return TextResult(parsed.name, "");
+    }
+    if (parsed.name == "generate_series") {
+      sql_result answer;
+      answer.columns = {{parsed.name, column_type::kBigint}};
+      for (std::int64_t i = IntegerOf(arguments[0]);
+           i <= IntegerOf(arguments[1]); ++i) {
+        answer.rows.push_back({std::to_string(i)});
+      }
+      answer.tag = "SELECT " + std::to_string(answer.rows.size());
+      co_return answer;
+    }
+    co_return sql_result{
+        {}, {}, "", sql_error{"42883", "function does not exist"}};
+  }
+
+  /// Waits until the log passes a position, term or role change, or the limit.
+  asio::awaitable<void> AwaitProgress(std::int64_t after, duration limit) {
+    const time_point end = sassafraswick::monotonic_clock::now() + limit;
+    const term_number term = instance_.Term();
+    const bool primary = instance_.IsPrimary();
+    while (instance_.Received() <= static_cast<log_position>(after) &&
+           instance_.Term() == term && instance_.IsPrimary() == primary) {
+      const time_point now = sassafraswick::monotonic_clock::now();
+      if (now >= end) {
+        co_return;
+      }
+      co_await instance_.Changed().Wait(
+          std::chrono::duration_cast<duration>(end - now));
+    }
+  }
+
+  sql_result SetSwitch(const std::string& name, std::int64_t value) {
+    instance_switches& switches = instance_.Switches();
+    const std::chrono::milliseconds span(value);
+    if (name == "replication_delay_ms") {
+      switches.replication_delay = span;
+    } else if (name == "apply_delay_ms") {
+      switches.apply_delay = span;
+    } else if (name == "statement_time_ms") {
+      switches.statement_time = span;
+    } else if (name == "isolated") {
+      switches.isolated = value != 0;
+    } else {
+      return {{}, {}, "", sql_error{"42704", "no switch named " + name}};
+    }
+    return TextResult("standin_set", std::to_string(value));
+  }
+
+  instance& instance_;
+  std::shared_ptr<session_limits> limits_;
+  asio::ip::tcp::socket socket_;
+  sassafraswick::frame_buffer input_;
+  std::string out_;
+  std::string reported_position_;
+  transaction open_;
+  std::map<std::string, statement> prepared_;
+  std::map<std::string, portal> portals_;
+  bool counted_ = false;
+  bool in_block_ = false;
+  bool read_only_ = false;
+  bool failed_ = false;
+  bool wrote_ = false;
+  bool skip_to_sync_ = false;
+};
+
+}  // namespace
+
+asio::awaitable<void> ServeSessions(instance& served) {
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  result<asio::ip::tcp::acceptor> acceptor =
+      sassafraswick::Listen(executor, served.Settings().listen);
+  if (!acceptor) {
+    std::fprintf(stderr, "%s\n", acceptor.error().message.c_str());
+    std::exit(1);
+  }
+  const std::shared_ptr<session_limits> limits =
+      std::make_shared<session_limits>(executor);
+  while (true) {
+    boost::system::error_code failure;
+    asio::ip::tcp::socket socket = co_await acceptor.value().async_accept(
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure) {
+      boost::system::error_code ignored;
+      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      const std::shared_ptr<instance_session> session =
+          std::make_shared<instance_session>(served, limits, std::move(socket));
+      asio::co_spawn(executor, session->Run(), asio::detached);
+    }
+  }
+}
+
+}  // namespace standin
--- /dev/null
+++ b/standin/key_value.cc
@@ -0,0 +1,255 @@
+#include "standin/key_value.h"
+
+#include <sodium.h>
+
+#include <boost/json/array.hpp>
+#include <boost/json/value_to.hpp>
+#include <cstdlib>
+
+namespace standin {
+namespace {
+
+namespace json = boost::json;
+
+/// Reads a field that etcd encodes as a string or a number.
+std::int64_t IntegerField(const json::object& object, std::string_view name) {
+  const json::value* const found = object.if_contains(name);
+  if (found == nullptr) {
+    return 0;
+  }
+  if (found->is_string()) {
+    return std::strtoll(found->as_string().c_str(), nullptr, 10);
+  }
+  return found->is_number() ? found->to_number<std::int64_t>() : 0;
+}
+
+std::string BytesField(const json::object& object, std::string_view name) {
+  const json::value* const found = object.if_contains(name);
+  if (found == nullptr || !found->is_string()) {
+    return "";
+  }
+  return DecodeBase64(std::string(found->as_string()));
+}
+
+std::string TextField(const json::object& object, std::string_view name) {
+  const json::value* const found = object.if_contains(name);
+  return found != nullptr && found->is_string()
+             ? std::string(found->as_string())
+             : std::string();
+}
+
+json::object Header(std::int64_t revision) {
+  return {{"revision", std::to_string(revision)}};
+}
+
+bool Compare(std::int64_t actual, std::int64_t wanted,
+             const std::string& relation) {
+  if (relation == "GREATER") {
+    return actual > wanted;
+  }
+  if (relation == "LESS") {
+    return actual < wanted;
+  }
+  return relation == "NOT_EQUAL" ? actual != wanted : actual == wanted;
+}
+
+}  // namespace
+
+std::string EncodeBase64(const std::string& bytes) {
+  std::string text(
+      sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
+      '\0');
+  sodium_bin2base64(text.data(), text.size(),
+                    reinterpret_cast<const unsigned char*>(bytes.data()),
+                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
+  text.pop_back();
+  return text;
+}
+
+std::string DecodeBase64(const std::string& text) {
+  std::string bytes(text.size(), '\0');
+  std::size_t size = 0;
+  sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()),
+                    bytes.size(), text.data(), text.size(), nullptr, &size,
+                    nullptr, sodium_base64_VARIANT_ORIGINAL);
+  bytes.resize(size);
+  return bytes;
+}
+
+json::object EncodeKeyValue(const std::string& key, const stored_value& value) {
+  return {{"key", EncodeBase64(key)},
+          {"value", EncodeBase64(value.value)},
+          {"create_revision", std::to_string(value.create_revision)},
+          {"mod_revision", std::to_string(value.mod_revision)},
+          {"version", std::to_string(value.version)},
+          {"lease", std::to_string(value.lease)}};
+}
+
+json::object key_value::Range(const json::object& request) const {
+  const std::string key = BytesField(request, "key");
+  const std::string end = BytesField(request, "range_end");
+  json::array found;
+  auto at = values_.lower_bound(key);
+  while (at != values_.end() &&
+         (end.empty() ? at->first == key : at->first < end)) {
+    found.push_back(EncodeKeyValue(at->first, at->second));
+    ++at;
+  }
+  const std::string count = std::to_string(found.size());
+  return {{"header", Header(revision_)},
+          {"kvs", std::move(found)},
+          {"count", count}};
+}
+
+bool key_value::Holds(const json::object& comparison) const {
+  const auto found = values_.find(BytesField(comparison, "key"));
+  const stored_value value =
+      found == values_.end() ? stored_value() : found->second;
+  const std::string target = TextField(comparison, "target");
+  const std::string relation = TextField(comparison, "result");
+  if (target == "VALUE") {
+    const bool equal = value.value == BytesField(comparison, "value");
+    return relation == "NOT_EQUAL" ? !equal : equal;
+  }
+  if (target == "CREATE") {
+    return Compare(value.create_revision,
+                   IntegerField(comparison, "create_revision"), relation);
+  }
+  if (target == "VERSION") {
+    return Compare(value.version, IntegerField(comparison, "version"),
+                   relation);
+  }
+  return Compare(value.mod_revision, IntegerField(comparison, "mod_revision"),
+                 relation);
+}
+
+json::object key_value::Apply(const json::object& operation) {
+  if (const json::value* put = operation.if_contains("request_put")) {
+    const json::object& request = put->as_object();
+    Put(BytesField(request, "key"), BytesField(request, "value"),
+        IntegerField(request, "lease"));
+    return {{"response_put", json::object{}}};
+  }
+  if (const json::value* erase =
+          operation.if_contains("request_delete_range")) {
+    const bool erased = Erase(BytesField(erase->as_object(), "key"));
+    return {{"response_delete_range",
+             json::object{{"deleted", erased ? "1" : "0"}}}};
+  }
+  if (const json::value* range = operation.if_contains("request_range")) {
+    return {{"response_range", Range(range->as_object())}};
+  }
+  return {};
+}
+
+json::object key_value::Transact(const json::object& request) {
+  bool succeeded = true;
+  if (const json::value* compare = request.if_contains("compare")) {
+    for (const json::value& each : compare->as_array()) {
+      succeeded = succeeded && Holds(each.as_object());
+    }
+  }
+  const json::value* const branch =
+      request.if_contains(succeeded ? "success" : "failure");
+  json::array responses;
+  if (branch != nullptr) {
+    ++revision_;
+    for (const json::value& each : branch->as_array()) {
+      responses.push_back(Apply(each.as_object()));
+    }
+  }
+  return {{"header", Header(revision_)},
+          {"succeeded", succeeded},
+          {"responses", std::move(responses)}};
+}
+
+void key_value::Put(const std::string& key, std::string value,
+                    std::int64_t lease_id) {
+  stored_value& stored = values_[key];
+  if (stored.version == 0) {
+    stored.create_revision = revision_;
+  }
+  stored.value = std::move(value);
+  stored.mod_revision = revision_;
+  stored.lease = lease_id;
+  ++stored.version;
+  events_.push_back({revision_, key, stored});
+}
+
+bool key_value::Erase(const std::string& key) {
+  if (values_.erase(key) == 0) {
+    return false;
+  }
+  events_.push_back({revision_, key, std::nullopt});
+  return true;
+}
+
+json::object key_value::GrantLease(const json::object& request,
+                                   sassafraswick::time_point now) {
+  const std::chrono::seconds span(IntegerField(request, "TTL"));
+  const std::int64_t id = ++next_lease_;
+  leases_[id] = {span, now + span};
+  return {{"header", Header(revision_)},
+          {"ID", std::to_string(id)},
+          {"TTL", std::to_string(span.count())}};
+}
+
+json::object key_value::KeepAlive(const json::object& request,
+                                  sassafraswick::time_point now) {
+  const std::int64_t id = IntegerField(request, "ID");
+  const auto found = leases_.find(id);
+  std::int64_t remaining = 0;
+  if (found != leases_.end()) {
+    found->second.expires = now + found->second.time_to_live;
+    remaining = found->second.time_to_live.count();
+  }
+  return {{"result", json::object{{"header", Header(revision_)},
+                                  {"ID", std::to_string(id)},
+                                  {"TTL", std::to_string(remaining)}}}};
+}
+
+json::object key_value::RevokeLease(const json::object& request) {
+  DropLease(IntegerField(request, "ID"));
+  return {{"header", Header(revision_)}};
+}
+
+void key_value::DropLease(std::int64_t id) {
+  leases_.erase(id);
+  std::vector<std::string> keys;
+  for (const std::pair<const std::string, stored_value>& entry : values_) {
+    if (entry.second.lease == id) {
+      keys.push_back(entry.first);
+    }
+  }
+  if (!keys.empty()) {
+    ++revision_;
+  }
+  for (const std::string& key : keys) {
+    Erase(key);
+  }
+}
+
+void key_value::ExpireLeases(sassafraswick::time_point now) {
+  std::vector<std::int64_t> expired;
+  for (const std::pair<const std::int64_t, lease>& entry : leases_) {
+    if (entry.second.expires <= now) {
+      expired.push_back(entry.first);
+    }
+  }
+  for (const std::int64_t id : expired) {
+    DropLease(id);
+  }
+}
+
+std::vector<stored_event> key_value::EventsSince(const std::string& key,
+                                                 std::int64_t revision) const {
+  std::vector<stored_event> found;
+  for (const stored_event& event : events_) {
+    if (event.revision >= revision && event.key == key) {
+      found.push_back(event);
+    }
+  }
+  return found;
+}
+
+}  // namespace standin
--- /dev/null
+++ b/standin/standin_instance.cc
@@ -0,0 +1,54 @@
+#include <CLI/CLI.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <iostream>
+
+#include "standin/instance.h"
+
+/// @file
+/// One instance of a database group, for demos and tests.
+
+namespace {
+
+sassafraswick::endpoint EndpointOrExit(const std::string& text) {
+  const sassafraswick::result<sassafraswick::endpoint> parsed =
+      sassafraswick::ParseEndpoint(text);
+  if (!parsed) {
+    std::cerr << parsed.error().message << "\n";
+    std::exit(2);
+  }
+  return parsed.value();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Database group instance stand-in");
+  standin::instance_settings settings;
+  std::string listen;
+  std::string replication;
+  std::vector<std::string> peers;
+  int connect_ms = 10;
+  app.add_option("--index", settings.index);
+  app.add_option("--listen", listen)->required();
+  app.add_option("--replication", replication)->required();
+  app.add_option("--peer", peers);
+  app.add_flag("--primary", settings.primary);
+  app.add_option("--slots", settings.slots);
+  app.add_option("--connections", settings.connections);
+  app.add_option("--connect-ms", connect_ms);
+  CLI11_PARSE(app, argc, argv);
+  settings.listen = EndpointOrExit(listen);
+  settings.replication_listen = EndpointOrExit(replication);
+  settings.connect_time = std::chrono::milliseconds(connect_ms);
+  for (const std::string& peer : peers) {
+    settings.peers.push_back(EndpointOrExit(peer));
+  }
+  boost::asio::io_context context(1);
+  standin::instance served(context, settings);
+  served.StartReplication();
+  boost::asio::co_spawn(context, standin::ServeSessions(served),
+                        boost::asio::detached);
+  context.run();
+  return 0;
+}
--- /dev/null
+++ b/standin/standin_platform.cc
@@ -0,0 +1,303 @@
+#include <sodium.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <deque>
+#include <iostream>
+#include <map>
+
+#include "sassafraswick/proxy/async_event.h"
+#include "sassafraswick/proxy/stream.h"
+#include "standin/key_value.h"
+
+/// @file
+/// The platform's key-value service and host list, for demos and tests.
+///
+/// POST /v3/kv/range, /v3/kv/txn, /v3/lease/grant, /v3/lease/keepalive,
+/// /v3/lease/revoke and /v3/watch follow etcd v3's JSON API. GET /hosts is the
+/// host list. POST /standin sets switches, POST /standin/hosts the list, GET
+/// /standin returns counts.
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using sassafraswick::duration;
+using sassafraswick::monotonic_clock;
+using sassafraswick::time_point;
+
+constexpr duration kWatchTick = std::chrono::milliseconds(10);
+constexpr duration kLeaseTick = std::chrono::milliseconds(100);
+constexpr std::uint64_t kMaxBody = 2'097'152;
+
+/// Faults that tests switch on.
+struct platform_switches {
+  bool outage = false;
+  /// Answers to lose after the change has taken effect.
+  std::int64_t lose_answers = 0;
+  duration delay = duration::zero();
+  duration host_list_lag = duration::zero();
+  std::int64_t requests_per_second = 2000;
+};
+
+struct published_hosts {
+  time_point since;
+  json::array hosts;
+};
+
+struct platform {
+  standin::key_value store;
+  platform_switches switches;
+  std::deque<published_hosts> host_lists;
+  std::map<std::string, std::int64_t, std::less<>> counts;
+  time_point second_start;
+  std::int64_t requests_this_second = 0;
+};
+
+using request_type = http::request<http::string_body>;
+using response_type = http::response<http::string_body>;
+
+bool WithinRate(platform& served) {
+  const time_point now = monotonic_clock::now();
+  if (now - served.second_start > std::chrono::seconds(1)) {
+    served.second_start = now;
+    served.requests_this_second = 0;
+  }
+  ++served.requests_this_second;
+  return served.requests_this_second <= served.switches.requests_per_second;
+}
+
+std::int64_t NumberOf(const json::object& object, std::string_view name,
+                      std::int64_t fallback) {
+  const json::value* const found = object.if_contains(name);
+  return found != nullptr && found->is_int64() ? found->as_int64() : fallback;
+}
+
+json::object SetSwitches(platform& served, const json::object& wanted) {
+  platform_switches& switches = served.switches;
+  switches.outage = NumberOf(wanted, "outage", switches.outage ? 1 : 0) != 0;
+  switches.lose_answers =
+      NumberOf(wanted, "lose_answers", switches.lose_answers);
+  switches.delay = std::chrono::milliseconds(NumberOf(
+      wanted, "delay_ms",
+      std::chrono::duration_cast<std::chrono::milliseconds>(switches.delay)
+          .count()));
+  switches.host_list_lag = std::chrono::milliseconds(
+      NumberOf(wanted, "host_list_lag_ms",
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                   switches.host_list_lag)
+                   .count()));
+  switches.requests_per_second =
+      NumberOf(wanted, "requests_per_second", switches.requests_per_second);
+  return {{"set", true}};
+}
+
+json::object ListHosts(const platform& served) {
+  const time_point visible =
+      monotonic_clock::now() - served.switches.host_list_lag;
+  json::array hosts;
+  for (const published_hosts& each : served.host_lists) {
+    if (each.since <= visible) {
+      hosts = each.hosts;
+    }
+  }
+  return {{"hosts", std::move(hosts)}};
+}
+
+json::object Counts(const platform& served) {
+  json::object counts;
+  for (const std::pair<const std::string, std::int64_t>& entry :
+       served.counts) {
+    counts[entry.first] = entry.second;
+  }
+  return counts;
+}
+
+/// Answers a request that does not stream.
+/// @return Nothing for an unknown path.
+std::optional<json::object> Answer(platform& served, const std::string& path,
+                                   const json::object& body) {
+  if (path == "/v3/kv/range") return served.store.Range(body);
+  if (path == "/v3/kv/txn") return served.store.Transact(body);
+  if (path == "/v3/lease/grant") {
+    return served.store.GrantLease(body, monotonic_clock::now());
+  }
+  if (path == "/v3/lease/keepalive") {
+    return served.store.KeepAlive(body, monotonic_clock::now());
+  }
+  if (path == "/v3/lease/revoke") return served.store.RevokeLease(body);
+  if (path == "/hosts") return ListHosts(served);
+  if (path == "/standin/hosts") {
+    served.host_lists.push_back(
+        {monotonic_clock::now(), body.at("hosts").as_array()});
+    return json::object{{"set", true}};
+  }
+  if (path == "/standin") {
+    return body.empty() ? Counts(served) : SetSwitches(served, body);
+  }
+  return std::nullopt;
+}
+
+/// Streams events of one key until the connection ends or an outage begins.
+asio::awaitable<void> ServeWatch(platform& served,
+                                 asio::ip::tcp::socket& socket,
+                                 const json::object& body) {
+  const json::object& create = body.at("create_request").as_object();
+  const std::string key =
+      standin::DecodeBase64(std::string(create.at("key").as_string()));
+  std::int64_t next = served.store.Revision() + 1;
+  if (const json::value* start = create.if_contains("start_revision")) {
+    next = std::strtoll(start->is_string()
+                            ? start->as_string().c_str()
+                            : std::to_string(start->as_int64()).c_str(),
+                        nullptr, 10);
+  }
+  const auto send = [&socket](std::string text) -> asio::awaitable<bool> {
+    text += "\n";
+    boost::system::error_code failure;
+    co_await asio::async_write(
+        socket, http::make_chunk(asio::buffer(text)),
+        asio::redirect_error(asio::use_awaitable, failure));
+    co_return !failure;
+  };
+  http::response<http::empty_body> head{http::status::ok, 11};
+  head.chunked(true);
+  http::response_serializer<http::empty_body> serializer{head};
+  boost::system::error_code failure;
+  co_await http::async_write_header(
+      socket, serializer, asio::redirect_error(asio::use_awaitable, failure));
+  bool open = !failure && co_await send(R"({"result":{"created":true}})");
+  while (open && !served.switches.outage) {
+    for (const standin::stored_event& event :
+         served.store.EventsSince(key, next)) {
+      json::object encoded;
+      encoded["type"] = event.value.has_value() ? "PUT" : "DELETE";
+      encoded["kv"] = standin::EncodeKeyValue(
+          event.key, event.value.value_or(standin::stored_value()));
+      const json::object line{
+          {"result", json::object{{"events", json::array{encoded}}}}};
+      open = open && co_await send(json::serialize(line));
+      next = event.revision + 1;
+    }
+    co_await sassafraswick::Sleep(kWatchTick);
+  }
+}
+
+asio::awaitable<void> ServeConnection(platform& served,
+                                      asio::ip::tcp::socket socket) {
+  boost::beast::flat_buffer buffer;
+  while (true) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(kMaxBody);
+    boost::system::error_code failure;
+    co_await http::async_read(
+        socket, buffer, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      co_return;
+    }
+    const request_type request = parser.release();
+    const std::string path(request.target());
+    const bool administrative = path.starts_with("/standin");
+    boost::system::error_code invalid;
+    const json::value parsed = request.body().empty()
+                                   ? json::value(json::object())
+                                   : json::parse(request.body(), invalid);
+    if (invalid || !parsed.is_object()) {
+      co_return;
+    }
+    if (!administrative) {
+      ++served.counts[path];
+      if (served.switches.outage) {
+        co_return;
+      }
+      co_await sassafraswick::Sleep(served.switches.delay);
+    }
+    if (path == "/v3/watch") {
+      co_await ServeWatch(served, socket, parsed.as_object());
+      co_return;
+    }
+    response_type response{http::status::ok, request.version()};
+    if (!administrative && !WithinRate(served)) {
+      response.result(http::status::too_many_requests);
+      response.body() = R"({"error":"too many requests"})";
+    } else {
+      const std::optional<json::object> answer =
+          Answer(served, path, parsed.as_object());
+      response.result(answer.has_value() ? http::status::ok
+                                         : http::status::not_found);
+      response.body() = json::serialize(answer.value_or(json::object()));
+    }
+    if (path == "/v3/kv/txn" && served.switches.lose_answers > 0) {
+      --served.switches.lose_answers;
+      co_return;
+    }
+    response.keep_alive(request.keep_alive());
+    response.prepare_payload();
+    co_await http::async_write(
+        socket, response, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure || !request.keep_alive()) {
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void> Serve(platform& served,
+                            asio::ip::tcp::acceptor& acceptor) {
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  while (true) {
+    boost::system::error_code failure;
+    asio::ip::tcp::socket socket = co_await acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure) {
+      asio::co_spawn(executor, ServeConnection(served, std::move(socket)),
+                     asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> ExpireLeases(platform& served) {
+  while (true) {
+    served.store.ExpireLeases(monotonic_clock::now());
+    co_await sassafraswick::Sleep(kLeaseTick);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Platform stand-in: key-value service and host list");
+  std::string listen;
+  app.add_option("--listen", listen)->required();
+  CLI11_PARSE(app, argc, argv);
+  if (sodium_init() < 0) {
+    return 1;
+  }
+  const sassafraswick::result<sassafraswick::endpoint> address =
+      sassafraswick::ParseEndpoint(listen);
+  if (!address) {
+    std::cerr << address.error().message << "\n";
+    return 2;
+  }
+  asio::io_context context(1);
+  platform served;
+  sassafraswick::result<asio::ip::tcp::acceptor> acceptor =
+      sassafraswick::Listen(context.get_executor(), address.value());
+  if (!acceptor) {
+    std::cerr << acceptor.error().message << "\n";
+    return 1;
+  }
+  asio::co_spawn(context, Serve(served, acceptor.value()), asio::detached);
+  asio::co_spawn(context, ExpireLeases(served), asio::detached);
+  context.run();
+  return 0;
+}
