--- a/app/sassafraswickctl.cc
+++ b/app/sassafraswickctl.cc
@@ -12,6 +12,7 @@
 
 #include "sassafraswick/config/ini.h"
 #include "sassafraswick/config/settings.h"
+#include "sassafraswick/peer/peer_link.h"
 #include "sassafraswick/platform/configuration_store.h"
 
 /// @file
@@ -54,6 +55,8 @@
   std::optional<std::uint64_t> expected_version;
   std::string organisation;
   std::string key_id;
+  /// Host to ask; empty asks all.
+  std::string host;
 };
 
 /// Prints one result as text or JSON.
@@ -240,6 +243,34 @@
   return boost::outcome_v2::success();
 }
 
+/// Asks one host, or all, for its state.
+result<void> AskHosts(const control_request& request,
+                      const sassafraswick::control_settings& settings,
+                      const std::string& kind) {
+  constexpr std::chrono::milliseconds kLimit(2000);
+  BOOST_OUTCOME_TRY(
+      std::vector<sassafraswick::listed_host> hosts,
+      Await(sassafraswick::FetchHosts(settings.platform.host_list, kLimit)));
+  result<void> outcome = boost::outcome_v2::success();
+  for (const sassafraswick::listed_host& host : hosts) {
+    if (!request.host.empty() && host.host != request.host) {
+      continue;
+    }
+    sassafraswick::message::envelope question;
+    question.mutable_admin_request()->set_kind(kind);
+    const result<sassafraswick::message::envelope> answer =
+        sassafraswick::AskHost(host.peers, settings.fleet_secret, question,
+                               kLimit);
+    if (!answer) {
+      std::cerr << host.host << ": " << answer.error().message << "\n";
+      outcome = answer.error();
+      continue;
+    }
+    std::cout << answer.value().admin_answer().json() << "\n";
+  }
+  return outcome;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -271,6 +302,13 @@
   CLI::App* const withdraw = keys->add_subcommand("withdraw", "Withdraw a key");
   withdraw->add_option("id", request.key_id, "Key id")->required();
   CLI::App* const list = keys->add_subcommand("list", "List key ids");
+  CLI::App* const status =
+      app.add_subcommand("status", "Show counts and health of hosts");
+  CLI::App* const dump =
+      app.add_subcommand("dump", "Show every table of hosts");
+  for (CLI::App* const command : {status, dump}) {
+    command->add_option("--host", request.host, "Only this host");
+  }
   CLI11_PARSE(app, argc, argv);
   if (expect->count() > 0) {
     request.expected_version = expected;
@@ -299,6 +337,10 @@
       outcome = WithdrawKey(request, store);
     } else if (list->parsed()) {
       outcome = ListKeys(request, store);
+    } else if (status->parsed()) {
+      outcome = AskHosts(request, settings.value(), "status");
+    } else if (dump->parsed()) {
+      outcome = AskHosts(request, settings.value(), "dump");
     }
   }
   if (!outcome) {
--- /dev/null
+++ b/src/sassafraswick/peer/peer_link.cc
@@ -0,0 +1,228 @@
+#include "sassafraswick/peer/peer_link.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+
+namespace sassafraswick {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kSignatureSize = 16;
+constexpr int kQueueLimit = 1000;
+constexpr std::size_t kMaxOutgoing = 64;
+constexpr std::int64_t kMaxMessageSize = 4'194'304;
+/// The library's descriptor is edge-triggered: look again at least this often.
+constexpr duration kRecheck = std::chrono::milliseconds(50);
+
+const unsigned char* Unsigned(std::string_view bytes) noexcept {
+  return reinterpret_cast<const unsigned char*>(bytes.data());
+}
+
+std::string Address(const endpoint& at) {
+  return "tcp://" + FormatEndpoint(at);
+}
+
+std::string_view View(const zmq::message_t& part) {
+  return {static_cast<const char*>(part.data()), part.size()};
+}
+
+/// Receives all parts of one message if there is one.
+std::vector<zmq::message_t> ReceiveParts(zmq::socket_t& socket) {
+  std::vector<zmq::message_t> parts;
+  bool more = true;
+  while (more) {
+    zmq::message_t part;
+    if (!socket.recv(part, zmq::recv_flags::dontwait).has_value()) {
+      break;
+    }
+    more = part.more();
+    parts.push_back(std::move(part));
+  }
+  return parts;
+}
+
+void SendSigned(zmq::socket_t& socket, std::string_view signature,
+                std::string_view payload) {
+  const zmq::send_flags dont_wait = zmq::send_flags::dontwait;
+  const zmq::send_result_t first =
+      socket.send(zmq::buffer(signature), zmq::send_flags::sndmore | dont_wait);
+  if (first.has_value()) {
+    static_cast<void>(socket.send(zmq::buffer(payload), dont_wait));
+  }
+}
+
+}  // namespace
+
+message_authenticator::message_authenticator(std::string_view secret) {
+  constexpr std::string_view kPurpose = "sassafraswick peer messages";
+  crypto_generichash(
+      key_.data(), key_.size(), Unsigned(kPurpose), kPurpose.size(),
+      Unsigned(secret),
+      std::min<std::size_t>(secret.size(), crypto_generichash_KEYBYTES_MAX));
+}
+
+std::string message_authenticator::Sign(std::string_view payload) const {
+  std::string signature(kSignatureSize, '\0');
+  crypto_generichash(reinterpret_cast<unsigned char*>(signature.data()),
+                     signature.size(), Unsigned(payload), payload.size(),
+                     key_.data(), key_.size());
+  return signature;
+}
+
+bool message_authenticator::Check(std::string_view payload,
+                                  std::string_view signature) const {
+  const std::string expected = Sign(payload);
+  return signature.size() == expected.size() &&
+         sodium_memcmp(signature.data(), expected.data(), expected.size()) == 0;
+}
+
+peer_link::peer_link(asio::io_context& context, peer_identity identity,
+                     std::string_view secret)
+    : context_(context),
+      identity_(std::move(identity)),
+      authenticator_(secret),
+      router_(sockets_, zmq::socket_type::router) {}
+
+result<void> peer_link::Start(handler on_message) {
+  on_message_ = std::move(on_message);
+  router_.set(zmq::sockopt::linger, 0);
+  router_.set(zmq::sockopt::maxmsgsize, kMaxMessageSize);
+  router_.set(zmq::sockopt::sndhwm, kQueueLimit);
+  router_.set(zmq::sockopt::rcvhwm, kQueueLimit);
+  try {
+    router_.bind(Address(identity_.listen));
+  } catch (const zmq::error_t& failure) {
+    return MakeError(error_kind::kIo, "listen on " +
+                                          FormatEndpoint(identity_.listen) +
+                                          ": " + failure.what());
+  }
+  asio::co_spawn(context_, Receive(), asio::detached);
+  return boost::outcome_v2::success();
+}
+
+asio::awaitable<void> peer_link::Receive() {
+  asio::posix::stream_descriptor readable(context_,
+                                          router_.get(zmq::sockopt::fd));
+  asio::steady_timer recheck(context_);
+  while (true) {
+    Drain();
+    recheck.expires_after(kRecheck);
+    recheck.async_wait([&readable](const boost::system::error_code& stopped) {
+      if (!stopped) {
+        readable.cancel();
+      }
+    });
+    boost::system::error_code ignored;
+    co_await readable.async_wait(
+        asio::posix::stream_descriptor::wait_read,
+        asio::redirect_error(asio::use_awaitable, ignored));
+    recheck.cancel();
+  }
+}
+
+void peer_link::Drain() {
+  constexpr std::size_t kParts = 3;
+  while (true) {
+    const std::vector<zmq::message_t> parts = ReceiveParts(router_);
+    if (parts.empty()) {
+      return;
+    }
+    if (parts.size() != kParts ||
+        !authenticator_.Check(View(parts[2]), View(parts[1]))) {
+      continue;
+    }
+    message::envelope received;
+    if (received.ParseFromArray(parts[2].data(),
+                                static_cast<int>(parts[2].size()))) {
+      on_message_(received, std::string(View(parts[0])));
+    }
+  }
+}
+
+std::string peer_link::Seal(message::envelope& envelope) {
+  envelope.set_host(identity_.host);
+  envelope.set_boot(identity_.boot);
+  envelope.set_sequence(++sequence_);
+  envelope.set_reply_to(FormatEndpoint(identity_.listen));
+  std::string payload = envelope.SerializeAsString();
+  ++sent_;
+  bytes_ += payload.size() + kSignatureSize;
+  return payload;
+}
+
+void peer_link::Send(const endpoint& to, message::envelope envelope) {
+  const std::string payload = Seal(envelope);
+  auto found = outgoing_.find(to);
+  if (found == outgoing_.end()) {
+    DropOldest();
+    zmq::socket_t socket(sockets_, zmq::socket_type::dealer);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, kQueueLimit);
+    socket.connect(Address(to));
+    found = outgoing_.emplace(to, outgoing{std::move(socket), {}}).first;
+  }
+  found->second.used_at = monotonic_clock::now();
+  SendSigned(found->second.socket, authenticator_.Sign(payload), payload);
+}
+
+void peer_link::DropOldest() {
+  if (outgoing_.size() < kMaxOutgoing) {
+    return;
+  }
+  const auto oldest =
+      std::min_element(outgoing_.begin(), outgoing_.end(),
+                       [](const std::pair<const endpoint, outgoing>& left,
+                          const std::pair<const endpoint, outgoing>& right) {
+                         return left.second.used_at < right.second.used_at;
+                       });
+  outgoing_.erase(oldest);
+}
+
+void peer_link::Reply(const std::string& route, message::envelope envelope) {
+  const std::string payload = Seal(envelope);
+  const zmq::send_result_t routed = router_.send(
+      zmq::buffer(route), zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+  if (routed.has_value()) {
+    SendSigned(router_, authenticator_.Sign(payload), payload);
+  }
+}
+
+result<message::envelope> AskHost(const endpoint& host, std::string_view secret,
+                                  message::envelope question,
+                                  std::chrono::milliseconds limit) {
+  const message_authenticator authenticator(secret);
+  zmq::context_t sockets(1);
+  zmq::socket_t socket(sockets, zmq::socket_type::dealer);
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::rcvtimeo, static_cast<int>(limit.count()));
+  socket.connect(Address(host));
+  const std::string payload = question.SerializeAsString();
+  SendSigned(socket, authenticator.Sign(payload), payload);
+  zmq::message_t signature;
+  zmq::message_t answer;
+  const bool received =
+      socket.recv(signature).has_value() && socket.recv(answer).has_value();
+  message::envelope parsed;
+  if (!received) {
+    return MakeError(error_kind::kTimeout,
+                     "host at " + FormatEndpoint(host) + " did not answer");
+  }
+  if (!authenticator.Check(View(answer), View(signature)) ||
+      !parsed.ParseFromArray(answer.data(), static_cast<int>(answer.size()))) {
+    return MakeError(error_kind::kProtocol,
+                     "host at " + FormatEndpoint(host) +
+                         " sent an answer that is not authentic");
+  }
+  return parsed;
+}
+
+}  // namespace sassafraswick
--- a/src/sassafraswick/proxy/caller_session.cc
+++ b/src/sassafraswick/proxy/caller_session.cc
@@ -183,25 +183,23 @@
       AppendReadyForQuery(out, transaction_failed_ ? transaction_status::kFailed
                                                    : transaction_status::kIdle);
     }
-    const result<void> written = co_await stream_.Write(out);
-    co_return written.has_value();
+    co_return co_await Send(std::move(out));
   }
   if (transaction_failed_) {
     co_return co_await ServeFailedTransaction(unit);
   }
-  switch (unit.statement.kind) {
-    case statement_kind::kUnsupported:
-      co_return co_await ReplyError(
-          unit,
-          {error_severity::kError, std::string(sqlstate::kFeatureNotSupported),
-           unit.statement.name +
-               " cannot be used through pooled connections, not run",
-           ""});
-    case statement_kind::kProxySet:
-    case statement_kind::kProxyShow:
-      co_return co_await ServeProxyStatement(unit);
-    default:
-      break;
+  const statement_kind kind = unit.statement.kind;
+  if (kind == statement_kind::kUnsupported) {
+    const std::string reply = ErrorReply(
+        unit,
+        {error_severity::kError, std::string(sqlstate::kFeatureNotSupported),
+         unit.statement.name +
+             " cannot be used through pooled connections, not run",
+         ""});
+    co_return co_await Send(reply);
+  }
+  if (kind == statement_kind::kProxySet || kind == statement_kind::kProxyShow) {
+    co_return co_await ServeProxyStatement(unit);
   }
   if (pinned_.has_value()) {
     co_return co_await ServePinned(unit);
@@ -226,11 +224,12 @@
   }
   if (!value) {
     const bool unknown = value.error().kind == error_kind::kNotFound;
-    co_return co_await ReplyError(
+    const std::string reply = ErrorReply(
         unit, {error_severity::kError,
                std::string(unknown ? sqlstate::kUndefinedParameter
                                    : sqlstate::kInvalidParameterValue),
                value.error().message, ""});
+    co_return co_await Send(reply);
   }
   std::string out;
   if (!unit.is_simple) {
@@ -252,8 +251,7 @@
   AppendReadyForQuery(out, pinned_.has_value()
                                ? transaction_status::kInTransaction
                                : transaction_status::kIdle);
-  const result<void> written = co_await stream_.Write(out);
-  co_return written.has_value();
+  co_return co_await Send(std::move(out));
 }
 
 request_entry caller_session::MakeRequest(const request_unit& unit,
@@ -336,12 +334,13 @@
     }
     if (decided == verdict::kSayUnknown) {
       ++pool_->Counts().outcome_unknown;
-      co_return co_await ReplyError(
+      const std::string reply = ErrorReply(
           unit,
           {error_severity::kError, std::string(sqlstate::kUnknownOutcome),
            "outcome unknown: the connection to the target was lost after the "
            "statement was sent",
            ""});
+      co_return co_await Send(reply);
     }
     if (decided == verdict::kSayNotRun) {
       co_return co_await ReplyRefusal(
@@ -377,27 +376,30 @@
   }
   if (!replaced && pinned_wrote_ && (ends || !unit.is_simple)) {
     ++pool_->Counts().outcome_unknown;
-    co_return co_await ReplyError(
+    const std::string reply = ErrorReply(
         unit, {error_severity::kError, std::string(sqlstate::kUnknownOutcome),
                "outcome unknown: the target was lost while the transaction was "
                "being ended",
                ""});
+    co_return co_await Send(reply);
   }
   transaction_failed_ = true;
-  co_return co_await ReplyError(
+  const std::string reply = ErrorReply(
       unit, {error_severity::kError, std::string(kRolledBack),
              "transaction was rolled back: its target was lost or replaced",
              "repeat the transaction"});
+  co_return co_await Send(reply);
 }
 
 asio::awaitable<bool> caller_session::ServeFailedTransaction(
     const request_unit& unit) {
   if (unit.statement.kind != statement_kind::kEnd) {
-    co_return co_await ReplyError(
+    const std::string reply = ErrorReply(
         unit, {error_severity::kError, std::string(kInFailedTransaction),
                "current transaction is aborted, commands ignored until end of "
                "transaction block",
                ""});
+    co_return co_await Send(reply);
   }
   transaction_failed_ = false;
   std::string out;
@@ -412,8 +414,7 @@
   }
   AppendCommandComplete(out, "ROLLBACK");
   AppendReadyForQuery(out, transaction_status::kIdle);
-  const result<void> written = co_await stream_.Write(out);
-  co_return written.has_value();
+  co_return co_await Send(std::move(out));
 }
 
 std::string caller_session::Prefix(const request_unit& unit,
@@ -563,12 +564,11 @@
     }
     pinned_ = lease;
   }
-  const result<void> written = co_await stream_.Write(out);
-  co_return written.has_value();
+  co_return co_await Send(std::move(out));
 }
 
-asio::awaitable<bool> caller_session::ReplyError(const request_unit& unit,
-                                                 error_message message) {
+std::string caller_session::ErrorReply(const request_unit& unit,
+                                       const error_message& message) {
   std::string out;
   AppendError(out, message);
   if (unit.ends_batch) {
@@ -582,7 +582,11 @@
   } else {
     skip_to_sync_ = true;
   }
-  const result<void> written = co_await stream_.Write(out);
+  return out;
+}
+
+asio::awaitable<bool> caller_session::Send(std::string bytes) {
+  const result<void> written = co_await stream_.Write(bytes);
   co_return written.has_value();
 }
 
@@ -618,7 +622,8 @@
       message.hint = "start a new session and check the last write";
       break;
   }
-  co_return co_await ReplyError(unit, std::move(message));
+  const std::string reply = ErrorReply(unit, message);
+  co_return co_await Send(reply);
 }
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/proxy/caller_session.h
+++ b/src/sassafraswick/proxy/caller_session.h
@@ -73,8 +73,10 @@
                                           const connection_lease& lease,
                                           relay_outcome outcome,
                                           bool may_have_written);
-  boost::asio::awaitable<bool> ReplyError(const request_unit& unit,
-                                          error_message message);
+  /// Builds the answer to a unit that is not run or whose outcome is unknown.
+  [[nodiscard]] std::string ErrorReply(const request_unit& unit,
+                                       const error_message& message);
+  boost::asio::awaitable<bool> Send(std::string bytes);
   boost::asio::awaitable<bool> ReplyRefusal(const request_unit& unit,
                                             const refusal& refused);
   boost::asio::awaitable<bool> ServeFailedTransaction(const request_unit& unit);
--- a/src/sassafraswick/proxy/daemon.cc
+++ b/src/sassafraswick/proxy/daemon.cc
@@ -7,10 +7,13 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <random>
 
 #include "sassafraswick/core/log.h"
+#include "sassafraswick/peer/peer_link.h"
 #include "sassafraswick/platform/configuration_store.h"
 #include "sassafraswick/proxy/caller_session.h"
+#include "sassafraswick/proxy/dump.h"
 #include "sassafraswick/proxy/host_runtime.h"
 
 namespace sassafraswick {
@@ -90,6 +93,15 @@
   }
 }
 
+void AnswerAdmin(host_runtime& runtime, peer_link& link,
+                 const message::admin_request& request,
+                 const std::string& route) {
+  message::envelope answer;
+  answer.mutable_admin_answer()->set_json(
+      request.kind() == "dump" ? DumpJson(runtime) : StatusJson(runtime));
+  link.Reply(route, std::move(answer));
+}
+
 asio::awaitable<void> SweepSessions(host_runtime& runtime) {
   while (true) {
     co_await Sleep(kSweepInterval);
@@ -127,6 +139,16 @@
                     Listen(context.get_executor(), settings.callers));
   runtime.Fleet().members[settings.host] = {
       settings.host, settings.availability_zone, settings.peers};
+  const peer_identity identity{settings.host, std::random_device{}(),
+                               settings.peers};
+  peer_link link(context, identity, settings.fleet_secret);
+  BOOST_OUTCOME_TRY(
+      link.Start([&runtime, &link](const message::envelope& received,
+                                   const std::string& route) {
+        if (received.has_admin_request()) {
+          AnswerAdmin(runtime, link, received.admin_request(), route);
+        }
+      }));
   asio::co_spawn(context, StopOnSignal(runtime, acceptor), asio::detached);
   asio::co_spawn(context, FollowConfiguration(runtime), asio::detached);
   asio::co_spawn(context, FollowHosts(runtime), asio::detached);
--- /dev/null
+++ b/test/support/history.cc
@@ -0,0 +1,142 @@
+#include "test/support/history.h"
+
+#include <algorithm>
+
+namespace test_support {
+namespace {
+
+using writes_by_key = std::map<std::uint64_t, std::vector<write_record>>;
+
+writes_by_key GroupByKey(const history& recorded) {
+  writes_by_key grouped;
+  for (const write_record& write : recorded.writes) {
+    grouped[write.key].push_back(write);
+  }
+  return grouped;
+}
+
+/// Largest value of a key whose write was acknowledged before a time.
+std::uint64_t AcknowledgedBefore(const std::vector<write_record>& writes,
+                                 time_point limit) {
+  std::uint64_t largest = 0;
+  for (const write_record& write : writes) {
+    if (write.result == outcome::kDone && write.end < limit) {
+      largest = std::max(largest, write.value);
+    }
+  }
+  return largest;
+}
+
+std::uint64_t SmallestAllowed(const read_record& read,
+                              const std::vector<write_record>& writes) {
+  switch (read.kind) {
+    case read_kind::kStrong:
+      return AcknowledgedBefore(writes, read.start);
+    case read_kind::kToken:
+      return read.token_value;
+    case read_kind::kStale:
+      return AcknowledgedBefore(writes, read.start - read.max_staleness);
+  }
+  return 0;
+}
+
+void CheckReads(const history& recorded, const writes_by_key& grouped,
+                verdict_counts& counts) {
+  for (const read_record& read : recorded.reads) {
+    const auto writes = grouped.find(read.key);
+    if (writes != grouped.end() &&
+        read.value < SmallestAllowed(read, writes->second)) {
+      ++counts.stale_reads;
+    }
+  }
+}
+
+std::uint64_t RowCount(const history& recorded, std::uint64_t row_id) {
+  const auto found = recorded.final_rows.find(row_id);
+  return found == recorded.final_rows.end() ? 0 : found->second;
+}
+
+void CheckRows(const history& recorded, verdict_counts& counts) {
+  const std::uint64_t whole = recorded.rows_per_write;
+  for (const write_record& write : recorded.writes) {
+    const std::uint64_t found = RowCount(recorded, write.row_id);
+    counts.lost_writes += write.result == outcome::kDone && found == 0 ? 1 : 0;
+    counts.false_not_run +=
+        write.result == outcome::kNotRun && found > 0 ? 1 : 0;
+    counts.mixed_transactions += found % whole != 0 ? 1 : 0;
+    counts.doubled_writes += found > whole ? 1 : 0;
+  }
+}
+
+void CheckFinalValues(const history& recorded, const writes_by_key& grouped,
+                      verdict_counts& counts) {
+  for (const std::pair<const std::uint64_t, std::vector<write_record>>& entry :
+       grouped) {
+    const std::uint64_t acknowledged =
+        AcknowledgedBefore(entry.second, time_point::max());
+    const auto found = recorded.final_values.find(entry.first);
+    const std::uint64_t value =
+        found == recorded.final_values.end() ? 0 : found->second;
+    counts.lost_writes += value < acknowledged ? 1 : 0;
+  }
+}
+
+void CheckTerms(const history& recorded, verdict_counts& counts) {
+  std::map<std::uint64_t, time_point> first_acknowledged;
+  for (const write_record& write : recorded.writes) {
+    if (write.result == outcome::kDone) {
+      const auto inserted =
+          first_acknowledged.emplace(write.term, write.end).first;
+      inserted->second = std::min(inserted->second, write.end);
+    }
+  }
+  for (const write_record& write : recorded.writes) {
+    const auto successor = first_acknowledged.upper_bound(write.term);
+    const bool replaced = std::any_of(
+        successor, first_acknowledged.end(),
+        [&write](const std::pair<const std::uint64_t, time_point>& entry) {
+          return entry.second < write.start;
+        });
+    counts.replaced_primary_acks +=
+        write.result == outcome::kDone && replaced ? 1 : 0;
+  }
+}
+
+}  // namespace
+
+verdict_counts CheckHistory(const history& recorded) {
+  verdict_counts counts;
+  const writes_by_key grouped = GroupByKey(recorded);
+  CheckReads(recorded, grouped, counts);
+  CheckRows(recorded, counts);
+  CheckFinalValues(recorded, grouped, counts);
+  CheckTerms(recorded, counts);
+  return counts;
+}
+
+std::string Describe(const verdict_counts& counts) {
+  return "stale reads " + std::to_string(counts.stale_reads) +
+         ", lost writes " + std::to_string(counts.lost_writes) +
+         ", doubled writes " + std::to_string(counts.doubled_writes) +
+         ", mixed transactions " + std::to_string(counts.mixed_transactions) +
+         ", false 'not run' " + std::to_string(counts.false_not_run) +
+         ", acknowledged by a replaced primary " +
+         std::to_string(counts.replaced_primary_acks);
+}
+
+void recorder::Add(const write_record& record) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  recorded_.writes.push_back(record);
+}
+
+void recorder::Add(const read_record& record) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  recorded_.reads.push_back(record);
+}
+
+history recorder::Take() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::move(recorded_);
+}
+
+}  // namespace test_support
--- /dev/null
+++ b/test/support/pg_client.h
@@ -0,0 +1,60 @@
+#ifndef TEST_SUPPORT_PG_CLIENT_H_
+#define TEST_SUPPORT_PG_CLIENT_H_
+
+#include <libpq-fe.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// @file
+/// A real PostgreSQL client, libpq, for tests.
+
+namespace test_support {
+
+/// Outcome of one statement.
+struct pg_answer {
+  bool ok = false;
+  /// SQLSTATE of an error; empty if the connection was lost.
+  std::string sqlstate;
+  std::string message;
+  std::string hint;
+  std::string tag;
+  /// Rows as text; NULL as nothing.
+  std::vector<std::vector<std::optional<std::string>>> rows;
+
+  /// First value of the first row, or empty.
+  [[nodiscard]] std::string Value() const {
+    return rows.empty() || rows.front().empty()
+               ? ""
+               : rows.front().front().value_or("");
+  }
+};
+
+/// A synchronous connection.
+class pg_client {
+ public:
+  explicit pg_client(const std::string& connection_info);
+
+  [[nodiscard]] bool IsConnected() const;
+  [[nodiscard]] std::string ConnectError() const;
+  pg_answer Query(const std::string& sql);
+  pg_answer QueryWith(const std::string& sql,
+                      const std::vector<std::string>& parameters);
+  pg_answer Prepare(const std::string& name, const std::string& sql);
+  pg_answer ExecutePrepared(const std::string& name,
+                            const std::vector<std::string>& parameters);
+  /// Newest value of `sassafraswick.session` that the server reported.
+  [[nodiscard]] std::string Token() const;
+  [[nodiscard]] PGconn* Raw() const { return connection_.get(); }
+
+ private:
+  [[nodiscard]] pg_answer Take(PGresult* result) const;
+
+  std::unique_ptr<PGconn, void (*)(PGconn*)> connection_;
+};
+
+}  // namespace test_support
+
+#endif  // TEST_SUPPORT_PG_CLIENT_H_
--- /dev/null
+++ b/test/support/process.cc
@@ -0,0 +1,196 @@
+#include "test/support/process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+namespace test_support {
+namespace {
+
+sockaddr_in Loopback(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+int ConnectTo(std::uint16_t port) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = Loopback(port);
+  if (connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) != 0) {
+    close(descriptor);
+    return -1;
+  }
+  return descriptor;
+}
+
+}  // namespace
+
+child_process::child_process(const std::vector<std::string>& arguments,
+                             const std::string& log_path) {
+  std::vector<char*> raw;
+  for (const std::string& argument : arguments) {
+    raw.push_back(const_cast<char*>(argument.c_str()));
+  }
+  raw.push_back(nullptr);
+  const int log =
+      open(log_path.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
+  id_ = fork();
+  if (id_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    execv(raw[0], raw.data());
+    _exit(127);
+  }
+  close(log);
+}
+
+child_process::child_process(child_process&& other) noexcept
+    : id_(std::exchange(other.id_, 0)) {}
+
+child_process& child_process::operator=(child_process&& other) noexcept {
+  if (this != &other) {
+    Kill();
+    id_ = std::exchange(other.id_, 0);
+  }
+  return *this;
+}
+
+child_process::~child_process() { Kill(); }
+
+void child_process::Signal(int number) const {
+  if (id_ > 0) {
+    kill(id_, number);
+  }
+}
+
+void child_process::Kill() {
+  if (id_ > 0) {
+    kill(id_, SIGKILL);
+    waitpid(id_, nullptr, 0);
+    id_ = 0;
+  }
+}
+
+int child_process::Wait(std::chrono::milliseconds limit) {
+  int status = 0;
+  const bool ended = WaitFor(
+      limit, [this, &status] { return waitpid(id_, &status, WNOHANG) == id_; });
+  if (!ended) {
+    return -1;
+  }
+  id_ = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::uint64_t child_process::ResidentKilobytes() const {
+  std::ifstream status("/proc/" + std::to_string(id_) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.starts_with("VmRSS:")) {
+      return std::stoull(line.substr(sizeof("VmRSS:") - 1));
+    }
+  }
+  return 0;
+}
+
+std::chrono::milliseconds child_process::ProcessorTime() const {
+  constexpr int kUserTimeField = 14;
+  std::ifstream stat("/proc/" + std::to_string(id_) + "/stat");
+  std::string word;
+  std::int64_t ticks = 0;
+  for (int field = 1; stat >> word; ++field) {
+    if (field == kUserTimeField || field == kUserTimeField + 1) {
+      ticks += std::stoll(word);
+    }
+  }
+  return std::chrono::milliseconds(1000 * ticks / sysconf(_SC_CLK_TCK));
+}
+
+std::uint16_t FreePort() {
+  // Below the range that outgoing connections draw from.
+  constexpr std::uint16_t kFirst = 10'000;
+  constexpr std::uint16_t kLast = 30'000;
+  static std::mt19937 random(std::random_device{}());
+  std::uniform_int_distribution<std::uint16_t> draw(kFirst, kLast);
+  while (true) {
+    const std::uint16_t port = draw(random);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(port);
+    const int bound =
+        bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address));
+    close(descriptor);
+    if (bound == 0) {
+      return port;
+    }
+  }
+}
+
+bool WaitForPort(std::uint16_t port, std::chrono::milliseconds limit) {
+  return WaitFor(limit, [port] {
+    const int descriptor = ConnectTo(port);
+    if (descriptor >= 0) {
+      close(descriptor);
+    }
+    return descriptor >= 0;
+  });
+}
+
+void SendFault(std::uint16_t control_port, const std::string& line) {
+  const int descriptor = ConnectTo(control_port);
+  if (descriptor < 0) {
+    return;
+  }
+  const std::string text = line + "\n";
+  if (write(descriptor, text.data(), text.size()) > 0) {
+    std::array<char, 16> answer{};
+    static_cast<void>(read(descriptor, answer.data(), answer.size()));
+  }
+  close(descriptor);
+}
+
+std::string PostJson(std::uint16_t port, const std::string& path,
+                     const std::string& body) {
+  const int descriptor = ConnectTo(port);
+  if (descriptor < 0) {
+    return "";
+  }
+  const std::string request = "POST " + path +
+                              " HTTP/1.1\r\nHost: platform\r\nConnection: "
+                              "close\r\nContent-Length: " +
+                              std::to_string(body.size()) + "\r\n\r\n" + body;
+  std::string response;
+  if (write(descriptor, request.data(), request.size()) > 0) {
+    std::array<char, 4096> buffer{};
+    ssize_t size = read(descriptor, buffer.data(), buffer.size());
+    while (size > 0) {
+      response.append(buffer.data(), static_cast<std::size_t>(size));
+      size = read(descriptor, buffer.data(), buffer.size());
+    }
+  }
+  close(descriptor);
+  const std::size_t end = response.find("\r\n\r\n");
+  return end == std::string::npos ? "" : response.substr(end + 4);
+}
+
+void Pause(std::chrono::milliseconds span) {
+  std::this_thread::sleep_for(span);
+}
+
+}  // namespace test_support
--- /dev/null
+++ b/test/support/process.h
@@ -0,0 +1,80 @@
+#ifndef TEST_SUPPORT_PROCESS_H_
+#define TEST_SUPPORT_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "sassafraswick/core/time.h"
+
+/// @file
+/// Processes under test.
+
+namespace test_support {
+
+/// A running program; killed when destroyed.
+class child_process {
+ public:
+  child_process() = default;
+  /// @param arguments Program and its arguments.
+  /// @param log_path Where its output goes.
+  child_process(const std::vector<std::string>& arguments,
+                const std::string& log_path);
+  child_process(child_process&& other) noexcept;
+  child_process& operator=(child_process&& other) noexcept;
+  ~child_process();
+
+  void Signal(int number) const;
+  void Kill();
+  /// Waits for the end.
+  /// @return Exit code, or -1 if it did not end in time.
+  int Wait(std::chrono::milliseconds limit);
+  [[nodiscard]] pid_t Id() const noexcept { return id_; }
+  /// Resident memory in kilobytes.
+  [[nodiscard]] std::uint64_t ResidentKilobytes() const;
+  /// Processor time used so far.
+  [[nodiscard]] std::chrono::milliseconds ProcessorTime() const;
+
+ private:
+  pid_t id_ = 0;
+};
+
+/// Returns a port that nobody listens on.
+[[nodiscard]] std::uint16_t FreePort();
+
+/// Waits until something listens on a loopback port.
+[[nodiscard]] bool WaitForPort(std::uint16_t port,
+                               std::chrono::milliseconds limit);
+
+/// Waits until a condition holds.
+template <typename Condition>
+[[nodiscard]] bool WaitFor(std::chrono::milliseconds limit,
+                           Condition condition);
+
+/// Sends one line to a fault proxy and waits for its answer.
+void SendFault(std::uint16_t control_port, const std::string& line);
+
+/// Sends a JSON body to the platform stand-in.
+[[nodiscard]] std::string PostJson(std::uint16_t port, const std::string& path,
+                                   const std::string& body);
+
+void Pause(std::chrono::milliseconds span);
+
+template <typename Condition>
+bool WaitFor(std::chrono::milliseconds limit, Condition condition) {
+  const sassafraswick::time_point end =
+      sassafraswick::monotonic_clock::now() + limit;
+  while (!condition()) {
+    if (sassafraswick::monotonic_clock::now() > end) {
+      return false;
+    }
+    Pause(std::chrono::milliseconds(10));
+  }
+  return true;
+}
+
+}  // namespace test_support
+
+#endif  // TEST_SUPPORT_PROCESS_H_
