--- /dev/null
+++ b/scripts/setup.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Installs what the build and the tests need on Debian 12. Quick when all is
+# there already.
+set -euo pipefail
+packages=(
+  cmake ninja-build g++ clang-format clang-tidy pkg-config curl
+  libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev cppzmq-dev
+  libprotobuf-dev protobuf-compiler catch2 libcli11-dev libpq-dev libssl-dev
+  libsodium-dev libxxhash-dev postgresql-client-15 jq
+)
+missing=()
+for package in "${packages[@]}"; do
+  status="$(dpkg-query -W -f='${Status}' "${package}" 2>/dev/null || true)"
+  [ "${status}" = "install ok installed" ] || missing+=("${package}")
+done
+if [ "${#missing[@]}" -gt 0 ]; then
+  apt-get update -q
+  apt-get install -y -q --no-upgrade --no-install-recommends "${missing[@]}"
+fi
--- a/src/sassafraswick/proxy/caller_session.cc
+++ b/src/sassafraswick/proxy/caller_session.cc
@@ -466,32 +466,29 @@
     outcome.end = relay_end::kTargetLost;
   }
   if (outcome.end == relay_end::kComplete) {
-    RecordPrepared(unit, connection, outcome.failed);
+    RecordPrepared(unit, connection, outcome);
   }
   co_return outcome;
 }
 
 void caller_session::RecordPrepared(const request_unit& unit,
                                     target_connection& connection,
-                                    bool failed) {
-  if (failed) {
-    // Which statements exist now is not known: start afresh next time.
-    connection.owner = ~session_id{0};
-    return;
-  }
+                                    const relay_outcome& outcome) {
   for (const std::string& name : unit.references) {
     connection.prepared.insert(name);
   }
-  for (const std::pair<const std::string, prepared_statement>& entry :
-       unit.prepared) {
-    prepared_[entry.first] = entry.second;
-    connection.prepared.insert(entry.first);
+  for (std::size_t i = 0; i < outcome.parses_done; ++i) {
+    const std::string& name = unit.prepared_order.at(i);
+    prepared_[name] = unit.prepared.at(name);
+    connection.prepared.insert(name);
   }
-  for (const std::string& name : unit.closed) {
-    prepared_.erase(name);
-    connection.prepared.erase(name);
+  for (std::size_t i = 0; i < outcome.closes_done && i < unit.closed.size();
+       ++i) {
+    prepared_.erase(unit.closed[i]);
+    connection.prepared.erase(unit.closed[i]);
   }
-  if (unit.statement.kind == statement_kind::kSet && unit.is_simple) {
+  if (unit.statement.kind == statement_kind::kSet && unit.is_simple &&
+      !outcome.failed) {
     body_reader reader(std::string_view(unit.bytes).substr(kFrameHeaderSize));
     set_statements_[unit.statement.name] = std::string(reader.String());
   }
--- a/src/sassafraswick/proxy/caller_session.h
+++ b/src/sassafraswick/proxy/caller_session.h
@@ -86,7 +86,7 @@
                                    target_connection& connection,
                                    relay_request& expected) const;
   void RecordPrepared(const request_unit& unit, target_connection& connection,
-                      bool failed);
+                      const relay_outcome& outcome);
   void AppendToken(std::string& out);
   void ReleaseConnections();
   void EndWith(std::string_view code, const std::string& message);
--- a/src/sassafraswick/proxy/response_relay.cc
+++ b/src/sassafraswick/proxy/response_relay.cc
@@ -168,6 +168,10 @@
           --request_.own_parses;
           return;
         }
+        ++outcome_.parses_done;
+        break;
+      case backend::kCloseComplete:
+        ++outcome_.closes_done;
         break;
       default:
         break;
--- a/src/sassafraswick/proxy/response_relay.h
+++ b/src/sassafraswick/proxy/response_relay.h
@@ -45,6 +45,9 @@
   bool answer_begun = false;
   /// The target answered with an error.
   bool failed = false;
+  /// The caller's Parse and Close messages that succeeded.
+  std::size_t parses_done = 0;
+  std::size_t closes_done = 0;
   /// Not yet sent, may go out at any time.
   std::string unsent;
   /// Not yet sent, claims that a write is done.
--- a/src/sassafraswick/wire/request_unit.cc
+++ b/src/sassafraswick/wire/request_unit.cc
@@ -48,6 +48,7 @@
   const statement_class statement = ClassifyStatement(sql);
   AddStatement(unit, statement);
   unit.prepared[name] = {std::string(raw), statement};
+  unit.prepared_order.push_back(name);
   ++unit.expected_completions;
   return false;
 }
--- a/src/sassafraswick/wire/request_unit.h
+++ b/src/sassafraswick/wire/request_unit.h
@@ -48,6 +48,8 @@
   std::set<std::string> references;
   /// Statements prepared in the unit.
   prepared_map prepared;
+  /// Names of statements prepared in the unit, in order.
+  std::vector<std::string> prepared_order;
   /// Prepared statements closed in the unit.
   std::vector<std::string> closed;
 };
--- /dev/null
+++ b/test/integration/path_test.cc
@@ -0,0 +1,199 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "test/support/fault_schedule.h"
+#include "test/support/fleet.h"
+
+/// @file
+/// Whole-path tests with real processes.
+
+namespace test_support {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPatience(15'000);
+
+std::string ReadAll(const std::string& path) {
+  std::ostringstream text;
+  text << std::ifstream(path).rdbuf();
+  return text.str();
+}
+
+/// Sends bytes to a port and closes.
+void SendRaw(std::uint16_t port, const std::string& bytes) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (connect(descriptor, reinterpret_cast<sockaddr*>(&address),
+              sizeof(address)) == 0) {
+    static_cast<void>(
+        send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+  }
+  close(descriptor);
+}
+
+TEST_CASE("the whole path with a real client", "[integration][path]") {
+  fleet target({});
+  REQUIRE(target.WaitReady());
+  pg_client writer(target.Url(0, "gallery"));
+  REQUIRE(writer.Query("CREATE TABLE orders (id bigint primary key, item text)")
+              .ok);
+
+  SECTION("a write on one proxy is read on another with its token") {
+    REQUIRE(writer.Query("INSERT INTO orders VALUES (1, 'oak')").ok);
+    const std::string token = writer.Token();
+    CHECK(token.starts_with("sst1."));
+    pg_client reader(target.Url(1, "gallery") +
+                     " options='-c sassafraswick.session=" + token + "'");
+    REQUIRE(reader.IsConnected());
+    CHECK(reader.Query("SELECT item FROM orders WHERE id = 1").Value() ==
+          "oak");
+    pg_client rival(target.Url(1, "counter"));
+    const pg_answer refused =
+        rival.Query("SET sassafraswick.session = '" + token + "'");
+    CHECK_FALSE(refused.ok);
+    CHECK(refused.sqlstate == "22023");
+  }
+  SECTION("prepared statements with parameters survive pooling") {
+    pg_client other(target.Url(0, "counter"));
+    REQUIRE(writer.Prepare("put", "INSERT INTO orders VALUES ($1, $2)").ok);
+    REQUIRE(other.Prepare("put", "SELECT item FROM orders WHERE id = $1").ok);
+    for (int i = 0; i < 20; ++i) {
+      const std::string id = std::to_string(i);
+      REQUIRE(writer.ExecutePrepared("put", {id, "item" + id}).ok);
+      CHECK(other.ExecutePrepared("put", {id}).Value() == "item" + id);
+      CHECK(writer.QueryWith("SELECT item FROM orders WHERE id = $1", {id})
+                .Value() == "item" + id);
+    }
+  }
+  SECTION("a dead caller's transaction is rolled back") {
+    {
+      pg_client dying(target.Url(0, "gallery"));
+      REQUIRE(dying.Query("BEGIN").ok);
+      REQUIRE(dying.Query("INSERT INTO orders VALUES (2, 'ash')").ok);
+    }
+    CHECK(WaitFor(kPatience, [&writer] {
+      return writer.Query("INSERT INTO orders VALUES (2, 'elm')").ok;
+    }));
+    CHECK(writer.Query("SELECT item FROM orders WHERE id = 2").Value() ==
+          "elm");
+  }
+  SECTION("a dead proxy's transaction is rolled back") {
+    pg_client orphan(target.Url(1, "gallery"));
+    REQUIRE(orphan.Query("BEGIN").ok);
+    REQUIRE(orphan.Query("INSERT INTO orders VALUES (3, 'ash')").ok);
+    target.Proxy(1).Kill();
+    CHECK(WaitFor(kPatience, [&writer] {
+      return writer.Query("INSERT INTO orders VALUES (3, 'elm')").ok;
+    }));
+  }
+  SECTION("errors keep their SQLSTATE and transactions their state") {
+    CHECK(writer.Query("SELECT * FROM nowhere").sqlstate == "42P01");
+    REQUIRE(writer.Query("BEGIN").ok);
+    CHECK(writer.Query("SELECT * FROM nowhere").sqlstate == "42P01");
+    CHECK(writer.Query("SELECT 1").sqlstate == "25P02");
+    CHECK(writer.Query("COMMIT").tag == "ROLLBACK");
+    CHECK(writer.Query("LISTEN orders").sqlstate == "0A000");
+    CHECK(writer.Query("SELECT 1").ok);
+  }
+  SECTION("large results pass") {
+    const pg_answer answer = writer.Query("SELECT generate_series(1, 300000)");
+    CHECK(answer.rows.size() == 300'000);
+    CHECK(target.Proxy(0).ResidentKilobytes() < 200'000);
+  }
+  SECTION("a wrong or withdrawn key is refused") {
+    std::string url = target.Url(0, "gallery");
+    url.replace(url.find("password="), 12, "password=bad");
+    CHECK_FALSE(pg_client(url).IsConnected());
+    pg_client live(target.Url(0, "gallery"));
+    REQUIRE(live.Query("SELECT 1").ok);
+    int exit_code = 1;
+    target.Control({"keys", "withdraw", target.Key("gallery")}, &exit_code);
+    REQUIRE(exit_code == 0);
+    CHECK(WaitFor(kPatience, [&live] { return !live.Query("SELECT 1").ok; }));
+    CHECK_FALSE(pg_client(target.Url(0, "gallery")).IsConnected());
+  }
+  SECTION("malformed input leaves the daemon serving") {
+    std::mt19937_64 random(7);
+    for (int i = 0; i < 1000; ++i) {
+      std::string bytes;
+      const std::size_t size = random() % 200;
+      if (i % 2 == 0) {
+        bytes = std::string(
+            "\0\0\0\x29\0\3\0\0user\0gallery\0database\0"
+            "orders0\0\0",
+            41);
+        bytes += "p";
+      }
+      for (std::size_t j = 0; j < size; ++j) {
+        bytes.push_back(static_cast<char>(random()));
+      }
+      SendRaw(target.ProxyPort(0), bytes);
+    }
+    pg_client after(target.Url(0, "gallery"));
+    CHECK(after.Query("SELECT 1").ok);
+  }
+  SECTION("no key reaches a log or a dump") {
+    const std::string dump = target.Control({"dump"});
+    CHECK(dump.find("\"members\"") != std::string::npos);
+    for (std::size_t i = 0; i < target.ProxyCount(); ++i) {
+      const std::string log =
+          ReadAll(target.Directory() + "/h" + std::to_string(i) + ".log");
+      for (const char* const name : {"gallery", "counter"}) {
+        CHECK(log.find(target.Key(name)) == std::string::npos);
+        CHECK(dump.find(target.Key(name)) == std::string::npos);
+      }
+    }
+  }
+}
+
+TEST_CASE("a planned stop cuts no request", "[integration][drain]") {
+  fleet target({});
+  REQUIRE(target.WaitReady());
+  pg_client busy(target.Url(0, "gallery"));
+  REQUIRE(busy.Query("BEGIN").ok);
+  pg_client idle(target.Url(0, "gallery"));
+  REQUIRE(idle.Query("SELECT 1").ok);
+  target.Proxy(0).Signal(SIGTERM);
+  CHECK(WaitFor(kPatience, [&idle] { return !idle.Query("SELECT 1").ok; }));
+  CHECK(busy.Query("SELECT 1").ok);
+  CHECK(busy.Query("COMMIT").ok);
+  CHECK(target.Proxy(0).Wait(kPatience) == 0);
+}
+
+TEST_CASE("tables changed by two operators at once", "[integration][tables]") {
+  fleet target({});
+  REQUIRE(target.WaitReady());
+  int exit_code = 0;
+  const std::string path = target.Directory() + "/tables.ini";
+  target.Control({"apply", path, "--expect", "1"}, &exit_code);
+  CHECK(exit_code == 1);
+  target.Platform(R"({"lose_answers":1})");
+  const std::string accepted = target.Control({"apply", path}, &exit_code);
+  CHECK(exit_code == 0);
+  CHECK(accepted.starts_with("accepted as version 4"));
+}
+
+TEST_CASE("faults break no promise", "[integration][faults]") {
+  const std::uint64_t seed = GENERATE(3U, 6U, 9U, 12U);
+  const schedule_report report =
+      RunSchedule(seed, fleet_options(), milliseconds(4000));
+  INFO("seed " << seed << ": " << report.faults << ": "
+               << Describe(report.broken));
+  CHECK(report.broken.Total() == 0);
+  CHECK(report.work.writes_done > 0);
+}
+
+}  // namespace
+}  // namespace test_support
--- /dev/null
+++ b/test/sassafraswick/consistency/freshness_test.cc
@@ -0,0 +1,71 @@
+#include "sassafraswick/consistency/freshness.h"
+
+#include <catch2/catch.hpp>
+
+#include "test/sassafraswick/failover/group_builder.h"
+
+namespace sassafraswick {
+namespace {
+
+constexpr duration kWindow = std::chrono::milliseconds(300);
+
+std::vector<instance_index> Fresh(const group_state& group,
+                                  const read_requirement& requirement,
+                                  int now) {
+  return FreshReplicas(group, requirement, kWindow, At(now));
+}
+
+TEST_CASE("a replica serves a token once it shows the point", "[freshness]") {
+  group_state group = HealthyGroup(At(0), 10);
+  read_requirement requirement;
+  requirement.at_least = log_point{1, 11};
+  CHECK(Fresh(group, requirement, 1).empty());
+  RecordReport(group, 2, ReportAt(1, 11), At(2), At(3));
+  CHECK(Fresh(group, requirement, 3) == std::vector<instance_index>{2});
+  group.instances[2].leaving = true;
+  CHECK(Fresh(group, requirement, 3).empty());
+}
+
+TEST_CASE("a log that has not reached the token's term proves nothing",
+          "[freshness]") {
+  group_state group = HealthyGroup(At(0), 50);
+  read_requirement requirement;
+  requirement.at_least = log_point{2, 20};
+  CHECK(Fresh(group, requirement, 1).empty());
+}
+
+TEST_CASE("age counts the replica's lag and the time since it was asked",
+          "[freshness]") {
+  group_state group = HealthyGroup(At(0));
+  instance_report lagging = ReportAt(1, 10);
+  lagging.lag = std::chrono::milliseconds(100);
+  RecordReport(group, 1, lagging, At(0), At(5));
+  read_requirement requirement;
+  requirement.max_staleness = std::chrono::milliseconds(150);
+  CHECK(Fresh(group, requirement, 50) == std::vector<instance_index>{1, 2});
+  CHECK(Fresh(group, requirement, 51) == std::vector<instance_index>{2});
+  CHECK(Fresh(group, requirement, 151).empty());
+}
+
+TEST_CASE("age is counted from the end of the permit if that is earlier",
+          "[freshness]") {
+  group_state group = HealthyGroup(At(0));
+  for (int now = 0; now <= 1000; now += 100) {
+    RecordReport(group, 1, ReportAt(1, 10), At(now), At(now));
+  }
+  read_requirement requirement;
+  requirement.max_staleness = std::chrono::milliseconds(600);
+  CHECK(Fresh(group, requirement, 900) == std::vector<instance_index>{1});
+  CHECK(Fresh(group, requirement, 1000).empty());
+}
+
+TEST_CASE("without a requirement only a permitted primary serves",
+          "[freshness]") {
+  const group_state group = HealthyGroup(At(0));
+  CHECK(Fresh(group, {}, 1).empty());
+  CHECK(PermittedPrimary(group, kWindow, At(299)) == instance_index{0});
+  CHECK_FALSE(PermittedPrimary(group, kWindow, At(300)).has_value());
+}
+
+}  // namespace
+}  // namespace sassafraswick
--- /dev/null
+++ b/test/sassafraswick/consistency/token_test.cc
@@ -0,0 +1,36 @@
+#include "sassafraswick/consistency/token.h"
+
+#include <catch2/catch.hpp>
+
+namespace sassafraswick {
+namespace {
+
+TEST_CASE("a token carries its point to its own organisation and pool",
+          "[token]") {
+  const token_codec codec("secret");
+  const std::string token = codec.Encode({"gallery", "orders"}, {3, 42});
+  const result<log_point> decoded = codec.Decode(token, {"gallery", "orders"});
+  REQUIRE(decoded);
+  CHECK(decoded.value() == log_point{3, 42});
+  CHECK_FALSE(codec.Decode(token, {"counter", "orders"}));
+  CHECK_FALSE(codec.Decode(token, {"gallery", "notices"}));
+  CHECK_FALSE(codec.Decode(token, {"galleryo", "rders"}));
+  CHECK_FALSE(token_codec("other").Decode(token, {"gallery", "orders"}));
+}
+
+TEST_CASE("every changed byte of a token is noticed", "[token]") {
+  const token_codec codec("secret");
+  const token_scope scope{"gallery", "orders"};
+  const std::string token = codec.Encode(scope, {3, 42});
+  for (std::size_t i = 0; i < token.size(); ++i) {
+    std::string forged = token;
+    forged[i] = forged[i] == '1' ? '2' : '1';
+    INFO(forged);
+    CHECK_FALSE(codec.Decode(forged, scope));
+    CHECK_FALSE(codec.Decode(token.substr(0, i), scope));
+  }
+  CHECK_FALSE(codec.Decode(token + "0", scope));
+}
+
+}  // namespace
+}  // namespace sassafraswick
--- /dev/null
+++ b/test/sassafraswick/routing/attempt_test.cc
@@ -0,0 +1,65 @@
+#include "sassafraswick/routing/attempt.h"
+
+#include <catch2/catch.hpp>
+
+#include "test/sassafraswick/failover/group_builder.h"
+
+namespace sassafraswick {
+namespace {
+
+verdict Decide(attempt_state state, bool repeatable, bool answer_begun,
+               int now = 0) {
+  retry_budget budget;
+  attempt failed;
+  failed.state = state;
+  failed.repeatable = repeatable;
+  failed.answer_begun = answer_begun;
+  failed.deadline = At(100);
+  return DecideAfterFailure(failed, budget, At(now));
+}
+
+TEST_CASE("a sent write is never repeated nor called not run", "[attempt]") {
+  CHECK(Decide(attempt_state::kSent, false, false) == verdict::kSayUnknown);
+  CHECK(Decide(attempt_state::kSent, false, false, 200) ==
+        verdict::kSayUnknown);
+  CHECK(Decide(attempt_state::kSent, true, false, 200) == verdict::kSayUnknown);
+}
+
+TEST_CASE("what no target ran is repeated in time, else called not run",
+          "[attempt]") {
+  CHECK(Decide(attempt_state::kNotSent, false, false) == verdict::kRetry);
+  CHECK(Decide(attempt_state::kRejected, false, false) == verdict::kRetry);
+  CHECK(Decide(attempt_state::kNotSent, false, false, 100) ==
+        verdict::kSayNotRun);
+}
+
+TEST_CASE("an answer that has begun can only be cut", "[attempt]") {
+  CHECK(Decide(attempt_state::kSent, true, true) == verdict::kAbort);
+}
+
+TEST_CASE("retries of sent requests are bounded by requests", "[attempt]") {
+  retry_budget budget;
+  int taken = 0;
+  while (budget.TryTake()) {
+    ++taken;
+  }
+  CHECK(taken == 100);
+  for (int i = 0; i < 50; ++i) {
+    budget.RecordRequest();
+  }
+  for (int i = 0; i < 10; ++i) {
+    CHECK(budget.TryTake());
+  }
+  CHECK_FALSE(budget.TryTake());
+}
+
+TEST_CASE("the wait before a retry grows and stays bounded", "[attempt]") {
+  CHECK(RetryDelay(1, 0) == duration::zero());
+  CHECK(RetryDelay(1, 10'000) <= std::chrono::milliseconds(10));
+  for (std::uint64_t random = 0; random < 1'000'000; random += 999) {
+    CHECK(RetryDelay(50, random) <= std::chrono::milliseconds(200));
+  }
+}
+
+}  // namespace
+}  // namespace sassafraswick
--- /dev/null
+++ b/test/sassafraswick/wire/request_unit_test.cc
@@ -0,0 +1,91 @@
+#include "sassafraswick/wire/request_unit.h"
+
+#include <catch2/catch.hpp>
+
+#include "sassafraswick/wire/message.h"
+
+namespace sassafraswick {
+namespace {
+
+/// Feeds frames one by one; returns how many completed a unit.
+result<int> Feed(request_unit& unit, const std::string& bytes,
+                 const prepared_map& known) {
+  frame_buffer buffer;
+  const std::span<char> space = buffer.Prepare(bytes.size());
+  std::copy(bytes.begin(), bytes.end(), space.begin());
+  buffer.Commit(bytes.size());
+  int completed = 0;
+  while (!buffer.Data().empty()) {
+    BOOST_OUTCOME_TRY(std::optional<frame_header> header, buffer.Header());
+    BOOST_OUTCOME_TRY(bool complete,
+                      AddFrame(unit, *buffer.Frame(*header),
+                               buffer.Data().substr(0, header->size), known));
+    completed += complete ? 1 : 0;
+    buffer.Consume(header->size);
+  }
+  return completed;
+}
+
+std::string Parse(const std::string& name, const std::string& sql) {
+  std::string out;
+  frame_writer(out, frontend::kParse).String(name).String(sql).Int16(0);
+  return out;
+}
+
+std::string Bind(const std::string& name) {
+  std::string out;
+  frame_writer(out, frontend::kBind).String("").String(name).Int16(0).Int16(0);
+  return out;
+}
+
+std::string Sync() {
+  std::string out;
+  frame_writer(out, frontend::kSync);
+  return out;
+}
+
+TEST_CASE("a simple query is a unit of its own", "[unit]") {
+  request_unit unit;
+  std::string bytes;
+  AppendQuery(bytes, "SELECT 1");
+  CHECK(Feed(unit, bytes, {}).value() == 1);
+  CHECK(unit.is_simple);
+  CHECK(unit.statement.kind == statement_kind::kRead);
+}
+
+TEST_CASE("a batch is a read only if all its statements are", "[unit]") {
+  request_unit reads;
+  CHECK(Feed(reads, Parse("", "SELECT 1") + Bind("") + Sync(), {}).value() ==
+        1);
+  CHECK(reads.statement.kind == statement_kind::kRead);
+  CHECK(reads.references.empty());
+  request_unit mixed;
+  REQUIRE(Feed(mixed,
+               Parse("a", "SELECT 1") + Parse("b", "DELETE FROM t") + Sync(),
+               {}));
+  CHECK(mixed.statement.kind == statement_kind::kWrite);
+}
+
+TEST_CASE("statements prepared earlier keep their class", "[unit]") {
+  const prepared_map known{
+      {"w", {Parse("w", "DELETE FROM t"), ClassifyStatement("DELETE FROM t")}}};
+  request_unit unit;
+  REQUIRE(Feed(unit, Bind("w") + Sync(), known));
+  CHECK(unit.statement.kind == statement_kind::kWrite);
+  CHECK(unit.references == std::set<std::string>{"w"});
+}
+
+TEST_CASE("truncated and unexpected frames are errors", "[unit]") {
+  for (const char type :
+       {frontend::kParse, frontend::kBind, frontend::kDescribe,
+        frontend::kClose, frontend::kQuery, '?', 'd'}) {
+    request_unit unit;
+    std::string bytes;
+    frame_writer(bytes, type).Byte('x');
+    INFO(type);
+    CHECK_FALSE(Feed(unit, bytes, {}));
+  }
+}
+
+}  // namespace
+}  // namespace sassafraswick
