--- a/src/sassafraswick/config/settings.cc
+++ b/src/sassafraswick/config/settings.cc
@@ -72,7 +72,8 @@
   setting_map missing = known;
   for (const ini_section& section : sections) {
     for (const ini_entry& entry : section.entries) {
-      const std::string name = section.name + "." + entry.key;
+      std::string name = section.name;
+      name += "." + entry.key;
       const auto found = known.find(name);
       if (found == known.end()) {
         return MakeError(error_kind::kInvalidSetting,
--- /dev/null
+++ b/src/sassafraswick/limits/token_grant.cc
@@ -0,0 +1,166 @@
+#include "sassafraswick/limits/token_grant.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sassafraswick {
+namespace {
+
+/// Future for which tokens are held in advance, in seconds.
+constexpr double kHorizonSeconds = 0.04;
+/// Time constant of the smoothed demand, in seconds.
+constexpr double kDemandSeconds = 0.25;
+/// Time after which a silent host's ledger is dropped.
+constexpr duration kForgetAfter = std::chrono::minutes(1);
+
+double Seconds(time_point::duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+std::uint64_t OutstandingOf(const host_ledger& ledger) {
+  return ledger.granted - ledger.spent - ledger.returned;
+}
+
+/// Writes off what hosts have not reported in time: at the hosts themselves
+/// those tokens have lapsed.
+void WriteOffLapsedHosts(token_bucket& bucket, time_point now) {
+  for (std::pair<const std::string, host_ledger>& entry : bucket.hosts) {
+    host_ledger& ledger = entry.second;
+    if (ledger.valid_until <= now) {
+      ledger.returned = ledger.granted - ledger.spent;
+    }
+  }
+  std::erase_if(bucket.hosts,
+                [now](const std::pair<const std::string, host_ledger>& entry) {
+                  return entry.second.valid_until + kForgetAfter <= now;
+                });
+}
+
+/// Finds a host's ledger. One that was forgotten goes on from the host's own
+/// totals.
+host_ledger& FindLedger(token_bucket& bucket, const std::string& host,
+                        grantor_epoch epoch, const token_need& need) {
+  const bool is_new = !bucket.hosts.contains(host);
+  host_ledger& ledger = bucket.hosts[host];
+  if (is_new && need.epoch == epoch) {
+    ledger.granted = need.spent + need.returned;
+    ledger.spent = need.spent;
+    ledger.returned = need.returned;
+  }
+  return ledger;
+}
+
+void Refill(token_bucket& bucket, const rate_limit& limit, time_point now) {
+  const double earned =
+      Seconds(now - bucket.refilled_at) * static_cast<double>(limit.rate);
+  const double room = static_cast<double>(limit.burst) -
+                      static_cast<double>(Outstanding(bucket));
+  bucket.level =
+      std::min(bucket.level + std::max(earned, 0.0), std::max(room, 0.0));
+  bucket.refilled_at = std::max(bucket.refilled_at, now);
+}
+
+/// Books what a host reports; returned tokens flow back to the bucket.
+void Book(token_bucket& bucket, host_ledger& ledger, const token_need& need) {
+  const std::uint64_t returned = std::max(ledger.returned, need.returned);
+  const std::uint64_t spent = std::max(ledger.spent, need.spent);
+  if (spent + returned <= ledger.granted) {
+    bucket.level += static_cast<double>(returned - ledger.returned);
+    ledger.returned = returned;
+    ledger.spent = spent;
+  }
+}
+
+void DecayDemand(token_allowance& allowance, time_point now) {
+  const double elapsed = Seconds(now - allowance.demand_at);
+  allowance.demand *= std::exp(-std::max(elapsed, 0.0) / kDemandSeconds);
+  allowance.demand_at = now;
+}
+
+}  // namespace
+
+std::uint64_t Outstanding(const token_bucket& bucket) {
+  std::uint64_t total = 0;
+  for (const std::pair<const std::string, host_ledger>& entry : bucket.hosts) {
+    total += OutstandingOf(entry.second);
+  }
+  return total;
+}
+
+token_share Grant(token_bucket& bucket, const rate_limit& limit,
+                  grantor_epoch epoch, const std::string& host,
+                  const token_need& need, time_point now) {
+  WriteOffLapsedHosts(bucket, now);
+  host_ledger& ledger = FindLedger(bucket, host, epoch, need);
+  if (need.epoch == epoch) {
+    Book(bucket, ledger, need);
+  }
+  Refill(bucket, limit, now);
+  ledger.valid_until = now + kTokenLease + kTokenLeaseMargin;
+  const std::uint64_t held = OutstandingOf(ledger);
+  const std::uint64_t missing = need.wanted > held ? need.wanted - held : 0;
+  const std::uint64_t given =
+      std::min(missing, static_cast<std::uint64_t>(bucket.level));
+  bucket.level -= static_cast<double>(given);
+  ledger.granted += given;
+  token_share share{epoch, ledger.granted, duration::zero()};
+  if (held + given == 0 && missing > 0) {
+    const double wait = (1.0 - bucket.level) / std::max(limit.rate, 1U);
+    share.retry_after = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(std::max(wait, 0.001)));
+  }
+  return share;
+}
+
+std::uint64_t Unspent(const token_allowance& allowance, time_point now) {
+  return now < allowance.valid_until
+             ? allowance.granted - allowance.spent - allowance.returned
+             : 0;
+}
+
+bool TrySpend(token_allowance& allowance, time_point now) {
+  allowance.used_at = now;
+  if (Unspent(allowance, now) == 0) {
+    return false;
+  }
+  DecayDemand(allowance, now);
+  allowance.demand += 1.0 / kDemandSeconds;
+  ++allowance.spent;
+  return true;
+}
+
+std::uint64_t WantedTokens(const token_allowance& allowance, time_point now) {
+  token_allowance decayed = allowance;
+  DecayDemand(decayed, now);
+  const double ahead = std::ceil(decayed.demand * kHorizonSeconds);
+  return allowance.waiting + static_cast<std::uint64_t>(ahead);
+}
+
+void WriteOffLapsed(token_allowance& allowance, time_point now) {
+  if (now >= allowance.valid_until) {
+    allowance.returned = allowance.granted - allowance.spent;
+  }
+}
+
+void ReturnUnspent(token_allowance& allowance, time_point now) {
+  allowance.returned += Unspent(allowance, now);
+}
+
+void ApplyShare(token_allowance& allowance, const token_share& share,
+                time_point asked_at) {
+  if (share.epoch < allowance.epoch) {
+    return;
+  }
+  if (share.epoch > allowance.epoch) {
+    allowance.epoch = share.epoch;
+    allowance.granted = 0;
+    allowance.spent = 0;
+    allowance.returned = 0;
+    allowance.valid_until = time_point();
+  }
+  allowance.granted = std::max(allowance.granted, share.granted);
+  allowance.valid_until =
+      std::max(allowance.valid_until, asked_at + kTokenLease);
+}
+
+}  // namespace sassafraswick
--- a/src/sassafraswick/peer/fwd.h
+++ b/src/sassafraswick/peer/fwd.h
@@ -3,8 +3,9 @@
 
 namespace sassafraswick {
 
-struct fleet_member;
-struct fleet_table;
+struct member;
+struct membership;
+struct membership_settings;
 class peer_link;
 
 }  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/peer/membership.cc
@@ -0,0 +1,305 @@
+#include "sassafraswick/peer/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+
+namespace sassafraswick {
+namespace {
+
+/// One probe in this many goes to a host believed dead, so that two halves of a
+/// healed partition find each other.
+constexpr std::uint64_t kDeadProbeShare = 4;
+constexpr duration kRelayLifetime = std::chrono::seconds(5);
+/// Time after which a dead host that is not listed is forgotten.
+constexpr duration kForgetAfter = std::chrono::minutes(1);
+
+std::uint32_t Repeats(const membership& table,
+                      const membership_settings& settings) {
+  const std::uint32_t logarithm =
+      static_cast<std::uint32_t>(std::bit_width(table.members.size()));
+  return settings.news_repeats * logarithm;
+}
+
+void SetState(const membership& table, const membership_settings& settings,
+              member& entry, member_state state, time_point now) {
+  if (entry.state != state) {
+    entry.state = state;
+    entry.since = now;
+    entry.news_left = Repeats(table, settings);
+  }
+}
+
+/// Takes the news that have been passed on least.
+std::vector<member> TakeNews(membership& table,
+                             const membership_settings& settings) {
+  std::vector<member*> pending;
+  for (std::pair<const std::string, member>& entry : table.members) {
+    if (entry.second.news_left > 0) {
+      pending.push_back(&entry.second);
+    }
+  }
+  std::sort(pending.begin(), pending.end(),
+            [](const member* left, const member* right) {
+              return left->news_left > right->news_left;
+            });
+  std::vector<member> news{table.members.at(table.self)};
+  for (member* const entry : pending) {
+    if (news.size() > settings.news_per_message) {
+      break;
+    }
+    if (entry->host != table.self) {
+      --entry->news_left;
+      news.push_back(*entry);
+    }
+  }
+  return news;
+}
+
+std::vector<std::string> ProbeTargets(const membership& table, bool dead) {
+  std::vector<std::string> names;
+  for (const std::pair<const std::string, member>& entry : table.members) {
+    const bool is_dead = entry.second.state == member_state::kDead;
+    if (entry.first != table.self && is_dead == dead) {
+      names.push_back(entry.first);
+    }
+  }
+  return names;
+}
+
+/// Starts the next probe if there is somebody to probe.
+std::vector<membership_message> StartProbe(membership& table,
+                                           const membership_settings& settings,
+                                           time_point now,
+                                           std::uint64_t random) {
+  table.next_probe_at = now + settings.probe_interval;
+  std::vector<std::string> targets =
+      ProbeTargets(table, random % kDeadProbeShare == 0);
+  if (targets.empty()) {
+    targets = ProbeTargets(table, random % kDeadProbeShare != 0);
+  }
+  if (targets.empty()) {
+    return {};
+  }
+  const std::string& chosen =
+      targets[random / kDeadProbeShare % targets.size()];
+  table.current = probe{table.next_probe_id++, chosen, now, false};
+  return {{membership_message_kind::kPing, chosen, table.current->id, "",
+           TakeNews(table, settings)}};
+}
+
+std::vector<membership_message> AskHelpers(membership& table,
+                                           const membership_settings& settings,
+                                           std::uint64_t random) {
+  table.current->helped = true;
+  std::vector<std::string> helpers = ProbeTargets(table, false);
+  std::erase(helpers, table.current->host);
+  std::vector<membership_message> messages;
+  for (std::uint32_t i = 0; i < settings.helpers && i < helpers.size(); ++i) {
+    const std::size_t at = (random + i) % helpers.size();
+    messages.push_back({membership_message_kind::kPing, helpers[at],
+                        table.current->id, table.current->host,
+                        TakeNews(table, settings)});
+  }
+  return messages;
+}
+
+void FailProbe(membership& table, const membership_settings& settings,
+               time_point now) {
+  const auto found = table.members.find(table.current->host);
+  if (found != table.members.end() &&
+      found->second.state == member_state::kAlive) {
+    SetState(table, settings, found->second, member_state::kSuspected, now);
+  }
+  table.current.reset();
+}
+
+void EndSuspicions(membership& table, const membership_settings& settings,
+                   time_point now) {
+  for (std::pair<const std::string, member>& entry : table.members) {
+    if (entry.second.state == member_state::kSuspected &&
+        now - entry.second.since >= settings.suspicion) {
+      SetState(table, settings, entry.second, member_state::kDead, now);
+    }
+  }
+  std::erase_if(
+      table.members, [now](const std::pair<const std::string, member>& entry) {
+        return entry.second.state == member_state::kDead &&
+               !entry.second.listed && now - entry.second.since > kForgetAfter;
+      });
+  std::erase_if(
+      table.relayed,
+      [now](const std::pair<const std::uint64_t, relayed_probe>& entry) {
+        return now - entry.second.sent_at > kRelayLifetime;
+      });
+}
+
+/// Somebody says that this host is suspected or dead: refute it.
+void Refute(membership& table, const membership_settings& settings,
+            const member& said) {
+  member& own = table.members.at(table.self);
+  const bool accused = said.boot == own.boot &&
+                       said.incarnation >= own.incarnation &&
+                       (said.state == member_state::kSuspected ||
+                        said.state == member_state::kDead);
+  if (accused) {
+    own.incarnation = said.incarnation + 1;
+    own.news_left = Repeats(table, settings);
+  }
+}
+
+/// Orders what is said of a host: later starts, then refutations, then worse
+/// states win.
+bool IsNewer(const member& said, const member& known) {
+  return std::tuple(said.boot, said.incarnation, said.state) >
+         std::tuple(known.boot, known.incarnation, known.state);
+}
+
+}  // namespace
+
+membership MakeMembership(member self) {
+  membership table;
+  table.self = self.host;
+  table.members[self.host] = std::move(self);
+  return table;
+}
+
+std::vector<membership_message> TickMembership(
+    membership& table, const membership_settings& settings, time_point now,
+    std::uint64_t random) {
+  EndSuspicions(table, settings, now);
+  if (table.current.has_value()) {
+    const time_point::duration waited = now - table.current->sent_at;
+    if (!table.current->helped && waited >= settings.probe_limit) {
+      return AskHelpers(table, settings, random);
+    }
+    if (waited >= settings.probe_interval) {
+      FailProbe(table, settings, now);
+    }
+  }
+  if (!table.current.has_value() && now >= table.next_probe_at) {
+    return StartProbe(table, settings, now, random);
+  }
+  return {};
+}
+
+std::vector<membership_message> HandlePing(membership& table,
+                                           const membership_settings& settings,
+                                           const std::string& from,
+                                           std::uint64_t probe_id,
+                                           const std::string& target,
+                                           time_point now) {
+  if (target.empty() || target == table.self) {
+    return {{membership_message_kind::kAnswer, from, probe_id, "",
+             TakeNews(table, settings)}};
+  }
+  if (!table.members.contains(target)) {
+    return {};
+  }
+  const std::uint64_t id = table.next_probe_id++;
+  table.relayed[id] = {from, probe_id, now};
+  return {{membership_message_kind::kPing, target, id, "",
+           TakeNews(table, settings)}};
+}
+
+std::vector<membership_message> HandleAnswer(
+    membership& table, const membership_settings& settings,
+    const std::string& from, std::uint64_t probe_id, time_point now) {
+  const auto relayed = table.relayed.find(probe_id);
+  if (relayed != table.relayed.end()) {
+    const relayed_probe origin = relayed->second;
+    table.relayed.erase(relayed);
+    return {{membership_message_kind::kAnswer, origin.origin, origin.origin_id,
+             "", TakeNews(table, settings)}};
+  }
+  if (table.current.has_value() && table.current->id == probe_id) {
+    const auto found = table.members.find(table.current->host);
+    const bool direct = from == table.current->host;
+    if (found != table.members.end() &&
+        found->second.state != member_state::kLeaving &&
+        (direct || found->second.state == member_state::kSuspected)) {
+      SetState(table, settings, found->second, member_state::kAlive, now);
+    }
+    table.current.reset();
+  }
+  return {};
+}
+
+void MergeNews(membership& table, const membership_settings& settings,
+               const std::vector<member>& news, time_point now) {
+  for (const member& said : news) {
+    if (said.host == table.self) {
+      Refute(table, settings, said);
+      continue;
+    }
+    const auto found = table.members.find(said.host);
+    if (found != table.members.end() && !IsNewer(said, found->second)) {
+      continue;
+    }
+    const bool listed = found != table.members.end() && found->second.listed;
+    member& known = table.members[said.host];
+    known = said;
+    known.listed = listed;
+    known.since = now;
+    known.news_left = Repeats(table, settings);
+  }
+}
+
+void MergeList(membership& table, const membership_settings& settings,
+               const std::vector<member>& listed, time_point now) {
+  for (std::pair<const std::string, member>& entry : table.members) {
+    entry.second.listed = false;
+  }
+  for (const member& each : listed) {
+    const bool is_new = !table.members.contains(each.host);
+    member& known = table.members[each.host];
+    if (is_new) {
+      known = each;
+      known.since = now;
+    }
+    known.listed = true;
+    if (known.boot == 0) {
+      known.peers = each.peers;
+      known.availability_zone = each.availability_zone;
+    }
+    if (each.state == member_state::kLeaving &&
+        known.state == member_state::kAlive) {
+      SetState(table, settings, known, member_state::kLeaving, now);
+    }
+  }
+}
+
+void AnnounceLeaving(membership& table, const membership_settings& settings,
+                     time_point now) {
+  member& own = table.members.at(table.self);
+  ++own.incarnation;
+  SetState(table, settings, own, member_state::kLeaving, now);
+}
+
+std::vector<std::string> LiveHosts(const membership& table) {
+  std::vector<std::string> names;
+  for (const std::pair<const std::string, member>& entry : table.members) {
+    if (entry.second.state == member_state::kAlive ||
+        entry.second.state == member_state::kSuspected) {
+      names.push_back(entry.first);
+    }
+  }
+  return names;
+}
+
+bool SeesMajority(const membership& table) {
+  std::size_t listed = 0;
+  std::size_t alive = 0;
+  for (const std::pair<const std::string, member>& entry : table.members) {
+    if (entry.second.listed || entry.first == table.self) {
+      ++listed;
+      alive += entry.second.state == member_state::kDead ||
+                       entry.second.state == member_state::kSuspected
+                   ? 0
+                   : 1;
+    }
+  }
+  return alive * 2 > listed;
+}
+
+}  // namespace sassafraswick
--- a/src/sassafraswick/peer/peer_link.cc
+++ b/src/sassafraswick/peer/peer_link.cc
@@ -197,7 +197,7 @@
 }
 
 result<message::envelope> AskHost(const endpoint& host, std::string_view secret,
-                                  message::envelope question,
+                                  const message::envelope& question,
                                   std::chrono::milliseconds limit) {
   const message_authenticator authenticator(secret);
   zmq::context_t sockets(1);
--- a/src/sassafraswick/peer/peer_link.h
+++ b/src/sassafraswick/peer/peer_link.h
@@ -96,8 +96,8 @@
 
 /// Asks one host a question and waits for its direct reply. For tools.
 [[nodiscard]] result<message::envelope> AskHost(
-    const endpoint& host, std::string_view secret, message::envelope question,
-    std::chrono::milliseconds limit);
+    const endpoint& host, std::string_view secret,
+    const message::envelope& question, std::chrono::milliseconds limit);
 
 }  // namespace sassafraswick
 
--- a/src/sassafraswick/proxy/caller_session.cc
+++ b/src/sassafraswick/proxy/caller_session.cc
@@ -16,6 +16,12 @@
 constexpr std::string_view kRolledBack = "40001";
 constexpr std::string_view kInFailedTransaction = "25P02";
 
+std::string RetryHint(duration retry_after) {
+  const std::chrono::milliseconds rounded =
+      std::chrono::ceil<std::chrono::milliseconds>(retry_after);
+  return "retry after " + std::to_string(rounded.count()) + " ms";
+}
+
 }  // namespace
 
 caller_session::caller_session(host_runtime& runtime, stream_socket socket)
@@ -102,13 +108,16 @@
   }
 }
 
-void caller_session::CheckLimits(time_point now) {
+void caller_session::CheckLimits(time_point now, bool isolated) {
   const bool login_late =
       activity_ == activity::kStarting && now - active_since_ > kLoginLimit;
   const bool transaction_late = activity_ == activity::kIdle &&
                                 pinned_.has_value() &&
                                 now - active_since_ > kIdleTransactionLimit;
-  if (login_late || transaction_late) {
+  if (isolated && !identity_.key_id.empty()) {
+    EndWith(sqlstate::kCannotConnectNow,
+            "host is cut off and cannot tell whether the key is still valid");
+  } else if (login_late || transaction_late) {
     EndWith("25P03", "idle-in-transaction or login time limit exceeded");
   }
 }
@@ -234,14 +243,14 @@
   std::string out;
   if (!unit.is_simple) {
     for (std::size_t i = 0; i < unit.prepared.size(); ++i) {
-      frame_writer(out, backend::kParseComplete);
+      AppendEmpty(out, backend::kParseComplete);
     }
-    frame_writer(out, '2');
+    AppendEmpty(out, '2');
   }
   std::string answer;
   if (is_set) {
     if (unit.describes) {
-      frame_writer(answer, 'n');
+      AppendEmpty(answer, 'n');
     }
     AppendCommandComplete(answer, "SET");
   } else {
@@ -296,6 +305,11 @@
   tried.repeatable = reads || settings_.idempotent ||
                      unit.statement.kind == statement_kind::kBegin;
   runtime_.Retries().RecordRequest();
+  const admission admitted = co_await runtime_.Limits().Admit(
+      identity_.organisation, request.deadline);
+  if (!admitted.admitted) {
+    co_return co_await ReplyOverRate(unit, admitted.retry_after);
+  }
   while (true) {
     const acquire_result acquired = co_await pool_->Acquire(request);
     if (const refusal* refused = std::get_if<refusal>(&acquired)) {
@@ -405,11 +419,11 @@
   std::string out;
   if (!unit.is_simple) {
     for (std::size_t i = 0; i < unit.prepared.size(); ++i) {
-      frame_writer(out, backend::kParseComplete);
+      AppendEmpty(out, backend::kParseComplete);
     }
-    frame_writer(out, '2');
+    AppendEmpty(out, '2');
     if (unit.describes) {
-      frame_writer(out, 'n');
+      AppendEmpty(out, 'n');
     }
   }
   AppendCommandComplete(out, "ROLLBACK");
@@ -587,18 +601,25 @@
   co_return written.has_value();
 }
 
+asio::awaitable<bool> caller_session::ReplyOverRate(const request_unit& unit,
+                                                    duration retry_after) {
+  ++runtime_.Metrics().organisations[identity_.organisation].refused_by_limit;
+  const std::string reply =
+      ErrorReply(unit, {error_severity::kError,
+                        std::string(sqlstate::kConfigurationLimitExceeded),
+                        "not run: organisation \"" + identity_.organisation +
+                            "\" is over its rate",
+                        RetryHint(retry_after)});
+  co_return co_await Send(reply);
+}
+
 asio::awaitable<bool> caller_session::ReplyRefusal(const request_unit& unit,
                                                    const refusal& refused) {
-  const std::string hint =
-      "retry after " +
-      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                         refused.retry_after)
-                         .count()) +
-      " ms";
   organisation_metrics& metrics =
       runtime_.Metrics().organisations[identity_.organisation];
   ++metrics.refused_by_load;
-  error_message message{error_severity::kError, "", "", hint};
+  error_message message{error_severity::kError, "", "",
+                        RetryHint(refused.retry_after)};
   switch (refused.reason) {
     case refusal_reason::kOverloaded:
       message.code = sqlstate::kTooManyConnections;
--- a/src/sassafraswick/proxy/caller_session.h
+++ b/src/sassafraswick/proxy/caller_session.h
@@ -47,7 +47,8 @@
   void EndWhenIdle();
 
   /// Closes the session if it overran a limit.
-  void CheckLimits(time_point now);
+  /// @param isolated The host can no longer learn of withdrawn keys.
+  void CheckLimits(time_point now, bool isolated);
 
  private:
   enum class activity : std::uint8_t { kStarting, kIdle, kBusy };
@@ -64,6 +65,8 @@
   boost::asio::awaitable<std::optional<request_unit>> ReadUnit();
   boost::asio::awaitable<bool> Serve(request_unit& unit);
   boost::asio::awaitable<bool> ServeProxyStatement(const request_unit& unit);
+  boost::asio::awaitable<bool> ReplyOverRate(const request_unit& unit,
+                                             duration retry_after);
   boost::asio::awaitable<bool> ServeRouted(request_unit& unit);
   boost::asio::awaitable<bool> ServePinned(request_unit& unit);
   boost::asio::awaitable<relay_outcome> RunUnit(const request_unit& unit,
--- a/src/sassafraswick/proxy/caller_settings.cc
+++ b/src/sassafraswick/proxy/caller_settings.cc
@@ -13,6 +13,10 @@
       "unrecognized configuration parameter \"" + std::string(name) + "\"");
 }
 
+std::string FormatOptional(const std::optional<duration>& value) {
+  return value.has_value() ? FormatDuration(*value) : std::string();
+}
+
 result<void> SetSession(caller_settings& settings, const std::string& value,
                         const token_codec& codec, const token_scope& scope) {
   if (!value.starts_with(kTokenPrefix)) {
@@ -75,16 +79,13 @@
                                      : settings.session_name;
   }
   if (name == parameter::kMaxStaleness) {
-    return settings.max_staleness.has_value()
-               ? FormatDuration(*settings.max_staleness)
-               : std::string();
+    return FormatOptional(settings.max_staleness);
   }
   if (name == parameter::kIdempotent) {
     return std::string(settings.idempotent ? "on" : "off");
   }
   if (name == parameter::kDeadline) {
-    return settings.deadline.has_value() ? FormatDuration(*settings.deadline)
-                                         : std::string();
+    return FormatOptional(settings.deadline);
   }
   return UnknownParameter(name);
 }
--- a/src/sassafraswick/proxy/daemon.cc
+++ b/src/sassafraswick/proxy/daemon.cc
@@ -7,13 +7,12 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
-#include <random>
+#include <optional>
 
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/peer/peer_link.h"
-#include "sassafraswick/platform/configuration_store.h"
 #include "sassafraswick/proxy/caller_session.h"
-#include "sassafraswick/proxy/dump.h"
+#include "sassafraswick/proxy/fleet_service.h"
 #include "sassafraswick/proxy/host_runtime.h"
 
 namespace sassafraswick {
@@ -21,10 +20,6 @@
 
 namespace asio = boost::asio;
 
-constexpr duration kWatchLimit = std::chrono::seconds(10);
-constexpr duration kStoreRetry = std::chrono::milliseconds(500);
-constexpr duration kHostListInterval = std::chrono::seconds(2);
-constexpr duration kHostListLimit = std::chrono::seconds(1);
 constexpr duration kSweepInterval = std::chrono::seconds(1);
 constexpr duration kDrainLimit = std::chrono::seconds(30);
 constexpr duration kDrainTick = std::chrono::milliseconds(20);
@@ -51,55 +46,12 @@
   }
 }
 
-/// Follows the configuration record.
-asio::awaitable<void> FollowConfiguration(host_runtime& runtime) {
-  etcd_store store(runtime.Settings().platform.store);
-  while (true) {
-    result<versioned_configuration> current = co_await ReadConfiguration(store);
-    if (!current) {
-      Log(log_level::kWarning, "store_unavailable",
-          {{"reason", current.error().message}});
-      co_await Sleep(kStoreRetry);
-      continue;
-    }
-    if (current.value().revision > 0) {
-      runtime.Apply(std::make_shared<const configuration>(
-          std::move(current.value().value)));
-    }
-    const result<std::optional<stored_record>> change =
-        co_await store.Watch(std::string(kConfigurationKey),
-                             current.value().revision + 1, kWatchLimit);
-    if (!change) {
-      co_await Sleep(kStoreRetry);
-    }
-  }
-}
-
-asio::awaitable<void> FollowHosts(host_runtime& runtime) {
-  while (true) {
-    const result<std::vector<listed_host>> hosts = co_await FetchHosts(
-        runtime.Settings().platform.host_list, kHostListLimit);
-    if (hosts) {
-      fleet_table& fleet = runtime.Fleet();
-      for (const listed_host& listed : hosts.value()) {
-        fleet_member& member = fleet.members[listed.host];
-        member.host = listed.host;
-        member.availability_zone = listed.availability_zone;
-        member.peers = listed.peers;
-        member.leaving = listed.leaving;
-      }
-    }
-    co_await Sleep(kHostListInterval);
-  }
-}
-
-void AnswerAdmin(host_runtime& runtime, peer_link& link,
-                 const message::admin_request& request,
-                 const std::string& route) {
-  message::envelope answer;
-  answer.mutable_admin_answer()->set_json(
-      request.kind() == "dump" ? DumpJson(runtime) : StatusJson(runtime));
-  link.Reply(route, std::move(answer));
+/// Numbers starts in the order of the wall clock.
+std::uint64_t BootNumber() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<duration>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
 }
 
 asio::awaitable<void> SweepSessions(host_runtime& runtime) {
@@ -109,7 +61,7 @@
   }
 }
 
-asio::awaitable<void> StopOnSignal(host_runtime& runtime,
+asio::awaitable<void> StopOnSignal(host_runtime& runtime, fleet_service& fleet,
                                    asio::ip::tcp::acceptor& acceptor) {
   asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
   boost::system::error_code failure;
@@ -119,6 +71,7 @@
       {{"sessions", std::to_string(runtime.SessionCount())}});
   boost::system::error_code ignored;
   acceptor.close(ignored);
+  fleet.AnnounceLeave();
   runtime.Drain();
   const time_point end = monotonic_clock::now() + kDrainLimit;
   while (runtime.SessionCount() > 0 && monotonic_clock::now() < end) {
@@ -133,25 +86,26 @@
 
 result<void> RunDaemon(const daemon_settings& settings) {
   asio::io_context context(1);
-  host_runtime runtime(context, settings);
+  const std::uint64_t boot = BootNumber();
+  peer_link link(context, {settings.host, boot, settings.peers},
+                 settings.fleet_secret);
+  std::optional<fleet_service> fleet;
+  host_runtime runtime(
+      context, settings, boot,
+      [&fleet](const std::string& host, message::envelope envelope) {
+        fleet->SendTo(host, std::move(envelope));
+      });
+  fleet.emplace(runtime, link);
   BOOST_OUTCOME_TRY(runtime.LoadTls());
   BOOST_OUTCOME_TRY(asio::ip::tcp::acceptor acceptor,
                     Listen(context.get_executor(), settings.callers));
-  runtime.Fleet().members[settings.host] = {
-      settings.host, settings.availability_zone, settings.peers};
-  const peer_identity identity{settings.host, std::random_device{}(),
-                               settings.peers};
-  peer_link link(context, identity, settings.fleet_secret);
-  BOOST_OUTCOME_TRY(
-      link.Start([&runtime, &link](const message::envelope& received,
-                                   const std::string& route) {
-        if (received.has_admin_request()) {
-          AnswerAdmin(runtime, link, received.admin_request(), route);
-        }
+  BOOST_OUTCOME_TRY(link.Start(
+      [&fleet](const message::envelope& received, const std::string& route) {
+        fleet->Handle(received, route);
       }));
-  asio::co_spawn(context, StopOnSignal(runtime, acceptor), asio::detached);
-  asio::co_spawn(context, FollowConfiguration(runtime), asio::detached);
-  asio::co_spawn(context, FollowHosts(runtime), asio::detached);
+  fleet->Start();
+  asio::co_spawn(context, StopOnSignal(runtime, *fleet, acceptor),
+                 asio::detached);
   asio::co_spawn(context, SweepSessions(runtime), asio::detached);
   asio::co_spawn(context, AcceptCallers(runtime, acceptor), asio::detached);
   Log(log_level::kInfo, "started",
--- a/src/sassafraswick/proxy/dump.cc
+++ b/src/sassafraswick/proxy/dump.cc
@@ -150,6 +150,44 @@
   return object;
 }
 
+json::object MembersObject(const membership& fleet, time_point now) {
+  constexpr const char* kStates[] = {"alive", "suspected", "dead", "leaving"};
+  json::object members;
+  for (const std::pair<const std::string, member>& entry : fleet.members) {
+    members[entry.first] =
+        json::object{{"availability_zone", entry.second.availability_zone},
+                     {"peers", FormatEndpoint(entry.second.peers)},
+                     {"state", kStates[static_cast<int>(entry.second.state)]},
+                     {"since_ms", AgeMilliseconds(entry.second.since, now)},
+                     {"listed", entry.second.listed},
+                     {"boot", entry.second.boot},
+                     {"incarnation", entry.second.incarnation}};
+  }
+  return members;
+}
+
+json::array GrantorsArray(const grantor_shards& shards) {
+  json::array grantors;
+  for (std::uint32_t i = 0; i < kShardCount; ++i) {
+    grantors.push_back(json::object{
+        {"shard", i}, {"host", shards[i].host}, {"epoch", shards[i].epoch}});
+  }
+  return grantors;
+}
+
+json::object AllowancesObject(
+    const std::map<std::string, token_allowance>& allowances, time_point now) {
+  json::object object;
+  for (const std::pair<const std::string, token_allowance>& entry :
+       allowances) {
+    object[entry.first] = json::object{{"shard", ShardOf(entry.first)},
+                                       {"unspent", Unspent(entry.second, now)},
+                                       {"spent", entry.second.spent},
+                                       {"waiting", entry.second.waiting}};
+  }
+  return object;
+}
+
 }  // namespace
 
 std::string StatusJson(host_runtime& runtime) {
@@ -165,16 +203,9 @@
     pools[entry.first] = PoolObject(*entry.second, now);
   }
   dump["pools"] = std::move(pools);
-  json::object members;
-  for (const std::pair<const std::string, fleet_member>& entry :
-       runtime.Fleet().members) {
-    members[entry.first] =
-        json::object{{"availability_zone", entry.second.availability_zone},
-                     {"peers", FormatEndpoint(entry.second.peers)},
-                     {"leaving", entry.second.leaving},
-                     {"boot", entry.second.boot}};
-  }
-  dump["members"] = std::move(members);
+  dump["members"] = MembersObject(runtime.Fleet(), now);
+  dump["grantors"] = GrantorsArray(runtime.Limits().Shards());
+  dump["allowances"] = AllowancesObject(runtime.Limits().Allowances(), now);
   if (runtime.Configuration() != nullptr) {
     json::object routes;
     for (const std::pair<const std::string, route>& entry :
--- /dev/null
+++ b/src/sassafraswick/proxy/fleet_service.cc
@@ -0,0 +1,377 @@
+#include "sassafraswick/proxy/fleet_service.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "sassafraswick/core/log.h"
+#include "sassafraswick/platform/configuration_store.h"
+#include "sassafraswick/proxy/dump.h"
+#include "sassafraswick/routing/rendezvous.h"
+
+namespace sassafraswick {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr duration kFastTick = std::chrono::milliseconds(5);
+constexpr duration kMembershipTick = std::chrono::milliseconds(20);
+constexpr duration kHostListInterval = std::chrono::seconds(2);
+constexpr duration kHostListLimit = std::chrono::seconds(1);
+constexpr duration kWatchLimit = std::chrono::seconds(10);
+constexpr duration kStoreRetry = std::chrono::milliseconds(500);
+/// Hosts that do not watch the store read it this often all the same.
+constexpr duration kReadInterval = std::chrono::seconds(30);
+constexpr duration kWatcherRecheck = std::chrono::milliseconds(500);
+constexpr duration kRecordRequestLimit = std::chrono::milliseconds(200);
+constexpr duration kPrimaryQueryInterval = std::chrono::milliseconds(100);
+constexpr std::size_t kWatchersPerZone = 2;
+constexpr std::size_t kSpread = 3;
+
+message::member Encode(const member& known) {
+  message::member encoded;
+  encoded.set_host(known.host);
+  encoded.set_availability_zone(known.availability_zone);
+  encoded.set_peers(FormatEndpoint(known.peers));
+  encoded.set_boot(known.boot);
+  encoded.set_incarnation(known.incarnation);
+  encoded.set_state(static_cast<std::uint32_t>(known.state));
+  return encoded;
+}
+
+std::optional<member> Decode(const message::member& encoded) {
+  const result<endpoint> peers = ParseEndpoint(encoded.peers());
+  if (!peers ||
+      encoded.state() > static_cast<std::uint32_t>(member_state::kLeaving)) {
+    return std::nullopt;
+  }
+  member decoded;
+  decoded.host = encoded.host();
+  decoded.availability_zone = encoded.availability_zone();
+  decoded.peers = peers.value();
+  decoded.boot = encoded.boot();
+  decoded.incarnation = encoded.incarnation();
+  decoded.state = static_cast<member_state>(encoded.state());
+  return decoded;
+}
+
+/// Picks a few live hosts other than this one.
+std::vector<std::string> PickHosts(const membership& fleet, std::size_t count,
+                                   std::mt19937_64& random) {
+  std::vector<std::string> hosts = LiveHosts(fleet);
+  std::erase(hosts, fleet.self);
+  std::shuffle(hosts.begin(), hosts.end(), random);
+  hosts.resize(std::min(hosts.size(), count));
+  return hosts;
+}
+
+}  // namespace
+
+fleet_service::fleet_service(host_runtime& runtime, peer_link& link)
+    : runtime_(runtime),
+      link_(link),
+      store_(runtime.Settings().platform.store),
+      random_(std::random_device{}()) {}
+
+void fleet_service::Start() {
+  asio::io_context& context = runtime_.Context();
+  asio::co_spawn(context, TickFast(), asio::detached);
+  asio::co_spawn(context, FollowHosts(), asio::detached);
+  asio::co_spawn(context, FollowConfiguration(), asio::detached);
+  asio::co_spawn(context, FollowGrantors(), asio::detached);
+}
+
+void fleet_service::SendTo(const std::string& host,
+                           message::envelope envelope) {
+  const auto found = runtime_.Fleet().members.find(host);
+  if (found != runtime_.Fleet().members.end()) {
+    link_.Send(found->second.peers, std::move(envelope));
+  }
+}
+
+void fleet_service::Handle(const message::envelope& received,
+                           const std::string& route) {
+  switch (received.body_case()) {
+    case message::envelope::kPing:
+    case message::envelope::kPingAnswer:
+      HandleMembership(received);
+      break;
+    case message::envelope::kConfigurationRequest:
+      if (runtime_.Configuration() != nullptr) {
+        message::envelope answer;
+        answer.mutable_configuration_record()->set_record(
+            SerializeConfiguration(*runtime_.Configuration()));
+        SendTo(received.host(), std::move(answer));
+      }
+      break;
+    case message::envelope::kConfigurationRecord:
+      ApplyRecord(received.configuration_record().record());
+      break;
+    case message::envelope::kPrimaryQuery:
+      AnswerPrimaries(received);
+      break;
+    case message::envelope::kPrimariesHeard:
+      for (const std::string& pool : received.primaries_heard().pools()) {
+        runtime_.NotePrimaryHeard(pool, monotonic_clock::now());
+      }
+      break;
+    case message::envelope::kLimitRequest:
+      runtime_.Limits().HandleRequest(received.host(), received.boot(),
+                                      received.limit_request());
+      break;
+    case message::envelope::kLimitAnswer:
+      runtime_.Limits().HandleAnswer(received.limit_answer());
+      break;
+    case message::envelope::kAdminRequest: {
+      message::envelope answer;
+      answer.mutable_admin_answer()->set_json(
+          received.admin_request().kind() == "dump" ? DumpJson(runtime_)
+                                                    : StatusJson(runtime_));
+      link_.Reply(route, std::move(answer));
+      break;
+    }
+    default:
+      break;
+  }
+}
+
+asio::awaitable<void> fleet_service::TickFast() {
+  while (true) {
+    const time_point now = monotonic_clock::now();
+    runtime_.Limits().Tick(now);
+    if (now - membership_at_ >= kMembershipTick) {
+      membership_at_ = now;
+      SendMembership(
+          TickMembership(runtime_.Fleet(), settings_, now, random_()));
+      AskAboutPrimaries(now);
+    }
+    co_await Sleep(kFastTick);
+  }
+}
+
+template <typename Ping>
+void fleet_service::FillNews(Ping& ping,
+                             const std::vector<member>& news) const {
+  for (const member& known : news) {
+    *ping.add_news() = Encode(known);
+  }
+  if (runtime_.Configuration() != nullptr) {
+    ping.set_configuration_version(runtime_.Configuration()->version);
+  }
+  const grantor_shards& shards = runtime_.Limits().Shards();
+  for (std::uint32_t i = 0; i < kShardCount; ++i) {
+    if (shards[i].epoch > 0) {
+      message::shard_grantor& grantor = *ping.add_grantors();
+      grantor.set_shard(i);
+      grantor.set_epoch(shards[i].epoch);
+      grantor.set_host(shards[i].host);
+      grantor.set_boot(shards[i].boot);
+    }
+  }
+}
+
+template <typename Ping>
+void fleet_service::TakeNews(const Ping& ping, const std::string& from) {
+  std::vector<member> news;
+  for (const message::member& encoded : ping.news()) {
+    const std::optional<member> decoded = Decode(encoded);
+    if (decoded.has_value()) {
+      news.push_back(*decoded);
+    }
+  }
+  MergeNews(runtime_.Fleet(), settings_, news, monotonic_clock::now());
+  for (const message::shard_grantor& grantor : ping.grantors()) {
+    if (grantor.shard() < kShardCount) {
+      LearnGrantor(runtime_.Limits().Shards()[grantor.shard()], grantor.epoch(),
+                   grantor.host(), grantor.boot());
+    }
+  }
+  LearnVersion(from, ping.configuration_version());
+}
+
+void fleet_service::SendMembership(
+    const std::vector<membership_message>& messages) {
+  for (const membership_message& each : messages) {
+    message::envelope envelope;
+    if (each.kind == membership_message_kind::kPing) {
+      message::ping& ping = *envelope.mutable_ping();
+      ping.set_probe(each.probe);
+      ping.set_target(each.target);
+      FillNews(ping, each.news);
+    } else {
+      message::ping_answer& answer = *envelope.mutable_ping_answer();
+      answer.set_probe(each.probe);
+      FillNews(answer, each.news);
+    }
+    SendTo(each.to, std::move(envelope));
+  }
+}
+
+void fleet_service::HandleMembership(const message::envelope& received) {
+  const time_point now = monotonic_clock::now();
+  if (received.has_ping()) {
+    TakeNews(received.ping(), received.host());
+    SendMembership(HandlePing(runtime_.Fleet(), settings_, received.host(),
+                              received.ping().probe(), received.ping().target(),
+                              now));
+  } else {
+    TakeNews(received.ping_answer(), received.host());
+    SendMembership(HandleAnswer(runtime_.Fleet(), settings_, received.host(),
+                                received.ping_answer().probe(), now));
+  }
+}
+
+void fleet_service::AnnounceLeave() {
+  AnnounceLeaving(runtime_.Fleet(), settings_, monotonic_clock::now());
+  SpreadVersion();
+}
+
+asio::awaitable<void> fleet_service::FollowHosts() {
+  while (true) {
+    const result<std::vector<listed_host>> hosts = co_await FetchHosts(
+        runtime_.Settings().platform.host_list, kHostListLimit);
+    if (hosts) {
+      std::vector<member> listed;
+      for (const listed_host& each : hosts.value()) {
+        member entry;
+        entry.host = each.host;
+        entry.availability_zone = each.availability_zone;
+        entry.peers = each.peers;
+        entry.state =
+            each.leaving ? member_state::kLeaving : member_state::kAlive;
+        listed.push_back(std::move(entry));
+      }
+      MergeList(runtime_.Fleet(), settings_, listed, monotonic_clock::now());
+    }
+    co_await Sleep(kHostListInterval);
+  }
+}
+
+bool fleet_service::IsWatcher() const {
+  const std::string& zone = runtime_.Settings().availability_zone;
+  std::vector<std::string> neighbours = LiveHosts(runtime_.Fleet());
+  std::erase_if(neighbours, [this, &zone](const std::string& host) {
+    return runtime_.Fleet().members.at(host).availability_zone != zone;
+  });
+  const std::vector<std::string> order =
+      RendezvousOrder("configuration watchers", std::move(neighbours));
+  const auto own =
+      std::find(order.begin(), order.end(), runtime_.Settings().host);
+  return own - order.begin() < static_cast<std::ptrdiff_t>(kWatchersPerZone);
+}
+
+asio::awaitable<void> fleet_service::FollowConfiguration() {
+  time_point read_at;
+  while (true) {
+    const time_point now = monotonic_clock::now();
+    const bool watches = IsWatcher();
+    const bool read_due =
+        runtime_.Configuration() == nullptr || now - read_at > kReadInterval;
+    if (!watches && !read_due) {
+      co_await Sleep(kWatcherRecheck);
+      continue;
+    }
+    read_at = now;
+    result<versioned_configuration> current =
+        co_await ReadConfiguration(store_);
+    if (!current) {
+      Log(log_level::kWarning, "store_unavailable",
+          {{"reason", current.error().message}});
+      co_await Sleep(kStoreRetry);
+      continue;
+    }
+    runtime_.NoteStoreContact(monotonic_clock::now());
+    const std::int64_t revision = current.value().revision;
+    if (revision > 0 && runtime_.Apply(std::make_shared<const configuration>(
+                            std::move(current.value().value)))) {
+      SpreadVersion();
+    }
+    if (watches) {
+      const result<std::optional<stored_record>> change = co_await store_.Watch(
+          std::string(kConfigurationKey), revision + 1, kWatchLimit);
+      if (!change) {
+        co_await Sleep(kStoreRetry);
+      }
+    }
+  }
+}
+
+void fleet_service::LearnVersion(const std::string& from,
+                                 std::uint64_t version) {
+  const time_point now = monotonic_clock::now();
+  const std::uint64_t known = runtime_.Configuration() == nullptr
+                                  ? 0
+                                  : runtime_.Configuration()->version;
+  const bool asked = version <= asked_version_ &&
+                     now - asked_version_at_ < kRecordRequestLimit;
+  if (version <= known || asked) {
+    return;
+  }
+  asked_version_ = version;
+  asked_version_at_ = now;
+  message::envelope question;
+  question.mutable_configuration_request();
+  SendTo(from, std::move(question));
+}
+
+void fleet_service::ApplyRecord(const std::string& record) {
+  result<configuration> version = ParseConfiguration(record);
+  if (version && runtime_.Apply(std::make_shared<const configuration>(
+                     std::move(version.value())))) {
+    SpreadVersion();
+  }
+}
+
+/// Tells a few hosts at once of what is new here; they ask for the record and
+/// tell others.
+void fleet_service::SpreadVersion() {
+  std::vector<membership_message> messages;
+  for (const std::string& host :
+       PickHosts(runtime_.Fleet(), kSpread, random_)) {
+    const member& self = runtime_.Fleet().members.at(runtime_.Settings().host);
+    messages.push_back({membership_message_kind::kPing, host, 0, "", {self}});
+  }
+  SendMembership(messages);
+}
+
+void fleet_service::AskAboutPrimaries(time_point now) {
+  if (now - asked_primaries_at_ < kPrimaryQueryInterval) {
+    return;
+  }
+  asked_primaries_at_ = now;
+  message::envelope question;
+  for (const std::pair<const std::string, std::shared_ptr<target_pool>>& entry :
+       runtime_.Pools()) {
+    const group_state& group = entry.second->Group();
+    const std::optional<instance_index> primary = FindPrimary(group);
+    if (primary.has_value() &&
+        group.instances[*primary].last_contact != contact::kAnswered) {
+      question.mutable_primary_query()->add_pools(entry.first);
+    }
+  }
+  if (!question.has_primary_query()) {
+    return;
+  }
+  for (const std::string& host :
+       PickHosts(runtime_.Fleet(), kSpread, random_)) {
+    SendTo(host, question);
+  }
+}
+
+void fleet_service::AnswerPrimaries(const message::envelope& received) {
+  message::envelope answer;
+  for (const std::string& name : received.primary_query().pools()) {
+    const std::shared_ptr<target_pool> pool = runtime_.FindPool(name);
+    const std::optional<instance_index> primary =
+        pool == nullptr ? std::nullopt : FindPrimary(pool->Group());
+    if (primary.has_value() &&
+        pool->Group().instances[*primary].last_contact == contact::kAnswered) {
+      answer.mutable_primaries_heard()->add_pools(name);
+    }
+  }
+  if (answer.has_primaries_heard()) {
+    SendTo(received.host(), std::move(answer));
+  }
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/proxy/fleet_service.h
@@ -0,0 +1,73 @@
+#ifndef SASSAFRASWICK_PROXY_FLEET_SERVICE_H_
+#define SASSAFRASWICK_PROXY_FLEET_SERVICE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "sassafraswick/peer/membership.h"
+#include "sassafraswick/peer/peer_link.h"
+#include "sassafraswick/platform/etcd_store.h"
+#include "sassafraswick/proxy/host_runtime.h"
+
+/// @file
+/// What hosts tell each other and the store: membership, configuration,
+/// grantors, and who hears which primary.
+
+namespace sassafraswick {
+
+/// Runs a host's exchanges with its peers and the platform.
+class fleet_service {
+ public:
+  fleet_service(host_runtime& runtime, peer_link& link);
+
+  /// Starts all loops.
+  void Start();
+
+  /// Handles a message from a peer or a tool.
+  void Handle(const message::envelope& received, const std::string& route);
+
+  /// Tells the fleet that this host is leaving.
+  void AnnounceLeave();
+
+  /// Sends a message to a host by name.
+  void SendTo(const std::string& host, message::envelope envelope);
+
+ private:
+  boost::asio::awaitable<void> TickFast();
+  boost::asio::awaitable<void> FollowHosts();
+  boost::asio::awaitable<void> FollowConfiguration();
+  boost::asio::awaitable<void> FollowGrantors();
+  boost::asio::awaitable<bool> RefreshGrantors();
+  boost::asio::awaitable<void> ClaimShards();
+  [[nodiscard]] bool IsWatcher() const;
+  void SendMembership(const std::vector<membership_message>& messages);
+  void HandleMembership(const message::envelope& received);
+  void LearnVersion(const std::string& from, std::uint64_t version);
+  void ApplyRecord(const std::string& record);
+  void SpreadVersion();
+  void AskAboutPrimaries(time_point now);
+  void AnswerPrimaries(const message::envelope& received);
+  template <typename Ping>
+  void FillNews(Ping& ping, const std::vector<member>& news) const;
+  template <typename Ping>
+  void TakeNews(const Ping& ping, const std::string& from);
+
+  host_runtime& runtime_;
+  peer_link& link_;
+  etcd_store store_;
+  membership_settings settings_;
+  /// Revision of each shard's record, as last read.
+  std::map<std::uint32_t, std::int64_t> shard_revisions_;
+  std::uint64_t asked_version_ = 0;
+  time_point asked_version_at_;
+  time_point asked_primaries_at_;
+  time_point membership_at_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_PROXY_FLEET_SERVICE_H_
--- a/src/sassafraswick/proxy/host_runtime.cc
+++ b/src/sassafraswick/proxy/host_runtime.cc
@@ -4,20 +4,53 @@
 
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/proxy/caller_session.h"
+#include "sassafraswick/routing/rendezvous.h"
 
 namespace sassafraswick {
 namespace {
 
 /// Connections to each instance that stay free for fencing and promotion.
 constexpr std::uint32_t kReservedConnections = 2;
+/// Time without contact after which a host stops serving.
+constexpr duration kIsolationLimit = std::chrono::seconds(10);
+
+member OwnMember(const daemon_settings& settings, std::uint64_t boot) {
+  member own;
+  own.host = settings.host;
+  own.availability_zone = settings.availability_zone;
+  own.peers = settings.peers;
+  own.boot = boot;
+  return own;
+}
+
+/// Connections per instance if all hosts had the same share.
+std::uint32_t EvenShare(const pool& definition, std::size_t host_count) {
+  const std::uint32_t hosts =
+      static_cast<std::uint32_t>(std::max<std::size_t>(host_count, 1));
+  const std::uint32_t taken = kReservedConnections + hosts;
+  const std::uint32_t left =
+      definition.connections > taken ? definition.connections - taken : 0;
+  return std::max<std::uint32_t>(left / hosts, 1);
+}
 
 }  // namespace
 
-host_runtime::host_runtime(boost::asio::io_context& context,
-                           daemon_settings settings)
+host_runtime::host_runtime(
+    boost::asio::io_context& context, daemon_settings settings,
+    std::uint64_t boot,
+    std::function<void(const std::string&, message::envelope)> send)
     : context_(context),
       settings_(std::move(settings)),
-      tokens_(settings_.fleet_secret) {}
+      tokens_(settings_.fleet_secret),
+      fleet_(MakeMembership(OwnMember(settings_, boot))),
+      limits_(context, {[this] { return configuration_.get(); },
+                        [this]() -> const membership& { return fleet_; },
+                        std::move(send), settings_.host, boot}),
+      current_at_(monotonic_clock::now()) {}
+
+bool host_runtime::IsIsolated(time_point now) const {
+  return now - current_at_ > kIsolationLimit;
+}
 
 result<void> host_runtime::LoadTls() {
   if (settings_.tls_certificate.empty() || settings_.tls_key.empty()) {
@@ -88,19 +121,22 @@
   pool_environment environment;
   environment.dispatch.availability_zone = settings_.availability_zone;
   environment.dispatch.permit_window = environment.failover.permit_window;
-  environment.budget = [this](const pool& definition) {
-    const std::uint32_t hosts = static_cast<std::uint32_t>(
-        std::max<std::size_t>(fleet_.members.size(), 1));
-    const std::uint32_t taken = kReservedConnections + hosts;
-    const std::uint32_t left =
-        definition.connections > taken ? definition.connections - taken : 0;
-    return std::max<std::uint32_t>(left / hosts, 1);
+  environment.budget = [this](const pool& definition, instance_index instance,
+                              std::uint32_t held, std::uint32_t wanted) {
+    return limits_.Connections(definition.name + "/" + std::to_string(instance),
+                               held, wanted,
+                               EvenShare(definition, LiveHosts(fleet_).size()));
   };
   environment.peers = [this](const std::string& pool) {
-    static_cast<void>(pool);
+    const std::vector<std::string> order =
+        RendezvousOrder(pool, LiveHosts(fleet_));
+    const auto own = std::find(order.begin(), order.end(), settings_.host);
+    const auto heard = primary_heard_.find(pool);
     peer_view view;
-    view.rank = static_cast<std::uint32_t>(std::distance(
-        fleet_.members.begin(), fleet_.members.find(settings_.host)));
+    view.rank = static_cast<std::uint32_t>(own - order.begin());
+    view.primary_heard = heard != primary_heard_.end() &&
+                         monotonic_clock::now() - heard->second <
+                             failover_settings().silent_after;
     return view;
   };
   return environment;
@@ -135,12 +171,15 @@
 
 void host_runtime::Sweep() {
   const time_point now = monotonic_clock::now();
+  if (SeesMajority(fleet_)) {
+    current_at_ = now;
+  }
   const std::unordered_map<session_id, std::weak_ptr<caller_session>> open =
       sessions_;
   for (const std::pair<const session_id, std::weak_ptr<caller_session>>& entry :
        open) {
     if (const std::shared_ptr<caller_session> session = entry.second.lock()) {
-      session->CheckLimits(now);
+      session->CheckLimits(now, IsIsolated(now));
     }
   }
 }
--- a/src/sassafraswick/proxy/host_runtime.h
+++ b/src/sassafraswick/proxy/host_runtime.h
@@ -13,8 +13,9 @@
 #include "sassafraswick/config/configuration.h"
 #include "sassafraswick/config/settings.h"
 #include "sassafraswick/consistency/token.h"
-#include "sassafraswick/peer/fleet.h"
+#include "sassafraswick/peer/membership.h"
 #include "sassafraswick/proxy/async_event.h"
+#include "sassafraswick/proxy/limit_service.h"
 #include "sassafraswick/proxy/metrics.h"
 #include "sassafraswick/proxy/target_pool.h"
 #include "sassafraswick/routing/attempt.h"
@@ -29,7 +30,11 @@
 /// State shared by a host's sessions, pools and services.
 class host_runtime {
  public:
-  host_runtime(boost::asio::io_context& context, daemon_settings settings);
+  /// @param boot Number of this start; later starts have higher ones.
+  /// @param send Sends a message to a host by name.
+  host_runtime(boost::asio::io_context& context, daemon_settings settings,
+               std::uint64_t boot,
+               std::function<void(const std::string&, message::envelope)> send);
 
   /// Puts a configuration in force unless it is older than the one in force.
   /// @return True if it is now in force.
@@ -62,7 +67,17 @@
   [[nodiscard]] const token_codec& Tokens() const noexcept { return tokens_; }
   [[nodiscard]] retry_budget& Retries() noexcept { return retries_; }
   [[nodiscard]] host_metrics& Metrics() noexcept { return metrics_; }
-  [[nodiscard]] fleet_table& Fleet() noexcept { return fleet_; }
+  [[nodiscard]] membership& Fleet() noexcept { return fleet_; }
+  [[nodiscard]] limit_service& Limits() noexcept { return limits_; }
+  /// Takes note that another host hears a pool's primary.
+  void NotePrimaryHeard(const std::string& pool, time_point now) {
+    primary_heard_[pool] = now;
+  }
+  /// Takes note that the store answered.
+  void NoteStoreContact(time_point now) { current_at_ = now; }
+  /// Tells whether a withdrawal could have gone unnoticed for too long: neither
+  /// the store nor a majority of the fleet has been in contact.
+  [[nodiscard]] bool IsIsolated(time_point now) const;
   [[nodiscard]] bool IsDraining() const noexcept { return draining_; }
   [[nodiscard]] std::size_t SessionCount() const noexcept {
     return sessions_.size();
@@ -92,7 +107,10 @@
   session_id next_session_ = 1;
   retry_budget retries_;
   host_metrics metrics_;
-  fleet_table fleet_;
+  membership fleet_;
+  limit_service limits_;
+  std::map<std::string, time_point, std::less<>> primary_heard_;
+  time_point current_at_;
   std::optional<boost::asio::ssl::context> tls_;
   bool draining_ = false;
 };
--- /dev/null
+++ b/src/sassafraswick/proxy/limit_service.h
@@ -0,0 +1,132 @@
+#ifndef SASSAFRASWICK_PROXY_LIMIT_SERVICE_H_
+#define SASSAFRASWICK_PROXY_LIMIT_SERVICE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "sassafraswick/config/configuration.h"
+#include "sassafraswick/limits/capacity_grant.h"
+#include "sassafraswick/limits/grantor_shard.h"
+#include "sassafraswick/limits/token_grant.h"
+#include "sassafraswick/peer/message.pb.h"
+#include "sassafraswick/proxy/async_event.h"
+
+/// @file
+/// Asks grantors for tokens and connections, and grants for the shards that
+/// this host holds.
+
+namespace sassafraswick {
+
+/// Whether a statement is within its organisation's rate.
+struct admission {
+  bool admitted = false;
+  /// When a token is expected, if not.
+  duration retry_after = duration::zero();
+};
+
+/// What the service needs from its host.
+struct limit_environment {
+  /// Never null while statements are admitted.
+  std::function<const configuration*()> tables;
+  std::function<const membership&()> fleet;
+  std::function<void(const std::string& host, message::envelope)> send;
+  /// Name and boot of this host.
+  std::string host;
+  std::uint64_t boot = 0;
+};
+
+/// Limits of one host, and those it grants to others.
+class limit_service {
+ public:
+  limit_service(boost::asio::io_context& context,
+                limit_environment environment);
+
+  /// Waits for a token.
+  /// @param deadline Time until which the statement may wait.
+  boost::asio::awaitable<admission> Admit(std::string organisation,
+                                          time_point deadline);
+
+  /// Reports connections of this host to an instance.
+  /// @param resource Name of the instance, equal on all hosts.
+  /// @return Connections that this host may hold.
+  std::uint32_t Connections(const std::string& resource, std::uint32_t held,
+                            std::uint32_t wanted, std::uint32_t fallback);
+
+  /// Sends what is due. Called every few milliseconds.
+  void Tick(time_point now);
+
+  void HandleRequest(const std::string& from, std::uint64_t boot,
+                     const message::limit_request& request);
+  void HandleAnswer(const message::limit_answer& answer);
+
+  /// What is known of the shards' grantors.
+  [[nodiscard]] grantor_shards& Shards() noexcept { return shards_; }
+  [[nodiscard]] const std::map<std::string, token_allowance>& Allowances()
+      const noexcept {
+    return allowances_;
+  }
+  /// Starts granting from a shard that this host claimed.
+  /// @param fresh Nobody held the shard before.
+  void Activate(std::uint32_t shard, bool fresh, duration wait, time_point now);
+  void SetStoreDown(bool down) noexcept { store_down_ = down; }
+
+ private:
+  struct local_capacity {
+    std::uint32_t held = 0;
+    std::uint32_t wanted = 0;
+    std::uint32_t allowed = 0;
+    std::uint32_t fallback = 0;
+    time_point valid_until;
+    time_point used_at;
+    bool urgent = false;
+  };
+  /// Buckets and tables of a shard that this host grants from.
+  struct granted_shard {
+    std::map<std::string, token_bucket> buckets;
+    std::map<std::string, capacity_table> capacities;
+    bool fresh = false;
+  };
+  struct shard_exchange {
+    /// Number of the request under way; zero if none.
+    std::uint64_t under_way = 0;
+    time_point sent_at;
+    time_point last_capacity_at;
+  };
+
+  void Ask(std::uint32_t shard, time_point now);
+  [[nodiscard]] bool IsDue(std::uint32_t shard, time_point now) const;
+  [[nodiscard]] message::limit_request MakeRequest(std::uint32_t shard,
+                                                   time_point now);
+  [[nodiscard]] message::limit_answer Serve(
+      const std::string& host, const message::limit_request& request);
+  void ServeTokens(const std::string& host,
+                   const message::limit_request& request,
+                   message::limit_answer& answer, time_point now);
+  void ServeCapacities(const std::string& host,
+                       const message::limit_request& request,
+                       message::limit_answer& answer, time_point now);
+  [[nodiscard]] std::uint32_t TotalConnections(
+      const std::string& resource) const;
+
+  boost::asio::io_context& context_;
+  limit_environment environment_;
+  grantor_settings settings_;
+  grantor_shards shards_;
+  std::map<std::uint32_t, granted_shard> granting_;
+  std::array<shard_exchange, kShardCount> exchanges_;
+  std::map<std::string, token_allowance> allowances_;
+  std::map<std::string, duration> retry_after_;
+  std::map<std::string, local_capacity> capacities_;
+  std::uint64_t next_request_ = 1;
+  bool store_down_ = false;
+  async_event changed_;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_PROXY_LIMIT_SERVICE_H_
--- a/src/sassafraswick/proxy/target_pool.cc
+++ b/src/sassafraswick/proxy/target_pool.cc
@@ -85,8 +85,22 @@
 }
 
 void target_pool::ApplyBudgets() {
-  for (connection_counts& counts : table_.connections) {
-    counts.budget = environment_.budget(definition_);
+  for (instance_index i = 0; i < table_.connections.size(); ++i) {
+    connection_counts& counts = table_.connections[i];
+    const std::uint32_t in_use = counts.busy + counts.opening;
+    counts.budget = environment_.budget(definition_, i, in_use + counts.idle,
+                                        in_use + counts.unmet);
+    CloseSurplus(i);
+  }
+}
+
+/// Closes idle connections that the budget no longer covers.
+void target_pool::CloseSurplus(instance_index instance) {
+  connection_counts& counts = table_.connections[instance];
+  while (counts.idle > 0 &&
+         counts.idle + counts.busy + counts.opening > counts.budget) {
+    idle_[instance].pop_front();
+    --counts.idle;
   }
 }
 
@@ -312,6 +326,7 @@
           asio::detached);
     }
     CloseReplaced();
+    ApplyBudgets();
     Pump();
     co_await Sleep(kBusyTick);
   }
--- a/src/sassafraswick/proxy/target_pool.h
+++ b/src/sassafraswick/proxy/target_pool.h
@@ -50,8 +50,11 @@
   failover_settings failover;
   /// Longest time between two questions to an instance.
   duration heartbeat = std::chrono::milliseconds(75);
-  /// Most connections of this host to one instance.
-  std::function<std::uint32_t(const pool&)> budget;
+  /// Most connections of this host to one instance, given those it holds and
+  /// those it could use.
+  std::function<std::uint32_t(const pool&, instance_index, std::uint32_t held,
+                              std::uint32_t wanted)>
+      budget;
   /// What other hosts say of the group.
   std::function<peer_view(const std::string& pool)> peers;
 };
@@ -141,6 +144,7 @@
   void Assign(const assignment& assigned);
   void Decide(request_id id, acquire_result outcome);
   void ApplyBudgets();
+  void CloseSurplus(instance_index instance);
 
   boost::asio::io_context& context_;
   pool definition_;
--- a/src/sassafraswick/routing/dispatch.cc
+++ b/src/sassafraswick/routing/dispatch.cc
@@ -139,6 +139,7 @@
 void PlanConnects(dispatch_pass& pass) {
   for (instance_index i = 0; i < pass.table.connections.size(); ++i) {
     connection_counts& counts = pass.table.connections[i];
+    counts.unmet = pass.unmet[i];
     while (pass.unmet[i] > counts.opening && pass.now >= counts.retry_at &&
            counts.idle + counts.busy + counts.opening < counts.budget) {
       ++counts.opening;
--- a/src/sassafraswick/routing/dispatch.h
+++ b/src/sassafraswick/routing/dispatch.h
@@ -46,6 +46,8 @@
   std::uint32_t opening = 0;
   /// Most connections that this host may hold.
   std::uint32_t budget = 0;
+  /// Waiting requests that this instance could have taken at the last dispatch.
+  std::uint32_t unmet = 0;
   /// No new attempt to connect before this time.
   time_point retry_at;
 };
--- /dev/null
+++ b/src/sassafraswick/routing/rendezvous.cc
@@ -0,0 +1,24 @@
+#include "sassafraswick/routing/rendezvous.h"
+
+#include <xxhash.h>
+
+namespace sassafraswick {
+
+std::uint64_t RendezvousScore(std::string_view name, std::string_view host) {
+  const XXH64_hash_t seed = XXH3_64bits(name.data(), name.size());
+  return XXH3_64bits_withSeed(host.data(), host.size(), seed);
+}
+
+std::vector<std::string> RendezvousOrder(std::string_view name,
+                                         std::vector<std::string> hosts) {
+  std::sort(hosts.begin(), hosts.end(),
+            [name](const std::string& left, const std::string& right) {
+              const std::uint64_t left_score = RendezvousScore(name, left);
+              const std::uint64_t right_score = RendezvousScore(name, right);
+              return left_score != right_score ? left_score > right_score
+                                               : left < right;
+            });
+  return hosts;
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/routing/rendezvous.h
@@ -0,0 +1,27 @@
+#ifndef SASSAFRASWICK_ROUTING_RENDEZVOUS_H_
+#define SASSAFRASWICK_ROUTING_RENDEZVOUS_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// @file
+/// Rendezvous hashing (Thaler and Ravishankar, 1998): every host ranks the
+/// same hosts in the same order for a name, and a host that comes or goes moves
+/// only its own share of the names.
+
+namespace sassafraswick {
+
+/// Score of a host for a name; equal on all hosts.
+[[nodiscard]] std::uint64_t RendezvousScore(std::string_view name,
+                                            std::string_view host);
+
+/// Sorts hosts by descending score for a name.
+[[nodiscard]] std::vector<std::string> RendezvousOrder(
+    std::string_view name, std::vector<std::string> hosts);
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_ROUTING_RENDEZVOUS_H_
--- a/src/sassafraswick/wire/message.cc
+++ b/src/sassafraswick/wire/message.cc
@@ -98,6 +98,10 @@
   return message;
 }
 
+void AppendEmpty(std::string& out, char type) {
+  const frame_writer writer(out, type);
+}
+
 void AppendError(std::string& out, const error_message& message) {
   const bool fatal = message.severity == error_severity::kFatal;
   AppendReport(out, backend::kErrorResponse, fatal ? "FATAL" : "ERROR",
--- a/src/sassafraswick/wire/message.h
+++ b/src/sassafraswick/wire/message.h
@@ -70,6 +70,8 @@
 /// Parses the fields of an ErrorResponse body.
 [[nodiscard]] error_message ParseErrorResponse(std::string_view body);
 
+/// Appends a frame without a body.
+void AppendEmpty(std::string& out, char type);
 void AppendError(std::string& out, const error_message& message);
 void AppendNotice(std::string& out, const error_message& message);
 void AppendAuthenticationOk(std::string& out);
--- a/standin/instance_session.cc
+++ b/standin/instance_session.cc
@@ -291,7 +291,7 @@
     if (!parsed) {
       Fail({"42601", parsed.error().message});
     } else if (parsed.value().empty()) {
-      frame_writer(out_, 'I');
+      sassafraswick::AppendEmpty(out_, 'I');
     } else {
       for (const statement& each : parsed.value()) {
         if (!co_await RunStatement(each, {}, true)) {
@@ -334,7 +334,7 @@
         } else {
           portals_.erase(name);
         }
-        frame_writer(out_, backend::kCloseComplete);
+        sassafraswick::AppendEmpty(out_, backend::kCloseComplete);
         break;
       }
       case frontend::kFlush:
@@ -367,7 +367,7 @@
     }
     prepared_[name] =
         parsed.value().empty() ? statement() : parsed.value().front();
-    frame_writer(out_, backend::kParseComplete);
+    sassafraswick::AppendEmpty(out_, backend::kParseComplete);
   }
 
   void HandleBind(sassafraswick::body_reader& reader) {
@@ -391,7 +391,7 @@
           size == kNull ? cell() : cell(std::string(reader.Bytes(size))));
     }
     portals_[portal_name] = std::move(bound);
-    frame_writer(out_, '2');
+    sassafraswick::AppendEmpty(out_, '2');
   }
 
   void HandleDescribe(sassafraswick::body_reader& reader) {
@@ -414,7 +414,7 @@
     }
     const std::vector<column> columns = Columns(*described);
     if (columns.empty()) {
-      frame_writer(out_, 'n');
+      sassafraswick::AppendEmpty(out_, 'n');
     } else {
       AppendRowDescription(out_, columns);
     }
--- a/test/sassafraswick/wire/request_unit_test.cc
+++ b/test/sassafraswick/wire/request_unit_test.cc
@@ -40,7 +40,7 @@
 
 std::string Sync() {
   std::string out;
-  frame_writer(out, frontend::kSync);
+  AppendEmpty(out, frontend::kSync);
   return out;
 }
 
--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -11,7 +11,6 @@
 
 #include <array>
 #include <fstream>
-#include <random>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -123,21 +122,23 @@
 }
 
 std::uint16_t FreePort() {
-  // Below the range that outgoing connections draw from.
-  constexpr std::uint16_t kFirst = 10'000;
-  constexpr std::uint16_t kLast = 30'000;
-  static std::mt19937 random(std::random_device{}());
-  std::uniform_int_distribution<std::uint16_t> draw(kFirst, kLast);
+  // Blocks by process id, below the range that outgoing connections draw from,
+  // so that fleets which start at the same time do not collide.
+  constexpr int kFirst = 10'000;
+  constexpr int kBlocks = 200;
+  constexpr int kBlockSize = 100;
+  static int next = 0;
   while (true) {
-    const std::uint16_t port = draw(random);
+    const int port =
+        kFirst + (getpid() % kBlocks) * kBlockSize + next++ % kBlockSize;
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = Loopback(port);
+    const sockaddr_in address = Loopback(static_cast<std::uint16_t>(port));
     const int bound =
         bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
              sizeof(address));
     close(descriptor);
     if (bound == 0) {
-      return port;
+      return static_cast<std::uint16_t>(port);
     }
   }
 }
