--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Runs one scenario over real processes: scripts/bench.sh SCENARIO
+# [--deployment NAME] [--report FILE] [--seed N]. Two more names are known:
+# path_cost (latency and memory of the path) and fault_runs [--first N]
+# [--count N] [--parallel N] (seeded fault schedules with a history check).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+./scripts/setup.sh >/dev/null
+./scripts/build.sh >/dev/null
+ulimit -n 65536 2>/dev/null || true
+scenario="${1:?name a scenario, such as steady}"
+shift
+case "${scenario}" in
+  path_cost | fault_runs) exec "build/test/${scenario}" "$@" ;;
+  *) exec build/test/sassafraswick_bench "${scenario}" "$@" ;;
+esac
--- a/src/sassafraswick/config/settings.cc
+++ b/src/sassafraswick/config/settings.cc
@@ -66,6 +66,13 @@
   settings["platform.host_list"] = EndpointSetting(platform.host_list);
 }
 
+error BadSetting(const std::string& path, const std::string& name,
+                 const std::string& reason) {
+  std::string text = path;
+  text += ": " + name + ": " + reason;
+  return MakeError(error_kind::kInvalidSetting, std::move(text));
+}
+
 result<void> Load(const std::string& path, const setting_map& known) {
   BOOST_OUTCOME_TRY(std::string text, ReadFile(path));
   BOOST_OUTCOME_TRY(std::vector<ini_section> sections, ParseIni(text, path));
@@ -76,21 +83,18 @@
       name += "." + entry.key;
       const auto found = known.find(name);
       if (found == known.end()) {
-        return MakeError(error_kind::kInvalidSetting,
-                         path + ": " + name + ": is not a known setting");
+        return BadSetting(path, name, "is not a known setting");
       }
       const result<void> stored = found->second.store(entry.value);
       if (!stored) {
-        return MakeError(error_kind::kInvalidSetting,
-                         path + ": " + name + ": " + stored.error().message);
+        return BadSetting(path, name, stored.error().message);
       }
       missing.erase(name);
     }
   }
   for (const std::pair<const std::string, setting>& entry : missing) {
     if (entry.second.required) {
-      return MakeError(error_kind::kInvalidSetting,
-                       path + ": " + entry.first + ": is missing");
+      return BadSetting(path, entry.first, "is missing");
     }
   }
   return boost::outcome_v2::success();
--- a/src/sassafraswick/limits/token_grant.cc
+++ b/src/sassafraswick/limits/token_grant.cc
@@ -90,12 +90,14 @@
 token_share Grant(token_bucket& bucket, const rate_limit& limit,
                   grantor_epoch epoch, const std::string& host,
                   const token_need& need, time_point now) {
+  // Tokens that were out until this moment left no room to earn others, so the
+  // bucket fills before anything is booked.
+  Refill(bucket, limit, now);
   WriteOffLapsedHosts(bucket, now);
   host_ledger& ledger = FindLedger(bucket, host, epoch, need);
   if (need.epoch == epoch) {
     Book(bucket, ledger, need);
   }
-  Refill(bucket, limit, now);
   ledger.valid_until = now + kTokenLease + kTokenLeaseMargin;
   const std::uint64_t held = OutstandingOf(ledger);
   const std::uint64_t missing = need.wanted > held ? need.wanted - held : 0;
--- a/src/sassafraswick/proxy/caller_settings.cc
+++ b/src/sassafraswick/proxy/caller_settings.cc
@@ -78,14 +78,13 @@
     return settings.seen.has_value() ? codec.Encode(scope, *settings.seen)
                                      : settings.session_name;
   }
-  if (name == parameter::kMaxStaleness) {
-    return FormatOptional(settings.max_staleness);
-  }
   if (name == parameter::kIdempotent) {
     return std::string(settings.idempotent ? "on" : "off");
   }
-  if (name == parameter::kDeadline) {
-    return FormatOptional(settings.deadline);
+  if (name == parameter::kMaxStaleness || name == parameter::kDeadline) {
+    return FormatOptional(name == parameter::kDeadline
+                              ? settings.deadline
+                              : settings.max_staleness);
   }
   return UnknownParameter(name);
 }
--- a/src/sassafraswick/proxy/limit_service.cc
+++ b/src/sassafraswick/proxy/limit_service.cc
@@ -32,9 +32,7 @@
 
 limit_service::limit_service(asio::io_context& context,
                              limit_environment environment)
-    : context_(context),
-      environment_(std::move(environment)),
-      changed_(context.get_executor()) {}
+    : environment_(std::move(environment)), changed_(context.get_executor()) {}
 
 asio::awaitable<admission> limit_service::Admit(std::string organisation,
                                                 time_point deadline) {
--- a/src/sassafraswick/proxy/limit_service.h
+++ b/src/sassafraswick/proxy/limit_service.h
@@ -113,7 +113,6 @@
   [[nodiscard]] std::uint32_t TotalConnections(
       const std::string& resource) const;
 
-  boost::asio::io_context& context_;
   limit_environment environment_;
   grantor_settings settings_;
   grantor_shards shards_;
--- /dev/null
+++ b/test/benchmark/report.cc
@@ -0,0 +1,170 @@
+#include "test/benchmark/report.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+
+namespace benchmark {
+namespace {
+
+double Seconds(time_point::duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+double Quantile(std::vector<double>& sorted, double probability) {
+  if (sorted.empty()) {
+    return 0;
+  }
+  const double at = probability * static_cast<double>(sorted.size() - 1);
+  return sorted[static_cast<std::size_t>(at)];
+}
+
+/// A plain token bucket.
+struct plain_bucket {
+  double level = 0;
+  time_point at;
+
+  bool Take(double rate, double burst, time_point now) {
+    level = std::min(burst, level + rate * Seconds(now - at));
+    at = now;
+    if (level < 1) {
+      return false;
+    }
+    level -= 1;
+    return true;
+  }
+};
+
+/// Replays arrivals through buckets of rate/n on each host.
+std::map<std::size_t, std::uint64_t> EvenSplitRefusals(
+    const std::vector<offered_statement>& statements,
+    const scenario_limit& limit, std::size_t proxies) {
+  const double hosts = static_cast<double>(proxies);
+  std::map<std::pair<std::size_t, std::size_t>, plain_bucket> buckets;
+  std::map<std::size_t, std::uint64_t> refused;
+  for (const offered_statement& each : statements) {
+    const bool is_new = !buckets.contains({each.organisation, each.proxy});
+    plain_bucket& bucket = buckets[{each.organisation, each.proxy}];
+    if (is_new) {
+      bucket = {limit.burst / hosts, each.due};
+    }
+    if (!bucket.Take(limit.rate / hosts, limit.burst / hosts, each.due)) {
+      ++refused[each.organisation];
+    }
+  }
+  return refused;
+}
+
+/// Largest count above the limit; admissions happen between due and end.
+double WorstExcess(std::vector<time_point> ends, const scenario_limit& limit) {
+  std::sort(ends.begin(), ends.end());
+  double worst = -limit.burst;
+  double lowest = 0;
+  for (std::size_t i = 0; i < ends.size(); ++i) {
+    const double earned = limit.rate * Seconds(ends[i] - ends.front());
+    const double before = static_cast<double>(i) - earned;
+    lowest = i == 0 ? before : std::min(lowest, before);
+    worst = std::max(worst, before + 1 - lowest - limit.burst);
+  }
+  return worst;
+}
+
+double LongestGapMs(std::vector<time_point> ends) {
+  std::sort(ends.begin(), ends.end());
+  double longest = 0;
+  for (std::size_t i = 1; i < ends.size(); ++i) {
+    longest = std::max(longest, Seconds(ends[i] - ends[i - 1]) * 1000.0);
+  }
+  return longest;
+}
+
+}  // namespace
+
+measures ComputeMeasures(const std::vector<offered_statement>& unsorted,
+                         const scenario_limit& limit,
+                         const traffic_options& options, std::size_t proxies) {
+  std::vector<offered_statement> statements = unsorted;
+  std::sort(statements.begin(), statements.end(),
+            [](const offered_statement& left, const offered_statement& right) {
+              return left.due < right.due;
+            });
+  measures found;
+  std::map<std::size_t, std::uint64_t> offered;
+  std::map<std::size_t, std::uint64_t> done;
+  std::map<std::size_t, std::uint64_t> refused;
+  std::map<std::size_t, std::vector<time_point>> admitted;
+  std::map<std::size_t, std::vector<time_point>> writes;
+  std::vector<double> latencies;
+  for (const offered_statement& each : statements) {
+    ++found.offered;
+    ++offered[each.organisation];
+    found.done += each.done ? 1 : 0;
+    found.over_rate += each.over_rate ? 1 : 0;
+    found.failed += each.failed ? 1 : 0;
+    refused[each.organisation] += each.over_rate ? 1 : 0;
+    if (each.done) {
+      ++done[each.organisation];
+      latencies.push_back(Seconds(each.end - each.due) * 1000.0);
+      admitted[each.organisation].push_back(each.end);
+      if (each.is_write) {
+        writes[each.organisation % options.groups].push_back(each.end);
+      }
+    }
+  }
+  const std::map<std::size_t, std::uint64_t> split =
+      EvenSplitRefusals(statements, limit, proxies);
+  double modest_offered = 0;
+  double modest_refused = 0;
+  double modest_split = 0;
+  for (std::size_t i = 0; i < options.organisations; ++i) {
+    found.worst_excess =
+        std::max(found.worst_excess, WorstExcess(admitted[i], limit));
+    if ((i == 0 && options.greedy_multiple > 1) || offered[i] == 0) {
+      continue;
+    }
+    const double wanted = static_cast<double>(offered[i]);
+    const auto lost = split.find(i);
+    const double split_lost =
+        lost == split.end() ? 0 : static_cast<double>(lost->second);
+    modest_offered += wanted;
+    modest_refused += static_cast<double>(refused[i]);
+    modest_split += split_lost;
+    found.worst_served =
+        std::min(found.worst_served, static_cast<double>(done[i]) / wanted);
+    found.worst_served_even_split =
+        std::min(found.worst_served_even_split, 1 - split_lost / wanted);
+  }
+  if (modest_offered > 0) {
+    found.wrongful_refusals = modest_refused / modest_offered;
+    found.wrongful_refusals_even_split = modest_split / modest_offered;
+  }
+  for (const std::pair<const std::size_t, std::vector<time_point>>& entry :
+       writes) {
+    found.failover_gap_ms =
+        std::max(found.failover_gap_ms, LongestGapMs(entry.second));
+  }
+  std::sort(latencies.begin(), latencies.end());
+  found.latency_p50_ms = Quantile(latencies, 0.5);
+  found.latency_p95_ms = Quantile(latencies, 0.95);
+  found.latency_p99_ms = Quantile(latencies, 0.99);
+  return found;
+}
+
+std::string PlotText(const measures& found) {
+  constexpr double kWidth = 40;
+  const auto bar = [](const char* name, double share) {
+    const int length = static_cast<int>(std::clamp(share, 0.0, 1.0) * kWidth);
+    std::string line(64, '\0');
+    std::snprintf(line.data(), line.size(), "%-34s %7.3f%% ", name,
+                  share * 100);
+    return std::string(line.c_str()) + std::string(length, '#') + "\n";
+  };
+  return bar("reads served by replicas", found.replica_share) +
+         bar("  baseline, all to primary", 0) +
+         bar("worst-served organisation", found.worst_served) +
+         bar("  baseline, rate/n", found.worst_served_even_split) +
+         bar("wrongful refusals", found.wrongful_refusals) +
+         bar("  baseline, rate/n", found.wrongful_refusals_even_split);
+}
+
+}  // namespace benchmark
--- /dev/null
+++ b/test/benchmark/traffic.cc
@@ -0,0 +1,179 @@
+#include "test/benchmark/traffic.h"
+
+#include <chrono>
+
+namespace benchmark {
+namespace {
+
+using sassafraswick::monotonic_clock;
+using test_support::outcome;
+using test_support::pg_answer;
+using test_support::pg_client;
+
+/// Threads that share one organisation's statements.
+constexpr std::size_t kParts = 3;
+constexpr std::uint64_t kRowsPerWorker = 10'000'000;
+
+std::uint64_t TermOf(const std::string& token) {
+  const std::size_t begin = token.find('.');
+  return begin == std::string::npos
+             ? 0
+             : std::strtoull(token.c_str() + begin + 1, nullptr, 10);
+}
+
+void Judge(const pg_answer& answer, offered_statement& statement) {
+  statement.end = monotonic_clock::now();
+  statement.done = answer.ok;
+  statement.over_rate = answer.sqlstate == "53400";
+  statement.failed = !answer.ok && !statement.over_rate;
+}
+
+}  // namespace
+
+struct traffic::worker {
+  std::size_t organisation = 0;
+  std::uint64_t key = 0;
+  std::size_t group = 0;
+  placement place = placement::kSpread;
+  std::size_t home = 0;
+  std::mt19937_64 random;
+  std::vector<std::unique_ptr<pg_client>> clients;
+  std::uint64_t next_value = 1;
+  std::uint64_t token_value = 0;
+  std::string token;
+};
+
+std::string OrganisationName(std::size_t index) {
+  return "organisation" + std::to_string(index);
+}
+
+traffic::traffic(test_support::fleet& target, const traffic_options& options)
+    : target_(target), options_(options) {}
+
+traffic::~traffic() { Stop(); }
+
+void traffic::Start() {
+  for (std::size_t i = 0; i < options_.organisations; ++i) {
+    for (std::size_t part = 0; part < kParts; ++part) {
+      threads_.emplace_back([this, i, part] { RunWorker(i, part); });
+    }
+  }
+}
+
+void traffic::Stop() {
+  stopping_ = true;
+  for (std::thread& thread : threads_) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+void traffic::RunWorker(std::size_t organisation, std::size_t part) {
+  worker state;
+  state.organisation = organisation;
+  state.key = organisation * kParts + part;
+  state.group = organisation % options_.groups;
+  state.place = static_cast<placement>(organisation % 3);
+  state.home = organisation % target_.ProxyCount();
+  state.random.seed(options_.seed * 1000 + state.key);
+  state.clients.resize(target_.ProxyCount());
+  const double multiple = organisation == 0 ? options_.greedy_multiple : 1.0;
+  const double rate = options_.rate * multiple / kParts;
+  std::exponential_distribution<double> gap(rate);
+  time_point due = monotonic_clock::now();
+  while (!stopping_) {
+    due += std::chrono::duration_cast<time_point::duration>(
+        std::chrono::duration<double>(gap(state.random)));
+    std::this_thread::sleep_until(due);
+    if (!stopping_) {
+      RunStatement(state, due);
+    }
+  }
+}
+
+void traffic::RunStatement(worker& state, time_point due) {
+  offered_statement statement;
+  statement.organisation = state.organisation;
+  statement.due = due;
+  statement.proxy = state.home;
+  if (state.place != placement::kOneProxy) {
+    const bool hops = state.place == placement::kHopping;
+    statement.proxy = hops ? state.random() % target_.ProxyCount()
+                           : (state.home + state.key) % target_.ProxyCount();
+  }
+  std::unique_ptr<pg_client>& client = state.clients[statement.proxy];
+  if (client == nullptr || !client->IsConnected()) {
+    client = std::make_unique<pg_client>(target_.Url(
+        statement.proxy, OrganisationName(state.organisation), state.group));
+  }
+  if (!client->IsConnected()) {
+    // A balancer would have picked another host: not the platform's failure.
+    client.reset();
+    state.home = (state.home + 1) % target_.ProxyCount();
+    return;
+  }
+  if (state.random() % 2 == 0) {
+    RunWrite(state, *client, statement);
+  } else {
+    RunRead(state, *client, statement);
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  statements_.push_back(statement);
+}
+
+void traffic::RunWrite(worker& state, pg_client& client,
+                       offered_statement& statement) {
+  test_support::write_record record;
+  record.key = state.key;
+  record.value = state.next_value++;
+  record.row_id = state.key * kRowsPerWorker + record.value;
+  record.start = monotonic_clock::now();
+  const std::string row = std::to_string(record.row_id);
+  const pg_answer answer =
+      client.Query("UPDATE counters SET v = " + std::to_string(record.value) +
+                   " WHERE id = " + std::to_string(record.key) +
+                   "; INSERT INTO entries VALUES (" + row + ")");
+  record.end = monotonic_clock::now();
+  statement.is_write = true;
+  Judge(answer, statement);
+  record.result = outcome::kUnknown;
+  if (answer.ok) {
+    record.result = outcome::kDone;
+    state.token = client.Token();
+    state.token_value = record.value;
+    record.term = TermOf(state.token);
+  } else if (answer.message.starts_with("not run")) {
+    record.result = outcome::kNotRun;
+  }
+  recorder_.Add(record);
+}
+
+void traffic::RunRead(worker& state, pg_client& client,
+                      offered_statement& statement) {
+  test_support::read_record record;
+  record.key = state.key;
+  record.kind = test_support::read_kind::kToken;
+  record.token_value = state.token_value;
+  if (!state.token.empty()) {
+    client.Query("SET sassafraswick.session = '" + state.token + "'");
+  }
+  record.start = monotonic_clock::now();
+  const pg_answer answer = client.Query("SELECT v FROM counters WHERE id = " +
+                                        std::to_string(record.key));
+  record.end = monotonic_clock::now();
+  Judge(answer, statement);
+  if (answer.ok && !answer.rows.empty()) {
+    record.value = std::stoull(answer.Value());
+    recorder_.Add(record);
+  }
+}
+
+std::vector<offered_statement> traffic::TakeStatements() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return statements_;
+}
+
+test_support::history traffic::TakeHistory() { return recorder_.Take(); }
+
+}  // namespace benchmark
--- /dev/null
+++ b/test/benchmark/traffic.h
@@ -0,0 +1,85 @@
+#ifndef TEST_BENCHMARK_TRAFFIC_H_
+#define TEST_BENCHMARK_TRAFFIC_H_
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "test/support/fleet.h"
+#include "test/support/history.h"
+
+/// @file
+/// Open-loop traffic of several organisations.
+
+namespace benchmark {
+
+using sassafraswick::time_point;
+
+/// How an organisation's statements are spread over proxies.
+enum class placement : std::uint8_t { kSpread, kOneProxy, kHopping };
+
+/// One statement that was offered.
+struct offered_statement {
+  std::size_t organisation = 0;
+  std::size_t proxy = 0;
+  time_point due;
+  time_point end;
+  bool is_write = false;
+  bool done = false;
+  /// Refused by the organisation's rate.
+  bool over_rate = false;
+  /// Refused or failed for another reason.
+  bool failed = false;
+};
+
+struct traffic_options {
+  std::size_t organisations = 8;
+  /// Statements a second of each organisation.
+  double rate = 50;
+  /// The first organisation offers this many times as much.
+  double greedy_multiple = 1;
+  std::size_t groups = 1;
+  std::uint64_t seed = 1;
+};
+
+/// Name of an organisation.
+[[nodiscard]] std::string OrganisationName(std::size_t index);
+
+/// Threads that offer statements at given times, whatever becomes of them.
+class traffic {
+ public:
+  traffic(test_support::fleet& target, const traffic_options& options);
+  ~traffic();
+
+  void Start();
+  void Stop();
+  [[nodiscard]] std::vector<offered_statement> TakeStatements();
+  [[nodiscard]] test_support::history TakeHistory();
+
+ private:
+  struct worker;
+
+  void RunWorker(std::size_t organisation, std::size_t part);
+  void RunStatement(worker& state, time_point due);
+  void RunWrite(worker& state, test_support::pg_client& client,
+                offered_statement& statement);
+  void RunRead(worker& state, test_support::pg_client& client,
+               offered_statement& statement);
+
+  test_support::fleet& target_;
+  traffic_options options_;
+  std::atomic<bool> stopping_{false};
+  std::vector<std::thread> threads_;
+  std::mutex mutex_;
+  std::vector<offered_statement> statements_;
+  test_support::recorder recorder_;
+};
+
+}  // namespace benchmark
+
+#endif  // TEST_BENCHMARK_TRAFFIC_H_
