Prefer connections that carry the session's own state

Cause: four callers got less through the proxy than one (11,530 reads a second against some 20,000): idle connections were taken last-in first-out, so sessions swapped connections and each swap ran DISCARD ALL first. Ruled out: the limits (rate a million) and the instance (51,008 a second direct).

Change: a session gets the idle connection it used last, else the one that has rested longest.

--- a/src/sassafraswick/proxy/caller_session.cc
+++ b/src/sassafraswick/proxy/caller_session.cc
@@ -311,7 +311,7 @@
     co_return co_await ReplyOverRate(unit, admitted.retry_after);
   }
   while (true) {
-    const acquire_result acquired = co_await pool_->Acquire(request);
+    const acquire_result acquired = co_await pool_->Acquire(request, id_);
     if (const refusal* refused = std::get_if<refusal>(&acquired)) {
       co_return co_await ReplyRefusal(unit, *refused);
     }
--- a/src/sassafraswick/proxy/target_pool.cc
+++ b/src/sassafraswick/proxy/target_pool.cc
@@ -112,7 +112,8 @@
   return {definition_.user, definition_.password, definition_.database};
 }
 
-asio::awaitable<acquire_result> target_pool::Acquire(request_entry request) {
+asio::awaitable<acquire_result> target_pool::Acquire(request_entry request,
+                                                     session_id session) {
   const time_point now = monotonic_clock::now();
   request.id = next_request_++;
   request.arrived = now;
@@ -125,6 +126,7 @@
   }
   const std::shared_ptr<waiter> waiting =
       std::make_shared<waiter>(context_.get_executor());
+  waiting->session = session;
   waiters_.emplace(id, waiting);
   Pump();
   while (!waiting->outcome.has_value()) {
@@ -171,12 +173,30 @@
   pumping_ = false;
 }
 
+/// Takes an idle connection: one that carries the session's state, else the one
+/// that has rested longest, whose former session is least likely to return.
+std::shared_ptr<target_connection> target_pool::TakeIdle(
+    instance_index instance, session_id session) {
+  std::deque<std::shared_ptr<target_connection>>& connections = idle_[instance];
+  auto chosen = std::find_if(
+      connections.begin(), connections.end(),
+      [session](const std::shared_ptr<target_connection>& connection) {
+        return connection->owner == session;
+      });
+  if (chosen == connections.end()) {
+    chosen = connections.begin();
+  }
+  std::shared_ptr<target_connection> taken = *chosen;
+  connections.erase(chosen);
+  return taken;
+}
+
 void target_pool::Assign(const assignment& assigned) {
-  std::deque<std::shared_ptr<target_connection>>& connections =
-      idle_[assigned.instance];
+  const auto waiting = waiters_.find(assigned.request);
+  const session_id session =
+      waiting == waiters_.end() ? 0 : waiting->second->session;
   connection_lease lease;
-  lease.connection = connections.back();
-  connections.pop_back();
+  lease.connection = TakeIdle(assigned.instance, session);
   lease.term = CurrentTerm(group_);
   lease.on_primary = FindPrimary(group_) == assigned.instance;
   lease.connection->leased_at = monotonic_clock::now();
