Pass a stopping grantor's buckets on to its successor

Ruled out: connections (budgets were granted within 20 ms) and the store (claims took one call each).

Change: a host that stops hands level and outstanding tokens of each bucket to the next in order; tokens that were out count as spent at the last moment. Patience for a token counts from the first answer that had none.

--- a/src/sassafraswick/limits/grantor_shard.cc
+++ b/src/sassafraswick/limits/grantor_shard.cc
@@ -39,13 +39,18 @@
   return true;
 }
 
+std::vector<std::string> GrantorOrder(std::uint32_t index,
+                                      const membership& fleet) {
+  return RendezvousOrder(std::string(kGrantorPrefix) + std::to_string(index),
+                         LiveHosts(fleet));
+}
+
 bool ShouldClaim(const grantor_shard& shard, std::uint32_t index,
                  const membership& fleet) {
   if (!HolderIsGone(shard, fleet) || !SeesMajority(fleet)) {
     return false;
   }
-  const std::vector<std::string> order = RendezvousOrder(
-      std::string(kGrantorPrefix) + std::to_string(index), LiveHosts(fleet));
+  const std::vector<std::string> order = GrantorOrder(index, fleet);
   return !order.empty() && order.front() == fleet.self;
 }
 
--- a/src/sassafraswick/limits/grantor_shard.h
+++ b/src/sassafraswick/limits/grantor_shard.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "sassafraswick/core/time.h"
 #include "sassafraswick/limits/token_grant.h"
@@ -61,6 +62,10 @@
 bool LearnGrantor(grantor_shard& shard, grantor_epoch epoch,
                   const std::string& host, std::uint64_t boot);
 
+/// Live hosts in the order in which they may claim a shard.
+[[nodiscard]] std::vector<std::string> GrantorOrder(std::uint32_t index,
+                                                    const membership& fleet);
+
 /// Tells whether this host should try to become a shard's grantor: its holder
 /// is gone, and this host comes first among the live ones.
 [[nodiscard]] bool ShouldClaim(const grantor_shard& shard, std::uint32_t index,
--- a/src/sassafraswick/limits/token_grant.cc
+++ b/src/sassafraswick/limits/token_grant.cc
@@ -114,6 +114,27 @@
   return share;
 }
 
+handed_bucket HandOver(token_bucket& bucket, const rate_limit& limit,
+                       time_point now) {
+  Refill(bucket, limit, now);
+  return {bucket.level, Outstanding(bucket)};
+}
+
+token_bucket ResumeBucket(const handed_bucket& handed, const rate_limit& limit,
+                          time_point received_at, time_point now) {
+  // Tokens that were out may have been spent at the last moment, so the room
+  // they took counts as taken until now.
+  const double room = static_cast<double>(limit.burst) -
+                      static_cast<double>(handed.outstanding);
+  const double earned =
+      Seconds(now - received_at) * static_cast<double>(limit.rate);
+  token_bucket bucket;
+  bucket.level =
+      std::min(handed.level + std::max(earned, 0.0), std::max(room, 0.0));
+  bucket.refilled_at = now;
+  return bucket;
+}
+
 std::uint64_t Unspent(const token_allowance& allowance, time_point now) {
   return now < allowance.valid_until
              ? allowance.granted - allowance.spent - allowance.returned
--- a/src/sassafraswick/limits/token_grant.h
+++ b/src/sassafraswick/limits/token_grant.h
@@ -76,6 +76,24 @@
                                 grantor_epoch epoch, const std::string& host,
                                 const token_need& need, time_point now);
 
+/// What a grantor that stops passes on of one bucket.
+struct handed_bucket {
+  double level = 0.0;
+  /// Tokens that were out when it stopped.
+  std::uint64_t outstanding = 0;
+};
+
+/// Fills a bucket up and describes it for a successor.
+[[nodiscard]] handed_bucket HandOver(token_bucket& bucket,
+                                     const rate_limit& limit, time_point now);
+
+/// Goes on with a bucket that was handed over.
+/// @param received_at When the description arrived here.
+/// @param now Start of the new reign; tokens that were out have lapsed by then.
+[[nodiscard]] token_bucket ResumeBucket(const handed_bucket& handed,
+                                        const rate_limit& limit,
+                                        time_point received_at, time_point now);
+
 /// Tokens of one organisation at one host.
 struct token_allowance {
   grantor_epoch epoch = 0;
--- a/src/sassafraswick/proxy/caller_settings.cc
+++ b/src/sassafraswick/proxy/caller_settings.cc
@@ -94,12 +94,12 @@
   std::map<std::string, std::string, std::less<>> parsed;
   bool expects_assignment = false;
   for (const std::string& word : SplitWords(options)) {
+    const bool attached =
+        word.starts_with("--") || (word.starts_with("-c") && word.size() > 2);
     std::string assignment;
     if (expects_assignment) {
       assignment = word;
-    } else if (word.starts_with("--")) {
-      assignment = word.substr(2);
-    } else if (word.starts_with("-c") && word.size() > 2) {
+    } else if (attached) {
       assignment = word.substr(2);
     }
     expects_assignment = word == "-c";
--- a/src/sassafraswick/proxy/fleet_service.cc
+++ b/src/sassafraswick/proxy/fleet_service.cc
@@ -121,6 +121,10 @@
       runtime_.Limits().HandleRequest(received.host(), received.boot(),
                                       received.limit_request());
       break;
+    case message::envelope::kShardHandover:
+      runtime_.Limits().HandleHandover(received.shard_handover(),
+                                       monotonic_clock::now());
+      break;
     case message::envelope::kLimitAnswer:
       runtime_.Limits().HandleAnswer(received.limit_answer());
       break;
@@ -224,7 +228,9 @@
 }
 
 void fleet_service::AnnounceLeave() {
-  AnnounceLeaving(runtime_.Fleet(), settings_, monotonic_clock::now());
+  const time_point now = monotonic_clock::now();
+  AnnounceLeaving(runtime_.Fleet(), settings_, now);
+  runtime_.Limits().HandOverShards(now);
   SpreadVersion();
 }
 
--- a/src/sassafraswick/proxy/grantor_claims.cc
+++ b/src/sassafraswick/proxy/grantor_claims.cc
@@ -136,7 +136,8 @@
                      shards[i].epoch > predecessor.epoch;
     if (won) {
       runtime_.Limits().Activate(
-          i, expected == 0, WaitFor(predecessor, runtime_.Fleet(), settings),
+          i, expected == 0, predecessor.epoch,
+          WaitFor(predecessor, runtime_.Fleet(), settings),
           monotonic_clock::now());
     }
   }
--- a/src/sassafraswick/proxy/limit_service.cc
+++ b/src/sassafraswick/proxy/limit_service.cc
@@ -1,6 +1,7 @@
 #include "sassafraswick/proxy/limit_service.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "sassafraswick/core/log.h"
 
@@ -45,6 +46,7 @@
   ++allowance.waiting;
   retry_after_[organisation] = duration::zero();
   admission outcome;
+  std::optional<time_point> scarce_since;
   while (true) {
     const time_point now = monotonic_clock::now();
     if (exchanges_[shard].under_way == 0) {
@@ -56,7 +58,10 @@
     }
     const duration retry_after = retry_after_[organisation];
     const bool scarce = retry_after > duration::zero();
-    if (now >= deadline || (scarce && now - arrived > kTokenPatience)) {
+    if (scarce && !scarce_since.has_value()) {
+      scarce_since = now;
+    }
+    if (now >= deadline || (scarce && now - *scarce_since > kTokenPatience)) {
       outcome.unanswered = !scarce;
       outcome.retry_after = std::max<duration>(retry_after, kScarceGap);
       break;
@@ -190,15 +195,87 @@
   }
 }
 
-void limit_service::Activate(std::uint32_t shard, bool fresh, duration wait,
+void limit_service::Activate(std::uint32_t shard, bool fresh,
+                             grantor_epoch predecessor, duration wait,
                              time_point now) {
   granted_shard& granted = granting_[shard];
   granted = granted_shard();
   granted.fresh = fresh;
+  const auto handover = handovers_.find(shard);
+  if (handover != handovers_.end() && handover->second.epoch == predecessor) {
+    granted.handed = std::move(handover->second.buckets);
+    granted.handed_at = handover->second.received_at;
+  }
+  handovers_.erase(shard);
   shards_[shard].active_from = now + wait;
   Log(log_level::kInfo, "grantor_claimed",
       {{"shard", std::to_string(shard)},
-       {"epoch", std::to_string(shards_[shard].epoch)}});
+       {"epoch", std::to_string(shards_[shard].epoch)},
+       {"handed_buckets", std::to_string(granted.handed.size())}});
+}
+
+void limit_service::HandOverShards(time_point now) {
+  const configuration* const version = environment_.tables();
+  for (std::pair<const std::uint32_t, granted_shard>& entry : granting_) {
+    const grantor_shard& shard = shards_[entry.first];
+    const std::vector<std::string> order =
+        GrantorOrder(entry.first, environment_.fleet());
+    if (shard.host != environment_.host || order.empty() ||
+        version == nullptr) {
+      continue;
+    }
+    message::envelope envelope;
+    message::shard_handover& handover = *envelope.mutable_shard_handover();
+    handover.set_shard(entry.first);
+    handover.set_epoch(shard.epoch);
+    for (std::pair<const std::string, token_bucket>& bucket :
+         entry.second.buckets) {
+      const auto owner = version->tables.organisations.find(bucket.first);
+      if (owner == version->tables.organisations.end()) {
+        continue;
+      }
+      const handed_bucket handed = HandOver(
+          bucket.second, {owner->second.rate, owner->second.burst}, now);
+      message::handed_bucket& passed = *handover.add_buckets();
+      passed.set_organisation(bucket.first);
+      passed.set_level(handed.level);
+      passed.set_outstanding(handed.outstanding);
+    }
+    environment_.send(order.front(), std::move(envelope));
+  }
+}
+
+void limit_service::HandleHandover(const message::shard_handover& handover,
+                                   time_point now) {
+  pending_handover pending;
+  pending.epoch = handover.epoch();
+  pending.received_at = now;
+  for (const message::handed_bucket& bucket : handover.buckets()) {
+    pending.buckets[bucket.organisation()] = {bucket.level(),
+                                              bucket.outstanding()};
+  }
+  handovers_[handover.shard()] = std::move(pending);
+}
+
+token_bucket& limit_service::FindBucket(std::uint32_t shard,
+                                        const std::string& organisation,
+                                        const rate_limit& limit) {
+  granted_shard& granted = granting_[shard];
+  const bool is_new = !granted.buckets.contains(organisation);
+  token_bucket& bucket = granted.buckets[organisation];
+  if (!is_new) {
+    return bucket;
+  }
+  const time_point active_from = shards_[shard].active_from;
+  const auto handed = granted.handed.find(organisation);
+  if (handed != granted.handed.end()) {
+    bucket =
+        ResumeBucket(handed->second, limit, granted.handed_at, active_from);
+  } else {
+    bucket.level = granted.fresh ? limit.burst : 0.0;
+    bucket.refilled_at = active_from;
+  }
+  return bucket;
 }
 
 void limit_service::HandleRequest(const std::string& from, std::uint64_t boot,
@@ -232,19 +309,14 @@
                                 const message::limit_request& request,
                                 message::limit_answer& answer, time_point now) {
   const configuration* const version = environment_.tables();
-  granted_shard& granted = granting_[request.shard()];
   for (const message::limit_need& need : request.needs()) {
     const auto owner = version->tables.organisations.find(need.organisation());
     if (owner == version->tables.organisations.end()) {
       continue;
     }
     const rate_limit limit{owner->second.rate, owner->second.burst};
-    const bool is_new = !granted.buckets.contains(need.organisation());
-    token_bucket& bucket = granted.buckets[need.organisation()];
-    if (is_new) {
-      bucket.level = granted.fresh ? limit.burst : 0.0;
-      bucket.refilled_at = shards_[request.shard()].active_from;
-    }
+    token_bucket& bucket =
+        FindBucket(request.shard(), need.organisation(), limit);
     const token_share share = Grant(
         bucket, limit, shards_[request.shard()].epoch, host,
         {need.epoch(), need.spent(), need.returned(), need.wanted()}, now);
--- a/src/sassafraswick/proxy/limit_service.h
+++ b/src/sassafraswick/proxy/limit_service.h
@@ -66,6 +66,11 @@
                      const message::limit_request& request);
   void HandleAnswer(const message::limit_answer& answer);
 
+  /// Passes the buckets of this host's shards on to their likely successors.
+  /// The host must have stopped granting.
+  void HandOverShards(time_point now);
+  void HandleHandover(const message::shard_handover& handover, time_point now);
+
   /// What is known of the shards' grantors.
   [[nodiscard]] grantor_shards& Shards() noexcept { return shards_; }
   [[nodiscard]] const std::map<std::string, token_allowance>& Allowances()
@@ -74,7 +79,9 @@
   }
   /// Starts granting from a shard that this host claimed.
   /// @param fresh Nobody held the shard before.
-  void Activate(std::uint32_t shard, bool fresh, duration wait, time_point now);
+  /// @param predecessor Epoch of the grantor before, zero if there was none.
+  void Activate(std::uint32_t shard, bool fresh, grantor_epoch predecessor,
+                duration wait, time_point now);
   void SetStoreDown(bool down) noexcept { store_down_ = down; }
 
  private:
@@ -92,6 +99,15 @@
     std::map<std::string, token_bucket> buckets;
     std::map<std::string, capacity_table> capacities;
     bool fresh = false;
+    /// Buckets of the predecessor, if it passed them on.
+    std::map<std::string, handed_bucket> handed;
+    time_point handed_at;
+  };
+  /// What a stopping grantor passed on, before this host claimed the shard.
+  struct pending_handover {
+    grantor_epoch epoch = 0;
+    std::map<std::string, handed_bucket> buckets;
+    time_point received_at;
   };
   struct shard_exchange {
     /// Number of the request under way; zero if none.
@@ -112,6 +128,9 @@
   void ServeCapacities(const std::string& host,
                        const message::limit_request& request,
                        message::limit_answer& answer, time_point now);
+  [[nodiscard]] token_bucket& FindBucket(std::uint32_t shard,
+                                         const std::string& organisation,
+                                         const rate_limit& limit);
   [[nodiscard]] std::uint32_t TotalConnections(
       const std::string& resource) const;
 
@@ -119,6 +138,7 @@
   grantor_settings settings_;
   grantor_shards shards_;
   std::map<std::uint32_t, granted_shard> granting_;
+  std::map<std::uint32_t, pending_handover> handovers_;
   std::array<shard_exchange, kShardCount> exchanges_;
   std::map<std::string, token_allowance> allowances_;
   std::map<std::string, duration> retry_after_;
--- a/test/sassafraswick/limits/token_grant_test.cc
+++ b/test/sassafraswick/limits/token_grant_test.cc
@@ -128,12 +128,21 @@
     }
   }
 
-  /// A successor that knows nothing waits until all tokens out have lapsed.
+  /// A successor waits until all tokens out have lapsed. It goes on with what
+  /// its predecessor passed on, or with nothing.
   void ReplaceGrantor() {
+    if (now_ < active_from_) {
+      return;
+    }
     ++epoch_;
     active_from_ = now_ + kTokenLease + kTokenLeaseMargin;
-    bucket_ = token_bucket();
-    bucket_.refilled_at = active_from_;
+    if (random_() % 2 == 0) {
+      bucket_ = ResumeBucket(HandOver(bucket_, kLimit, now_), kLimit, now_,
+                             active_from_);
+    } else {
+      bucket_ = token_bucket();
+      bucket_.refilled_at = active_from_;
+    }
   }
 
   std::mt19937_64 random_;
