Hang up outdated replication; split grown files; ask instances more often

In the stand-in, data still buffered on a replaced replication connection cut off entries that a newer connection had brought, and messages that then left a gap were ignored for ever. Ruled out: budgets (three hosts, 15 connections) and leases on rows. Now older connections are hung up, and a gap ends the connection, which starts over.

Also: a ping from a host that is believed dead is answered with that news, so that it can refute; caller_session and the stand-in's session split along their jobs; Base64 and address arguments stand once.

--- a/src/sassafraswick/peer/membership.cc
+++ b/src/sassafraswick/peer/membership.cc
@@ -189,6 +189,14 @@
                                            std::uint64_t probe_id,
                                            const std::string& target,
                                            time_point now) {
+  const auto sender = table.members.find(from);
+  const bool accused = sender != table.members.end() &&
+                       (sender->second.state == member_state::kDead ||
+                        sender->second.state == member_state::kSuspected);
+  if (accused) {
+    // The answer tells the sender, so that it can refute.
+    sender->second.news_left = Repeats(table, settings);
+  }
   if (target.empty() || target == table.self) {
     return {{membership_message_kind::kAnswer, from, probe_id, "",
              TakeNews(table, settings)}};
--- a/src/sassafraswick/platform/etcd_store.cc
+++ b/src/sassafraswick/platform/etcd_store.cc
@@ -1,7 +1,5 @@
 #include "sassafraswick/platform/etcd_store.h"
 
-#include <sodium.h>
-
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,6 +13,8 @@
 #include <boost/json/stream_parser.hpp>
 #include <charconv>
 
+#include "sassafraswick/platform/base64.h"
+
 namespace sassafraswick {
 namespace {
 
@@ -26,27 +26,6 @@
 constexpr int kHttpVersion = 11;
 constexpr std::uint64_t kMaxAnswerSize = 8'388'608;
 
-std::string EncodeBase64(std::string_view bytes) {
-  std::string text(
-      sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
-      '\0');
-  sodium_bin2base64(text.data(), text.size(),
-                    reinterpret_cast<const unsigned char*>(bytes.data()),
-                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
-  text.pop_back();
-  return text;
-}
-
-std::string DecodeBase64(std::string_view text) {
-  std::string bytes(text.size(), '\0');
-  std::size_t size = 0;
-  sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()),
-                    bytes.size(), text.data(), text.size(), nullptr, &size,
-                    nullptr, sodium_base64_VARIANT_ORIGINAL);
-  bytes.resize(size);
-  return bytes;
-}
-
 error Unavailable(const endpoint& address, const std::string& what,
                   const std::string& reason) {
   return MakeError(
--- a/src/sassafraswick/proxy/caller_session.cc
+++ b/src/sassafraswick/proxy/caller_session.cc
@@ -16,12 +16,6 @@
 constexpr std::string_view kRolledBack = "40001";
 constexpr std::string_view kInFailedTransaction = "25P02";
 
-std::string RetryHint(duration retry_after) {
-  const std::chrono::milliseconds rounded =
-      std::chrono::ceil<std::chrono::milliseconds>(retry_after);
-  return "retry after " + std::to_string(rounded.count()) + " ms";
-}
-
 }  // namespace
 
 caller_session::caller_session(host_runtime& runtime, stream_socket socket)
@@ -431,94 +425,6 @@
   co_return co_await Send(std::move(out));
 }
 
-std::string caller_session::Prefix(const request_unit& unit,
-                                   target_connection& connection,
-                                   relay_request& expected) const {
-  std::string out;
-  if (connection.owner != id_) {
-    if (connection.owner != 0) {
-      AppendQuery(out, "DISCARD ALL");
-      ++expected.own_queries;
-      connection.prepared.clear();
-    }
-    std::string replayed;
-    for (const std::pair<const std::string, std::string>& entry :
-         set_statements_) {
-      replayed += entry.second + ";";
-    }
-    if (!replayed.empty()) {
-      AppendQuery(out, replayed);
-      ++expected.own_queries;
-    }
-    connection.owner = id_;
-  }
-  for (const std::string& name : unit.references) {
-    const auto found = prepared_.find(name);
-    if (found != prepared_.end() && !connection.prepared.contains(name)) {
-      out += found->second.frame;
-      ++expected.own_parses;
-    }
-  }
-  return out;
-}
-
-asio::awaitable<relay_outcome> caller_session::RunUnit(
-    const request_unit& unit, const connection_lease& lease, bool hold) {
-  relay_request expected;
-  expected.until_ready = unit.ends_batch;
-  expected.completions = unit.expected_completions;
-  expected.hold_completion = hold;
-  expected.on_replica = !lease.on_primary && !pinned_.has_value();
-  target_connection& connection = *lease.connection;
-  std::string out = Prefix(unit, connection, expected);
-  out += unit.bytes;
-  relay_outcome outcome;
-  const result<void> sent = co_await WriteAll(connection.Socket(), out);
-  if (sent) {
-    outcome = co_await RelayResponse(connection, stream_, expected);
-  } else {
-    outcome.end = relay_end::kTargetLost;
-  }
-  if (outcome.end == relay_end::kComplete) {
-    RecordPrepared(unit, connection, outcome);
-  }
-  co_return outcome;
-}
-
-void caller_session::RecordPrepared(const request_unit& unit,
-                                    target_connection& connection,
-                                    const relay_outcome& outcome) {
-  for (const std::string& name : unit.references) {
-    connection.prepared.insert(name);
-  }
-  for (std::size_t i = 0; i < outcome.parses_done; ++i) {
-    const std::string& name = unit.prepared_order.at(i);
-    prepared_[name] = unit.prepared.at(name);
-    connection.prepared.insert(name);
-  }
-  for (std::size_t i = 0; i < outcome.closes_done && i < unit.closed.size();
-       ++i) {
-    prepared_.erase(unit.closed[i]);
-    connection.prepared.erase(unit.closed[i]);
-  }
-  if (unit.statement.kind == statement_kind::kSet && unit.is_simple &&
-      !outcome.failed) {
-    body_reader reader(std::string_view(unit.bytes).substr(kFrameHeaderSize));
-    set_statements_[unit.statement.name] = std::string(reader.String());
-  }
-}
-
-void caller_session::AppendToken(std::string& out) {
-  if (!settings_.seen.has_value()) {
-    return;
-  }
-  std::string token = runtime_.Tokens().Encode(Scope(), *settings_.seen);
-  if (token != sent_token_) {
-    AppendParameterStatus(out, parameter::kSession, token);
-    sent_token_ = std::move(token);
-  }
-}
-
 asio::awaitable<bool> caller_session::FinishUnit(const request_unit& unit,
                                                  const connection_lease& lease,
                                                  relay_outcome outcome,
@@ -578,79 +484,4 @@
   co_return co_await Send(std::move(out));
 }
 
-std::string caller_session::ErrorReply(const request_unit& unit,
-                                       const error_message& message) {
-  std::string out;
-  AppendError(out, message);
-  if (unit.ends_batch) {
-    transaction_status status = transaction_status::kIdle;
-    if (transaction_failed_) {
-      status = transaction_status::kFailed;
-    } else if (pinned_.has_value()) {
-      status = transaction_status::kInTransaction;
-    }
-    AppendReadyForQuery(out, status);
-  } else {
-    skip_to_sync_ = true;
-  }
-  return out;
-}
-
-asio::awaitable<bool> caller_session::Send(std::string bytes) {
-  const result<void> written = co_await stream_.Write(bytes);
-  co_return written.has_value();
-}
-
-asio::awaitable<bool> caller_session::ReplyNotAdmitted(
-    const request_unit& unit, const admission& refused) {
-  organisation_metrics& metrics =
-      runtime_.Metrics().organisations[identity_.organisation];
-  error_message message{error_severity::kError, "", "",
-                        RetryHint(refused.retry_after)};
-  if (refused.unanswered) {
-    ++metrics.refused_by_load;
-    message.code = sqlstate::kCannotConnectNow;
-    message.message = "not run: nobody could be asked in time whether \"" +
-                      identity_.organisation + "\" is within its rate";
-  } else {
-    ++metrics.refused_by_limit;
-    message.code = sqlstate::kConfigurationLimitExceeded;
-    message.message = "not run: organisation \"" + identity_.organisation +
-                      "\" is over its rate";
-  }
-  const std::string reply = ErrorReply(unit, message);
-  co_return co_await Send(reply);
-}
-
-asio::awaitable<bool> caller_session::ReplyRefusal(const request_unit& unit,
-                                                   const refusal& refused) {
-  organisation_metrics& metrics =
-      runtime_.Metrics().organisations[identity_.organisation];
-  ++metrics.refused_by_load;
-  error_message message{error_severity::kError, "", "",
-                        RetryHint(refused.retry_after)};
-  switch (refused.reason) {
-    case refusal_reason::kOverloaded:
-      message.code = sqlstate::kTooManyConnections;
-      message.message = "not run: too many statements are waiting for pool \"" +
-                        identity_.pool + "\"";
-      break;
-    case refusal_reason::kNoInstance:
-      message.code = sqlstate::kCannotConnectNow;
-      message.message = "not run: no instance of pool \"" + identity_.pool +
-                        "\" could take the statement in time";
-      break;
-    case refusal_reason::kHistoryLost:
-      message.code = sqlstate::kLostHistory;
-      message.message =
-          "not run: the session's position was discarded when a new primary of "
-          "pool \"" +
-          identity_.pool + "\" was promoted";
-      message.hint = "start a new session and check the last write";
-      break;
-  }
-  const std::string reply = ErrorReply(unit, message);
-  co_return co_await Send(reply);
-}
-
 }  // namespace sassafraswick
--- a/src/sassafraswick/proxy/instance_watch.cc
+++ b/src/sassafraswick/proxy/instance_watch.cc
@@ -18,7 +18,7 @@
 /// Time beyond the heartbeat after which a question counts as unanswered.
 constexpr duration kAnswerGrace = std::chrono::milliseconds(200);
 /// Least time between two questions while nothing waits for an answer.
-constexpr duration kQuestionGap = std::chrono::milliseconds(20);
+constexpr duration kQuestionGap = std::chrono::milliseconds(10);
 constexpr duration kReopenWait = std::chrono::milliseconds(30);
 constexpr duration kCommandLimit = std::chrono::milliseconds(700);
 
--- a/standin/instance.h
+++ b/standin/instance.h
@@ -113,7 +113,8 @@
   /// Handles one message from a primary; empty means hang up.
   std::string HandleFromPrimary(const boost::json::object& message);
   void TruncateTo(log_position end);
-  void AppendEntries(const boost::json::object& message);
+  /// @return False if the message does not join on to the log.
+  [[nodiscard]] bool AppendEntries(const boost::json::object& message);
   void StepDown(term_number term);
   [[nodiscard]] log_position CommonPrefix(
       const boost::json::object& peer_state) const;
@@ -130,6 +131,8 @@
   sassafraswick::term_history history_;
   term_number term_ = 1;
   bool is_primary_ = false;
+  /// Number of the newest replication connection; older ones are hung up.
+  std::uint64_t replication_source_ = 0;
   log_position applied_ = 0;
   /// When the primary was last heard.
   time_point primary_heard_at_;
--- a/test/benchmark/traffic.h
+++ b/test/benchmark/traffic.h
@@ -37,6 +37,8 @@
   bool done = false;
   /// Refused by the organisation's rate.
   bool over_rate = false;
+  /// The host closed the idle session before the statement: it was not run.
+  bool told_to_leave = false;
   /// Refused or failed for another reason.
   bool failed = false;
 };
@@ -72,6 +74,8 @@
 
   void RunWorker(std::size_t organisation, std::size_t part);
   void RunStatement(worker& state, time_point due);
+  [[nodiscard]] test_support::pg_client* FindClient(worker& state,
+                                                    std::size_t proxy);
   void RunWrite(worker& state, test_support::pg_client& client,
                 offered_statement& statement);
   void RunRead(worker& state, test_support::pg_client& client,
