--- a/src/sassafraswick/proxy/fleet_service.cc
+++ b/src/sassafraswick/proxy/fleet_service.cc
@@ -151,7 +151,8 @@
           TickMembership(runtime_.Fleet(), settings_, now, random_()));
       AskAboutPrimaries(now);
     }
-    co_await Sleep(kFastTick);
+    const bool active = runtime_.Limits().IsActive(now);
+    co_await Sleep(active ? kFastTick : kMembershipTick);
   }
 }
 
--- a/src/sassafraswick/proxy/limit_service.cc
+++ b/src/sassafraswick/proxy/limit_service.cc
@@ -195,6 +195,15 @@
   }
 }
 
+bool limit_service::IsActive(time_point now) const {
+  return std::any_of(
+      allowances_.begin(), allowances_.end(),
+      [now](const std::pair<const std::string, token_allowance>& entry) {
+        return entry.second.waiting > 0 ||
+               now - entry.second.used_at < kTokenLease;
+      });
+}
+
 void limit_service::Activate(std::uint32_t shard, bool fresh,
                              grantor_epoch predecessor, duration wait,
                              time_point now) {
--- a/src/sassafraswick/proxy/limit_service.h
+++ b/src/sassafraswick/proxy/limit_service.h
@@ -59,9 +59,12 @@
   std::uint32_t Connections(const std::string& resource, std::uint32_t held,
                             std::uint32_t wanted, std::uint32_t fallback);
 
-  /// Sends what is due. Called every few milliseconds.
+  /// Sends what is due. Called every few milliseconds while `IsActive`.
   void Tick(time_point now);
 
+  /// Tells whether an organisation holds or lately used tokens here.
+  [[nodiscard]] bool IsActive(time_point now) const;
+
   void HandleRequest(const std::string& from, std::uint64_t boot,
                      const message::limit_request& request);
   void HandleAnswer(const message::limit_answer& answer);
--- a/src/sassafraswick/proxy/target_pool.cc
+++ b/src/sassafraswick/proxy/target_pool.cc
@@ -13,6 +13,7 @@
 namespace asio = boost::asio;
 
 constexpr duration kBusyTick = std::chrono::milliseconds(10);
+constexpr duration kIdleTick = std::chrono::milliseconds(40);
 constexpr duration kConnectLimit = std::chrono::seconds(1);
 constexpr duration kConnectRetry = std::chrono::milliseconds(50);
 /// Silence after which reads sent to an instance are tried elsewhere.
@@ -349,7 +350,8 @@
     CloseReplaced();
     ApplyBudgets();
     Pump();
-    co_await Sleep(kBusyTick);
+    const bool busy = table_.waiting_count > 0 || !leased_.empty();
+    co_await Sleep(busy ? kBusyTick : kIdleTick);
   }
 }
 
--- a/test/benchmark/sassafraswick_bench.cc
+++ b/test/benchmark/sassafraswick_bench.cc
@@ -214,6 +214,14 @@
   report["scenario"] = scenario_name;
   report["deployment"] = deployment_name;
   report["seed"] = seed;
+  json::object failures;
+  for (const offered_statement& each : offered.TakeStatements()) {
+    if (each.failed) {
+      json::value& count = failures[each.failure];
+      count = count.is_null() ? 1 : count.as_int64() + 1;
+    }
+  }
+  report["failures"] = std::move(failures);
   const std::string text = json::serialize(report);
   std::printf("%s\n%s", text.c_str(), PlotText(found).c_str());
   if (!report_path.empty()) {
--- a/test/benchmark/traffic.h
+++ b/test/benchmark/traffic.h
@@ -41,6 +41,8 @@
   bool told_to_leave = false;
   /// Refused or failed for another reason.
   bool failed = false;
+  /// SQLSTATE and text of the failure.
+  std::string failure;
 };
 
 struct traffic_options {
