Let a caller read the farewell of a stopping host

A statement that arrived while its idle session was being closed made the kernel reset the connection, and the caller lost the message that the host was stopping.

Change: the host sends the message and the end of its stream, goes on receiving for a second, and runs nothing that crosses the message; a request that is already here is served first.

--- a/src/sassafraswick/proxy/caller_session.cc
+++ b/src/sassafraswick/proxy/caller_session.cc
@@ -11,6 +11,8 @@
 namespace asio = boost::asio;
 
 constexpr std::size_t kMaxUnitSize = 16'777'216;
+/// Time a caller has to read that the host is stopping.
+constexpr duration kFarewellLimit = std::chrono::seconds(1);
 constexpr duration kLoginLimit = std::chrono::seconds(10);
 constexpr duration kIdleTransactionLimit = std::chrono::seconds(60);
 constexpr std::string_view kRolledBack = "40001";
@@ -42,13 +44,15 @@
     active_since_ = monotonic_clock::now();
     input_.ShrinkIfEmpty();
     if (end_when_idle_ && !pinned_.has_value()) {
-      EndWith(sqlstate::kAdminShutdown, "host is shutting down, connect again");
-      break;
+      SayFarewell();
     }
     std::optional<request_unit> unit = co_await ReadUnit();
     if (!unit.has_value()) {
       break;
     }
+    if (farewell_at_.has_value()) {
+      continue;
+    }
     activity_ = activity::kBusy;
     active_since_ = monotonic_clock::now();
     open = co_await Serve(*unit);
@@ -86,10 +90,23 @@
 void caller_session::EndWhenIdle() {
   end_when_idle_ = true;
   if (activity_ == activity::kIdle && !pinned_.has_value()) {
-    EndWith(sqlstate::kAdminShutdown, "host is shutting down, connect again");
+    SayFarewell();
   }
 }
 
+void caller_session::SayFarewell() {
+  const bool request_here = stream_.HasInput() || !input_.Data().empty();
+  if (farewell_at_.has_value() || request_here) {
+    return;
+  }
+  farewell_at_ = monotonic_clock::now();
+  std::string out;
+  AppendError(out,
+              {error_severity::kFatal, std::string(sqlstate::kAdminShutdown),
+               "host is shutting down, connect again", ""});
+  stream_.FinishWith(out);
+}
+
 void caller_session::EndWith(std::string_view code,
                              const std::string& message) {
   std::string out;
@@ -108,7 +125,9 @@
   const bool transaction_late = activity_ == activity::kIdle &&
                                 pinned_.has_value() &&
                                 now - active_since_ > kIdleTransactionLimit;
-  if (isolated && !identity_.key_id.empty()) {
+  if (farewell_at_.has_value() && now - *farewell_at_ > kFarewellLimit) {
+    stream_.Close();
+  } else if (isolated && !identity_.key_id.empty()) {
     EndWith(sqlstate::kCannotConnectNow,
             "host is cut off and cannot tell whether the key is still valid");
   } else if (login_late || transaction_late) {
--- a/src/sassafraswick/proxy/caller_session.h
+++ b/src/sassafraswick/proxy/caller_session.h
@@ -93,6 +93,9 @@
   void AppendToken(std::string& out);
   void ReleaseConnections();
   void EndWith(std::string_view code, const std::string& message);
+  /// Tells an idle caller that the host is stopping, unless a request of its is
+  /// already here.
+  void SayFarewell();
   [[nodiscard]] token_scope Scope() const;
   [[nodiscard]] duration Deadline() const;
 
@@ -114,6 +117,9 @@
   bool transaction_failed_ = false;
   bool skip_to_sync_ = false;
   bool end_when_idle_ = false;
+  /// When the caller was told that the host is stopping. Requests that cross
+  /// this are not run.
+  std::optional<time_point> farewell_at_;
   activity activity_ = activity::kStarting;
   time_point active_since_;
   std::string sent_token_;
--- a/src/sassafraswick/proxy/caller_stream.cc
+++ b/src/sassafraswick/proxy/caller_stream.cc
@@ -66,6 +66,22 @@
   Close();
 }
 
+void caller_stream::FinishWith(std::string_view bytes) {
+  if (tls_ != nullptr) {
+    Close();
+    return;
+  }
+  static_cast<void>(::send(socket_.native_handle(), bytes.data(), bytes.size(),
+                           MSG_DONTWAIT | MSG_NOSIGNAL));
+  boost::system::error_code ignored;
+  socket_.shutdown(stream_socket::shutdown_send, ignored);
+}
+
+bool caller_stream::HasInput() const {
+  boost::system::error_code ignored;
+  return socket_.available(ignored) > 0;
+}
+
 void caller_stream::Close() {
   boost::system::error_code ignored;
   socket_.shutdown(stream_socket::shutdown_both, ignored);
--- a/src/sassafraswick/proxy/caller_stream.h
+++ b/src/sassafraswick/proxy/caller_stream.h
@@ -35,6 +35,14 @@
   /// Sends a last message if that needs no waiting, and closes.
   void CloseWith(std::string_view bytes);
 
+  /// Sends a last message and the end of the stream, but goes on receiving: a
+  /// request under way then does not reset the connection before the caller has
+  /// read the message.
+  void FinishWith(std::string_view bytes);
+
+  /// Tells whether bytes have arrived that were not read yet.
+  [[nodiscard]] bool HasInput() const;
+
   void Close();
 
   [[nodiscard]] bool IsOpen() const { return socket_.is_open(); }
--- a/test/support/pg_client.cc
+++ b/test/support/pg_client.cc
@@ -66,6 +66,11 @@
   answer.ok = status == PGRES_COMMAND_OK || status == PGRES_TUPLES_OK;
   answer.sqlstate = TextOf(PQresultErrorField(raw, PG_DIAG_SQLSTATE));
   answer.message = TextOf(PQresultErrorField(raw, PG_DIAG_MESSAGE_PRIMARY));
+  if (!answer.ok && answer.sqlstate.empty()) {
+    // After the server's last word and the end of the stream, libpq keeps the
+    // text but not the code.
+    answer.message = TextOf(PQerrorMessage(connection_.get()));
+  }
   answer.hint = TextOf(PQresultErrorField(raw, PG_DIAG_MESSAGE_HINT));
   answer.tag = TextOf(PQcmdStatus(raw));
   for (int i = 0; i < PQntuples(raw); ++i) {
