Make lint clean over tests

One find was a real fault: the startup message of the malformed-input test claimed 41 bytes of a 40-byte literal and read past it. Its length is now 39, as the literal is; the other finds were reservations and concatenations. No check or expectation changed.

--- a/test/integration/path_test.cc
+++ b/test/integration/path_test.cc
@@ -144,9 +144,9 @@
       const std::size_t size = random() % 200;
       if (i % 2 == 0) {
         bytes = std::string(
-            "\0\0\0\x29\0\3\0\0user\0gallery\0database\0"
+            "\0\0\0\x27\0\3\0\0user\0gallery\0database\0"
             "orders0\0\0",
-            41);
+            39);
         bytes += "p";
       }
       for (std::size_t j = 0; j < size; ++j) {
--- a/test/sassafraswick/peer/membership_test.cc
+++ b/test/sassafraswick/peer/membership_test.cc
@@ -152,7 +152,7 @@
     for (int now = 0; now < 4000; now += 20) {
       sent += TickMembership(table, kSettings, At(100'000 + now), 7).size();
     }
-    CHECK(sent <= 10 * (1 + kSettings.helpers));
+    CHECK(sent <= std::size_t{10} * (1 + kSettings.helpers));
   }
 }
 
--- a/test/support/fleet.cc
+++ b/test/support/fleet.cc
@@ -159,10 +159,11 @@
       tables_ += " " + Loopback(instance_links_[g * kInstances + i]) + "/az" +
                  std::to_string(i % options_.zones);
     }
-    tables_ += "\nuser = pool\npassword = pool-secret\ndatabase = " + name +
-               "\nconnections = " + std::to_string(options_.connections) +
-               "\nslots = " + std::to_string(options_.slots) + "\n[route " +
-               name + "]\npool = " + name + "\n" + options_.route_lines + "\n";
+    tables_ += "\nuser = pool\npassword = pool-secret\ndatabase = " + name;
+    tables_ += "\nconnections = " + std::to_string(options_.connections);
+    tables_ += "\nslots = " + std::to_string(options_.slots);
+    tables_ += "\n[route " + name + "]\npool = " + name + "\n";
+    tables_ += options_.route_lines + "\n";
   }
   for (const std::pair<const std::string, std::string>& entry :
        options_.organisations) {
--- a/test/support/pg_client.cc
+++ b/test/support/pg_client.cc
@@ -75,6 +75,7 @@
   answer.tag = TextOf(PQcmdStatus(raw));
   for (int i = 0; i < PQntuples(raw); ++i) {
     std::vector<std::optional<std::string>> row;
+    row.reserve(static_cast<std::size_t>(PQnfields(raw)));
     for (int j = 0; j < PQnfields(raw); ++j) {
       row.push_back(PQgetisnull(raw, i, j) != 0
                         ? std::optional<std::string>()
--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -42,6 +42,7 @@
 child_process::child_process(const std::vector<std::string>& arguments,
                              const std::string& log_path) {
   std::vector<char*> raw;
+  raw.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments) {
     raw.push_back(const_cast<char*>(argument.c_str()));
   }
