Join route lines without temporaries

Cause: the last lint find, in the test fleet. Concatenation in one expression made temporary strings; it is now appended piece by piece. Nothing else changed.

--- a/test/support/fleet.cc
+++ b/test/support/fleet.cc
@@ -162,7 +162,11 @@
     tables_ += "\nuser = pool\npassword = pool-secret\ndatabase = " + name;
     tables_ += "\nconnections = " + std::to_string(options_.connections);
     tables_ += "\nslots = " + std::to_string(options_.slots);
-    tables_ += "\n[route " + name + "]\npool = " + name + "\n";
+    tables_ += "\n[route ";
+    tables_ += name;
+    tables_ += "]\npool = ";
+    tables_ += name;
+    tables_ += "\n";
     tables_ += options_.route_lines + "\n";
   }
   for (const std::pair<const std::string, std::string>& entry :
