Tell resting callers of a stop at once

Cause: in rolling_restart hosts took their whole 30 s to stop, with 1 to 2 sessions left (their logs: draining with 13 sessions, stopped 30 s later). The farewell was held back from sessions with buffered input, and while a read is pending the buffer counts the space it has prepared as input, so a resting caller never got it.

Change: the session notes whether part of a request has been read before it reads on. The drain test gains a caller that rests; it was not run against the fault.

--- a/src/sassafraswick/proxy/caller_session.cc
+++ b/src/sassafraswick/proxy/caller_session.cc
@@ -43,6 +43,7 @@
     activity_ = activity::kIdle;
     active_since_ = monotonic_clock::now();
     input_.ShrinkIfEmpty();
+    request_begun_ = !input_.Data().empty();
     if (end_when_idle_ && !pinned_.has_value()) {
       SayFarewell();
     }
@@ -95,7 +96,7 @@
 }
 
 void caller_session::SayFarewell() {
-  const bool request_here = stream_.HasInput() || !input_.Data().empty();
+  const bool request_here = stream_.HasInput() || request_begun_;
   if (farewell_at_.has_value() || request_here) {
     return;
   }
@@ -168,6 +169,7 @@
       }
       const std::size_t size =
           wanted > kIdleReadSize ? kReadSize : kIdleReadSize;
+      request_begun_ = !input_.Data().empty() || !unit.bytes.empty();
       if (!co_await stream_.Read(input_, size)) {
         co_return std::nullopt;
       }
--- a/src/sassafraswick/proxy/caller_session.h
+++ b/src/sassafraswick/proxy/caller_session.h
@@ -117,6 +117,8 @@
   bool transaction_failed_ = false;
   bool skip_to_sync_ = false;
   bool end_when_idle_ = false;
+  /// Part of a request has been read.
+  bool request_begun_ = false;
   /// When the caller was told that the host is stopping. Requests that cross
   /// this are not run.
   std::optional<time_point> farewell_at_;
--- a/test/integration/path_test.cc
+++ b/test/integration/path_test.cc
@@ -178,6 +178,8 @@
   REQUIRE(busy.Query("BEGIN").ok);
   pg_client idle(target.Url(0, "gallery"));
   REQUIRE(idle.Query("SELECT 1").ok);
+  pg_client resting(target.Url(0, "counter"));
+  REQUIRE(resting.Query("SELECT 1").ok);
   target.Proxy(0).Signal(SIGTERM);
   CHECK(WaitFor(kPatience, [&idle] { return !idle.Query("SELECT 1").ok; }));
   CHECK(busy.Query("SELECT 1").ok);
