--- a/app/sassafraswickctl.cc
+++ b/app/sassafraswickctl.cc
@@ -13,7 +13,7 @@
 #include "sassafraswick/config/ini.h"
 #include "sassafraswick/config/settings.h"
 #include "sassafraswick/peer/peer_link.h"
-#include "sassafraswick/platform/configuration_store.h"
+#include "sassafraswick/store/configuration_store.h"
 
 /// @file
 /// The operators' tool. Exit codes: 0 done, 1 refused or conflicting, 2 bad
--- /dev/null
+++ b/src/sassafraswick/consistency/primary_view.h
@@ -0,0 +1,70 @@
+#ifndef SASSAFRASWICK_CONSISTENCY_PRIMARY_VIEW_H_
+#define SASSAFRASWICK_CONSISTENCY_PRIMARY_VIEW_H_
+
+#include <optional>
+#include <string>
+
+#include "sassafraswick/core/log_point.h"
+#include "sassafraswick/core/time.h"
+
+/// @file
+/// What a host can prove of a database group's primary from the answers that it
+/// sees anyway: that no successor can have acknowledged a write yet, and which
+/// log position holds everything acknowledged before a moment.
+///
+/// A promoter first makes sure that the primary can acknowledge nothing more:
+/// it takes the role from it, or stops all other instances from receiving. From
+/// then on it waits for `permit_window` before it promotes. A proof is a
+/// question to which the group's answer shows that this had not happened yet: a
+/// write that was acknowledged with a synchronous replica, or a primary and a
+/// replica that both say so. While the newest proof's question is younger than
+/// the window, no successor leads.
+
+namespace sassafraswick {
+
+/// Time that a promoter waits after fencing, and for which a proof holds.
+/// Shorter windows cost more questions, longer ones lengthen failovers.
+inline constexpr duration kPermitWindow = std::chrono::milliseconds(500);
+
+/// One host's knowledge of a group's primary.
+struct primary_view {
+  term_number term = 0;
+  /// Instance that led `term` when last heard; empty if unknown.
+  std::string primary;
+  /// When the question of the newest proof was sent.
+  std::optional<time_point> proved_at;
+  /// Newest position that the primary showed, and when it was asked.
+  std::optional<log_point> position;
+  time_point position_asked_at;
+};
+
+/// Notes that an instance said it leads a term.
+/// @return True if the view changed.
+bool RecordPrimary(primary_view& view, const std::string& instance,
+                   term_number term);
+
+/// Notes that an instance said it does not lead, or that an answer carried a
+/// term. Forgets the primary if the answer contradicts it.
+/// @return True if the view changed.
+bool RecordFollower(primary_view& view, const std::string& instance,
+                    term_number term);
+
+/// Notes a proof that `term` had not been fenced when the question was sent.
+void RecordProof(primary_view& view, term_number term, time_point asked_at);
+
+/// Notes the position that the primary showed.
+void RecordPosition(primary_view& view, const std::string& instance,
+                    log_point position, time_point asked_at);
+
+/// Tells whether answers of the primary that have arrived by `now` came from
+/// before any successor's first acknowledged write.
+[[nodiscard]] bool IsPermitted(const primary_view& view, time_point now);
+
+/// A position that holds every write acknowledged before `moment`.
+/// @return Nothing if none is proved.
+[[nodiscard]] std::optional<log_point> ProvedPosition(const primary_view& view,
+                                                      time_point moment);
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_CONSISTENCY_PRIMARY_VIEW_H_
--- a/src/sassafraswick/core/time.h
+++ b/src/sassafraswick/core/time.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "sassafraswick/core/boot_clock.h"
 #include "sassafraswick/core/error.h"
 
 /// @file
@@ -12,8 +13,9 @@
 
 namespace sassafraswick {
 
-/// Monotonic clock of one host; its values never travel to another host.
-using monotonic_clock = std::chrono::steady_clock;
+/// Clock of one host by which everything expires; its values never travel to
+/// another host. Timers that only wake up use Asio's steady clock.
+using monotonic_clock = boot_clock;
 using time_point = monotonic_clock::time_point;
 using duration = std::chrono::microseconds;
 
--- /dev/null
+++ b/src/sassafraswick/gateway/client_session.h
@@ -0,0 +1,570 @@
+#ifndef SASSAFRASWICK_GATEWAY_CLIENT_SESSION_H_
+#define SASSAFRASWICK_GATEWAY_CLIENT_SESSION_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "sassafraswick/gateway/operation.h"
+#include "sassafraswick/net/tcp.h"
+
+/// @file
+/// One caller's connection: transactions, session values and prepared
+/// statements, over any protocol for which there is a codec.
+
+namespace sassafraswick {
+
+/// Largest message, in bytes; the users' protocol page.
+inline constexpr std::size_t kMaxMessage = 1'048'576;
+/// Time for the first message; `header_timeout_ms` of the users' limits.
+inline constexpr duration kStartLimit = std::chrono::seconds(3);
+/// Longest wait for a rate token that may come. A quarter of the shortest
+/// objective on the users' sheets (120 ms).
+inline constexpr duration kTokenPatience = std::chrono::milliseconds(30);
+
+/// Rest after which a session may be ended: a caller that has just connected or
+/// been answered often sends its next statement at once.
+inline constexpr duration kRestBeforeEnd = std::chrono::milliseconds(60);
+
+template <session_codec Codec>
+class client_session
+    : public std::enable_shared_from_this<client_session<Codec>> {
+ public:
+  client_session(gateway_state<Codec>& gateway, stream_socket socket,
+                 session_number number)
+      : gateway_(gateway),
+        socket_(std::move(socket)),
+        timer_(socket_.get_executor()),
+        number_(number),
+        memory_(number) {
+    ++gateway_.counters.sessions;
+  }
+  client_session(const client_session&) = delete;
+  client_session& operator=(const client_session&) = delete;
+  ~client_session() {
+    --gateway_.counters.sessions;
+    DropTransaction();
+  }
+
+  /// Serves the caller until it leaves or is turned away.
+  boost::asio::awaitable<void> Run() {
+    const std::shared_ptr<client_session> self = this->shared_from_this();
+    StartTimer(kStartLimit);
+    bool open = co_await Start();
+    timer_.cancel();
+    while (open) {
+      at_rest_ = !IsInTransaction();
+      rests_since_ = monotonic_clock::now();
+      const std::optional<caller_message> message = co_await ReadMessage();
+      at_rest_ = false;
+      if (!message.has_value() ||
+          message->kind == caller_message_kind::kTerminate) {
+        break;
+      }
+      ++activity_;
+      open = co_await Serve(*message);
+    }
+    Close();
+  }
+
+  /// Ends the session if it rests outside a transaction and the host stops or
+  /// the configuration no longer admits it.
+  void EndIfResting(time_point now) {
+    const bool rests = at_rest_ && input_.empty() && socket_.is_open() &&
+                       now - rests_since_ >= kRestBeforeEnd;
+    if (rests && MustEnd()) {
+      Close();
+    }
+  }
+
+ private:
+  /// A transaction from the caller's point of view.
+  struct open_transaction {
+    statement begin;
+    operation_scope scope;
+    std::shared_ptr<target_group<Codec>> group;
+    /// Set once the first statement went to a target.
+    std::optional<running_transaction<Codec>> running;
+    bool failed = false;
+  };
+
+  [[nodiscard]] bool IsInTransaction() const {
+    return transaction_.has_value();
+  }
+
+  [[nodiscard]] bool MustEnd() const {
+    return gateway_.draining_since.has_value() || !IsAdmitted();
+  }
+
+  [[nodiscard]] bool IsAdmitted() const {
+    return AdmitCaller(*gateway_.tables, database_, key_).verdict ==
+           admission_verdict::kAdmitted;
+  }
+
+  void Close() {
+    boost::system::error_code ignored;
+    socket_.shutdown(stream_socket::shutdown_both, ignored);
+    socket_.close(ignored);
+    DropTransaction();
+  }
+
+  void StartTimer(duration limit) {
+    timer_.expires_after(limit);
+    timer_.async_wait([weak = this->weak_from_this()](
+                          const boost::system::error_code& cancelled) {
+      const std::shared_ptr<client_session> self = weak.lock();
+      if (!cancelled && self != nullptr) {
+        self->Close();
+      }
+    });
+  }
+
+  /// Reads one message. A message that is too long ends the session.
+  boost::asio::awaitable<std::optional<caller_message>> ReadMessage() {
+    namespace asio = boost::asio;
+    while (true) {
+      const std::size_t end = input_.find(Codec::kTerminator);
+      if (end != std::string::npos) {
+        caller_message message =
+            Codec::ParseCaller(std::string_view(input_).substr(0, end));
+        input_.erase(0, end + std::string_view(Codec::kTerminator).size());
+        co_return message;
+      }
+      if (input_.size() > kMaxMessage) {
+        statement_result answer;
+        answer.failure = failure_code::kTooLarge;
+        answer.detail = "a message may have 1 MiB at most";
+        const std::string rejection = Codec::FormatRejection(answer);
+        co_await Send(rejection);
+        co_return std::nullopt;
+      }
+      const bool more = co_await ReadMore();
+      if (!more) {
+        co_return std::nullopt;
+      }
+    }
+  }
+
+  boost::asio::awaitable<bool> ReadMore() {
+    namespace asio = boost::asio;
+    boost::system::error_code failure;
+    const std::size_t used = input_.size();
+    // Most callers rest: they hold no buffer meanwhile.
+    if (used == 0) {
+      co_await socket_.async_wait(
+          stream_socket::wait_read,
+          asio::redirect_error(asio::use_awaitable, failure));
+      if (failure) {
+        co_return false;
+      }
+    }
+    input_.resize(used + kReadBytes);
+    const std::size_t got = co_await socket_.async_read_some(
+        asio::buffer(input_.data() + used, kReadBytes),
+        asio::redirect_error(asio::use_awaitable, failure));
+    input_.resize(used + got);
+    co_return !failure;
+  }
+
+  boost::asio::awaitable<bool> Send(std::string bytes) {
+    namespace asio = boost::asio;
+    boost::system::error_code failure;
+    co_await asio::async_write(
+        socket_, asio::buffer(bytes),
+        asio::redirect_error(asio::use_awaitable, failure));
+    co_return !failure;
+  }
+
+  /// Admits the caller.
+  boost::asio::awaitable<bool> Start() {
+    const std::optional<caller_message> message = co_await ReadMessage();
+    if (!message.has_value()) {
+      co_return false;
+    }
+    statement_result answer;
+    if (message->kind != caller_message_kind::kStart) {
+      answer.failure = failure_code::kMalformed;
+      answer.detail = "the first message names a database";
+    } else {
+      database_ = message->database;
+      key_ = message->key;
+      answer = CheckAdmission();
+    }
+    if (answer.failure != failure_code::kNone) {
+      CountFailure("-", answer);
+      const std::string rejection = Codec::FormatRejection(answer);
+      co_await Send(rejection);
+      co_return false;
+    }
+    const std::string greeting = Codec::FormatReady(answer);
+    const bool sent = co_await Send(greeting);
+    co_return sent;
+  }
+
+  /// Looks the caller up in the newest configuration.
+  statement_result CheckAdmission() {
+    statement_result answer;
+    admission_ = AdmitCaller(*gateway_.tables, database_, key_);
+    if (admission_.verdict == admission_verdict::kUnknownDatabase) {
+      answer.failure = failure_code::kUnknownDatabase;
+      answer.detail = "no route names this database";
+    } else if (admission_.verdict == admission_verdict::kNotAuthorised) {
+      answer.failure = failure_code::kNotAuthorised;
+      answer.detail = "the key is not valid";
+    }
+    return answer;
+  }
+
+  boost::asio::awaitable<bool> Serve(caller_message message) {
+    if (message.kind != caller_message_kind::kStatement) {
+      statement_result answer = Fail(failure_code::kMalformed, "not a message");
+      const std::string rejection = Codec::FormatRejection(answer);
+      co_await Send(rejection);
+      co_return false;
+    }
+    ++gateway_.counters.statements;
+    statement& query = message.query;
+    statement_result answer;
+    if (query.text.size() > gateway_.tables->max_statement) {
+      answer = Fail(failure_code::kTooLarge, "the statement is too long");
+      FailTransaction();
+    } else if (transaction_.has_value()) {
+      answer = co_await ServeInside(query);
+    } else {
+      answer = co_await ServeOutside(query);
+    }
+    answer.state = State();
+    if (answer.failure != failure_code::kNone) {
+      CountFailure(query.id, answer);
+    }
+    const bool sent = co_await Send(Codec::FormatResult(answer));
+    const bool turned_away = answer.failure == failure_code::kNotAuthorised ||
+                             answer.failure == failure_code::kUnknownDatabase;
+    co_return sent && !turned_away;
+  }
+
+  [[nodiscard]] transaction_state State() const {
+    if (!transaction_.has_value()) {
+      return transaction_state::kIdle;
+    }
+    return transaction_->failed ? transaction_state::kFailed
+                                : transaction_state::kOpen;
+  }
+
+  static statement_result Fail(failure_code code, std::string detail) {
+    statement_result answer;
+    answer.failure = code;
+    answer.detail = std::move(detail);
+    return answer;
+  }
+
+  /// Serves a statement outside a transaction.
+  boost::asio::awaitable<statement_result> ServeOutside(statement query) {
+    switch (query.kind) {
+      case statement_kind::kSet:
+      case statement_kind::kPrepare:
+      case statement_kind::kDeallocate:
+        co_return ChangeMemory(query);
+      case statement_kind::kBegin:
+      case statement_kind::kBeginReadOnly:
+        co_return co_await OpenTransaction(query);
+      case statement_kind::kRead:
+      case statement_kind::kWrite:
+      case statement_kind::kExecute:
+        co_return co_await RunSingle(query);
+      case statement_kind::kCommit:
+      case statement_kind::kRollback:
+        co_return Fail(failure_code::kMalformed, "no transaction is open");
+      case statement_kind::kUnknown:
+        break;
+    }
+    co_return Fail(failure_code::kMalformed, "unknown statement");
+  }
+
+  statement_result ChangeMemory(const statement& query) {
+    if (memory_.Apply(query)) {
+      return {};
+    }
+    return Fail(failure_code::kUnknownStatement,
+                "no prepared statement has this name");
+  }
+
+  /// Tells whether a statement writes.
+  /// @return Nothing if it executes an unknown name.
+  [[nodiscard]] std::optional<bool> Writes(const statement& query) const {
+    if (query.kind != statement_kind::kExecute) {
+      return query.kind == statement_kind::kWrite;
+    }
+    const bool* const prepared = memory_.FindPrepared(query.name);
+    return prepared == nullptr ? std::nullopt : std::optional<bool>(*prepared);
+  }
+
+  /// Admits one operation: route, key and rate.
+  boost::asio::awaitable<statement_result> AdmitOperation() {
+    statement_result answer = CheckAdmission();
+    const bool limited = !admission_.organisation.name.empty();
+    if (answer.failure != failure_code::kNone || !limited) {
+      co_return answer;
+    }
+    const rate_verdict verdict = co_await gateway_.limiter.Admit(
+        admission_.organisation, kTokenPatience);
+    if (!verdict.admitted) {
+      answer = Fail(failure_code::kBusy,
+                    "over the rate of " + admission_.organisation.name +
+                        ", retry in " +
+                        std::to_string(RoundUp(verdict.retry_after)) + " ms");
+    }
+    co_return answer;
+  }
+
+  static std::int64_t RoundUp(duration span) {
+    return std::chrono::ceil<std::chrono::milliseconds>(span).count();
+  }
+
+  [[nodiscard]] operation_scope MakeScope() const {
+    operation_scope scope;
+    scope.session = number_;
+    scope.route = admission_.route;
+    scope.organisation = admission_.organisation.name;
+    scope.arrived_at = monotonic_clock::now();
+    scope.floor = floor_;
+    return scope;
+  }
+
+  boost::asio::awaitable<statement_result> RunSingle(statement query) {
+    const std::optional<bool> writes = Writes(query);
+    if (!writes.has_value()) {
+      co_return Fail(failure_code::kUnknownStatement,
+                     "no prepared statement has this name");
+    }
+    statement_result admitted = co_await AdmitOperation();
+    if (admitted.failure != failure_code::kNone) {
+      co_return admitted;
+    }
+    operation_runner<Codec> runner(gateway_, memory_, MakeScope());
+    if (runner.Group() == nullptr) {
+      co_return Fail(failure_code::kBusy, "the pool is not known yet");
+    }
+    statement_result answer;
+    if (*writes) {
+      answer = co_await runner.Write(query);
+      NoteOwnWrite(answer);
+    } else {
+      answer = co_await runner.Read(query);
+    }
+    if (answer.failure == failure_code::kBusy) {
+      gateway_.limiter.Refund(admission_.organisation.name);
+    }
+    co_return answer;
+  }
+
+  void NoteOwnWrite(const statement_result& answer) {
+    if (answer.failure == failure_code::kNone && answer.position.has_value()) {
+      floor_ = session_floor{*answer.position, monotonic_clock::now()};
+    }
+  }
+
+  boost::asio::awaitable<statement_result> OpenTransaction(statement query) {
+    statement_result admitted = co_await AdmitOperation();
+    if (admitted.failure != failure_code::kNone) {
+      co_return admitted;
+    }
+    open_transaction opened;
+    opened.begin = std::move(query);
+    opened.scope = MakeScope();
+    opened.group = gateway_.FindGroup(opened.scope.route.pool);
+    transaction_ = std::move(opened);
+    StartIdleTimer();
+    co_return statement_result();
+  }
+
+  /// Serves a statement inside a transaction.
+  boost::asio::awaitable<statement_result> ServeInside(statement query) {
+    idle_timer_generation_ = 0;
+    if (transaction_->failed) {
+      co_return ServeFailed(query);
+    }
+    statement_result answer;
+    switch (query.kind) {
+      case statement_kind::kSet:
+      case statement_kind::kPrepare:
+      case statement_kind::kDeallocate:
+        answer = ChangeMemory(query);
+        break;
+      case statement_kind::kRead:
+      case statement_kind::kWrite:
+      case statement_kind::kExecute:
+      case statement_kind::kCommit:
+        answer = co_await RunInside(query);
+        break;
+      case statement_kind::kRollback:
+        DropTransaction();
+        co_return statement_result();
+      case statement_kind::kBegin:
+      case statement_kind::kBeginReadOnly:
+      case statement_kind::kUnknown:
+        answer = Fail(failure_code::kMalformed,
+                      "not a statement of an open transaction");
+        break;
+    }
+    if (transaction_.has_value()) {
+      if (answer.failure != failure_code::kNone) {
+        FailTransaction();
+      }
+      StartIdleTimer();
+    }
+    co_return answer;
+  }
+
+  /// Only the end of a failed transaction is accepted.
+  statement_result ServeFailed(const statement& query) {
+    if (query.kind == statement_kind::kRollback) {
+      DropTransaction();
+      return {};
+    }
+    if (query.kind == statement_kind::kCommit) {
+      DropTransaction();
+      return Fail(failure_code::kAborted,
+                  "the transaction had failed and was rolled back");
+    }
+    StartIdleTimer();
+    return Fail(failure_code::kMalformed,
+                "the transaction has failed; end it first");
+  }
+
+  boost::asio::awaitable<statement_result> RunInside(statement query) {
+    const bool commits = query.kind == statement_kind::kCommit;
+    const std::optional<bool> writes = commits ? false : Writes(query);
+    if (!writes.has_value()) {
+      co_return Fail(failure_code::kUnknownStatement,
+                     "no prepared statement has this name");
+    }
+    if (transaction_->group == nullptr) {
+      co_return Fail(failure_code::kBusy, "the pool is not known yet");
+    }
+    operation_scope scope = transaction_->scope;
+    scope.arrived_at = monotonic_clock::now();
+    operation_runner<Codec> runner(gateway_, memory_, scope);
+    if (!transaction_->running.has_value()) {
+      const statement_result begun =
+          co_await runner.Begin(transaction_->begin, transaction_->running);
+      if (begun.failure != failure_code::kNone) {
+        gateway_.limiter.Refund(scope.organisation);
+        co_return begun;
+      }
+    }
+    statement_result answer =
+        co_await runner.RunInside(query, *writes, *transaction_->running);
+    if (commits) {
+      EndCommitted(answer);
+    }
+    co_return answer;
+  }
+
+  /// Ends a transaction whose commit was answered, or is in doubt.
+  void EndCommitted(const statement_result& answer) {
+    const bool succeeded = answer.failure == failure_code::kNone;
+    if (succeeded && transaction_->running->wrote) {
+      NoteOwnWrite(answer);
+    }
+    const link_lease<Codec> lease = transaction_->running->lease;
+    transaction_->group->Release(
+        lease, succeeded && answer.state == transaction_state::kIdle);
+    transaction_.reset();
+  }
+
+  /// Rolls back on the target; the caller has yet to end the transaction.
+  void FailTransaction() {
+    if (!transaction_.has_value()) {
+      return;
+    }
+    transaction_->failed = true;
+    ReleaseRunning();
+  }
+
+  void ReleaseRunning() {
+    if (transaction_->running.has_value()) {
+      transaction_->group->RollbackAndRelease(transaction_->running->lease);
+      transaction_->running.reset();
+    }
+  }
+
+  void DropTransaction() {
+    if (transaction_.has_value()) {
+      ReleaseRunning();
+      transaction_.reset();
+    }
+  }
+
+  /// Gives up a transaction that rests too long, so that it does not hold a
+  /// connection. A stopping host is less patient.
+  void StartIdleTimer() {
+    duration limit = gateway_.tables->transaction_idle;
+    if (gateway_.draining_since.has_value()) {
+      limit = std::min(limit, gateway_.drain_transactions);
+    }
+    idle_timer_generation_ = ++activity_;
+    timer_.expires_after(limit);
+    timer_.async_wait(
+        [weak = this->weak_from_this(), generation = idle_timer_generation_](
+            const boost::system::error_code& cancelled) {
+          const std::shared_ptr<client_session> self = weak.lock();
+          if (!cancelled && self != nullptr) {
+            self->GiveUpTransaction(generation);
+          }
+        });
+  }
+
+  void GiveUpTransaction(std::uint64_t generation) {
+    if (generation == idle_timer_generation_ && transaction_.has_value() &&
+        !transaction_->failed) {
+      Log(log_level::kInfo, "transaction_rested_too_long",
+          {{"request", transaction_->begin.id}});
+      FailTransaction();
+    }
+  }
+
+  void CountFailure(const std::string& request,
+                    const statement_result& answer) {
+    const std::string_view reason = FailureName(answer.failure);
+    ++gateway_.counters.failures[std::string(reason)];
+    Log(log_level::kInfo, "failed",
+        {{"request", request},
+         {"database", database_},
+         {"organisation", admission_.organisation.name},
+         {"reason", std::string(reason)},
+         {"detail", answer.detail},
+         {"configuration", std::to_string(gateway_.tables->version)}});
+  }
+
+  static constexpr std::size_t kReadBytes = 2048;
+
+  gateway_state<Codec>& gateway_;
+  stream_socket socket_;
+  boost::asio::steady_timer timer_;
+  session_number number_;
+  session_memory memory_;
+  std::string input_;
+  std::string database_;
+  std::string key_;
+  catalog_admission admission_;
+  std::optional<open_transaction> transaction_;
+  /// Own writes: what every read must show.
+  std::optional<session_floor> floor_;
+  bool at_rest_ = false;
+  time_point rests_since_;
+  /// Counts messages and timers, so that a late timer does nothing.
+  std::uint64_t activity_ = 0;
+  std::uint64_t idle_timer_generation_ = 0;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_GATEWAY_CLIENT_SESSION_H_
--- /dev/null
+++ b/src/sassafraswick/gateway/counters.h
@@ -0,0 +1,57 @@
+#ifndef SASSAFRASWICK_GATEWAY_COUNTERS_H_
+#define SASSAFRASWICK_GATEWAY_COUNTERS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "sassafraswick/core/time.h"
+
+/// @file
+/// What a host counts.
+
+namespace sassafraswick {
+
+/// Latencies by upper bound; the last bucket takes the rest.
+struct latency_histogram {
+  static constexpr int kBuckets = 14;
+  /// Bound of the first bucket; each further one doubles it.
+  static constexpr duration kFirstBound = std::chrono::microseconds(500);
+
+  std::uint64_t counts[kBuckets] = {};
+  std::uint64_t total = 0;
+  duration sum = duration::zero();
+
+  void Record(duration value) noexcept {
+    duration bound = kFirstBound;
+    int bucket = 0;
+    while (bucket < kBuckets - 1 && value > bound) {
+      bound *= 2;
+      ++bucket;
+    }
+    ++counts[bucket];
+    ++total;
+    sum += value;
+  }
+};
+
+struct gateway_counters {
+  std::uint64_t sessions = 0;
+  std::uint64_t statements = 0;
+  std::uint64_t reads_on_replica = 0;
+  std::uint64_t reads_on_primary = 0;
+  std::uint64_t writes = 0;
+  std::uint64_t status_questions = 0;
+  std::uint64_t connections_opened = 0;
+  std::uint64_t store_calls = 0;
+  std::uint64_t promotions = 0;
+  std::uint64_t retries = 0;
+  /// Answers other than success, by reason.
+  std::map<std::string, std::uint64_t, std::less<>> failures;
+  latency_histogram read_latency;
+  latency_histogram write_latency;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_GATEWAY_COUNTERS_H_
--- /dev/null
+++ b/src/sassafraswick/gateway/operation.h
@@ -0,0 +1,512 @@
+#ifndef SASSAFRASWICK_GATEWAY_OPERATION_H_
+#define SASSAFRASWICK_GATEWAY_OPERATION_H_
+
+#include <algorithm>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sassafraswick/gateway/gateway_state.h"
+#include "sassafraswick/session/session_memory.h"
+
+/// @file
+/// Runs one operation's statements on targets: chooses instances, retries what
+/// was not run, and proves that answers are fresh enough.
+
+namespace sassafraswick {
+
+/// Part of an operation's objective for which it may wait for a target before
+/// it is refused.
+inline constexpr int kWaitDivisor = 2;
+/// Shortest time after which a read without answer is tried elsewhere.
+inline constexpr duration kReadPatience = std::chrono::milliseconds(150);
+/// The same as a multiple of the instance's usual latency.
+inline constexpr int kReadPatienceFactor = 8;
+/// Time for which an instance that lagged is left out of reads.
+inline constexpr duration kLaggingTime = std::chrono::milliseconds(100);
+/// Part of a route's age that is left for running a read.
+inline constexpr duration kAgeMargin = std::chrono::milliseconds(20);
+
+/// The session's own place in a group's log.
+struct session_floor {
+  log_point point;
+  /// When the write was acknowledged.
+  time_point at;
+};
+
+/// What an operation knows of its caller.
+struct operation_scope {
+  session_number session = 0;
+  catalog_route route;
+  std::string organisation;
+  std::uint32_t sync_replicas = 0;
+  time_point arrived_at;
+  std::optional<session_floor> floor;
+
+  [[nodiscard]] time_point Deadline() const {
+    return arrived_at + route.statement_timeout;
+  }
+  /// Latest moment at which a target may be offered the operation.
+  [[nodiscard]] time_point OfferLimit() const {
+    return arrived_at + std::min(route.target_latency / kWaitDivisor,
+                                 route.statement_timeout);
+  }
+};
+
+/// A transaction that runs on a target.
+template <session_codec Codec>
+struct running_transaction {
+  link_lease<Codec> lease;
+  term_number term = 0;
+  bool wrote = false;
+  /// Reads have to be covered by a permit of the primary.
+  bool needs_permit = false;
+};
+
+/// Where a read may run.
+template <session_codec Codec>
+struct read_plan {
+  std::shared_ptr<target_slot<Codec>> slot;
+  /// Position that the instance must show.
+  std::optional<log_point> after;
+  /// The answer counts only with a permit.
+  bool needs_permit = false;
+};
+
+/// Position that proves a read of the route fresh enough, if one is known.
+template <session_codec Codec>
+[[nodiscard]] std::optional<log_point> RequiredPosition(
+    const target_group<Codec>& group, const operation_scope& scope) {
+  if (scope.route.consistency == read_consistency::kPrimary) {
+    return std::nullopt;
+  }
+  const primary_view& view = group.View();
+  const time_point moment =
+      scope.arrived_at -
+      std::max(scope.route.max_staleness - kAgeMargin, duration::zero());
+  const std::optional<log_point> proved = ProvedPosition(view, moment);
+  if (!proved.has_value() || !scope.floor.has_value()) {
+    return proved;
+  }
+  const log_point own = scope.floor->point;
+  if (own.term == proved->term) {
+    return IsBehind(*proved, own) ? own : *proved;
+  }
+  if (own.term > proved->term) {
+    return own;
+  }
+  return ProvedPosition(view, scope.floor->at);
+}
+
+/// Chooses an instance for a read.
+template <session_codec Codec>
+[[nodiscard]] read_plan<Codec> PlanRead(target_group<Codec>& group,
+                                        const operation_scope& scope,
+                                        const std::vector<std::string>& tried) {
+  read_plan<Codec> plan;
+  plan.after = RequiredPosition(group, scope);
+  if (plan.after.has_value()) {
+    plan.slot = group.PickReader(scope.organisation, tried);
+    if (plan.slot != nullptr) {
+      return plan;
+    }
+    plan.after.reset();
+  }
+  plan.needs_permit = true;
+  plan.slot = group.Primary();
+  return plan;
+}
+
+/// Joins what a connection lacks with a statement.
+/// @param count Set to the number of answers to expect.
+template <session_codec Codec>
+[[nodiscard]] std::string BuildBatch(const session_memory& memory,
+                                     target_link<Codec>& link,
+                                     const std::string& last,
+                                     std::size_t& count) {
+  const memory_update update = memory.UpdateFor(link.memory);
+  std::string bytes;
+  count = 1;
+  if (update.reset) {
+    bytes += Codec::FormatControl(control_statement::kReset, 0);
+    ++count;
+  }
+  for (const std::string& text : update.texts) {
+    bytes += Codec::FormatUpdate(text);
+    ++count;
+  }
+  bytes += last;
+  link.memory = memory.Current();
+  return bytes;
+}
+
+/// Runs statements of one operation.
+template <session_codec Codec>
+class operation_runner {
+ public:
+  operation_runner(gateway_state<Codec>& gateway, const session_memory& memory,
+                   operation_scope scope)
+      : gateway_(gateway),
+        memory_(memory),
+        scope_(std::move(scope)),
+        group_(gateway.FindGroup(scope_.route.pool)) {}
+
+  /// Runs a read outside a transaction, on another instance if need be.
+  boost::asio::awaitable<statement_result> Read(statement query) {
+    std::vector<std::string> tried;
+    statement_result answer = Refuse("no instance is ready");
+    while (true) {
+      const read_plan<Codec> plan = PlanRead(*group_, scope_, tried);
+      if (plan.slot == nullptr) {
+        const bool changed = co_await WaitForGroup();
+        if (changed) {
+          continue;
+        }
+        co_return answer;
+      }
+      const link_lease<Codec> lease = co_await group_->Acquire(
+          plan.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
+      if (lease.link == nullptr) {
+        answer = Refuse("no connection to an instance is free");
+      } else {
+        answer = co_await ReadOn(query, plan, lease);
+        if (answer.failure == failure_code::kNone || !MayRepeat(answer)) {
+          co_return answer;
+        }
+      }
+      NoteRetry(query, plan, answer);
+      const bool last = std::find(tried.begin(), tried.end(),
+                                  plan.slot->record.id) != tried.end() ||
+                        monotonic_clock::now() >= scope_.Deadline();
+      if (last) {
+        co_return Final(answer);
+      }
+      tried.push_back(plan.slot->record.id);
+    }
+  }
+
+  /// Runs a write outside a transaction.
+  boost::asio::awaitable<statement_result> Write(statement query) {
+    statement_result answer = Refuse("the group has no primary at present");
+    while (true) {
+      const std::shared_ptr<target_slot<Codec>> primary = group_->Primary();
+      if (primary == nullptr) {
+        const bool changed = co_await WaitForGroup();
+        if (changed) {
+          continue;
+        }
+        co_return answer;
+      }
+      const link_lease<Codec> lease = co_await group_->Acquire(
+          primary, scope_.organisation, scope_.session, scope_.OfferLimit());
+      if (lease.link == nullptr) {
+        answer = Refuse("no connection to the primary is free");
+      } else {
+        answer = co_await WriteOn(query, lease);
+        const bool not_run = answer.failure == failure_code::kReadOnly ||
+                             answer.failure == failure_code::kMisrouted;
+        if (!not_run) {
+          co_return answer;
+        }
+      }
+      const bool changed = co_await WaitForGroup();
+      if (!changed) {
+        co_return Final(answer);
+      }
+    }
+  }
+
+  /// Starts a transaction on a target.
+  /// @param begin The caller's statement.
+  /// @param transaction Set on success.
+  /// @return The failure, or a success that is not sent to the caller.
+  boost::asio::awaitable<statement_result> Begin(
+      statement begin, std::optional<running_transaction<Codec>>& transaction) {
+    const bool read_only = begin.kind == statement_kind::kBeginReadOnly;
+    std::vector<std::string> tried;
+    statement_result answer = Refuse("no instance is ready");
+    while (true) {
+      read_plan<Codec> plan;
+      if (read_only) {
+        plan = PlanRead(*group_, scope_, tried);
+      } else {
+        plan.after = RequiredPosition(*group_, scope_);
+        plan.needs_permit = !plan.after.has_value();
+        plan.slot = group_->Primary();
+      }
+      if (plan.slot == nullptr) {
+        const bool changed = co_await WaitForGroup();
+        if (changed) {
+          continue;
+        }
+        co_return answer;
+      }
+      const link_lease<Codec> lease = co_await group_->Acquire(
+          plan.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
+      if (lease.link == nullptr) {
+        answer = Refuse("no connection to an instance is free");
+      } else {
+        answer = co_await BeginOn(begin, plan, lease);
+        if (answer.failure == failure_code::kNone) {
+          transaction = running_transaction<Codec>{lease, group_->View().term,
+                                                   false, plan.needs_permit};
+          co_return answer;
+        }
+      }
+      NoteRetry(begin, plan, answer);
+      const bool last = std::find(tried.begin(), tried.end(),
+                                  plan.slot->record.id) != tried.end() ||
+                        monotonic_clock::now() >= scope_.OfferLimit();
+      if (last) {
+        co_return Final(answer);
+      }
+      tried.push_back(plan.slot->record.id);
+    }
+  }
+
+  /// Runs a statement, or the commit, of a transaction.
+  boost::asio::awaitable<statement_result> RunInside(
+      statement query, bool writes, running_transaction<Codec>& transaction) {
+    const time_point sent_at = monotonic_clock::now();
+    std::size_t count = 0;
+    const std::string bytes = BuildBatch<Codec>(
+        memory_, *transaction.lease.link,
+        Codec::FormatStatement(query.id, query.text, std::nullopt), count);
+    const bool commits = query.kind == statement_kind::kCommit;
+    transaction.wrote = transaction.wrote || writes;
+    const bool is_write = commits ? transaction.wrote : writes;
+    const exchange_outcome outcome = co_await transaction.lease.link->Exchange(
+        bytes, count, scope_.route.statement_timeout);
+    statement_result answer = TakeAnswer(outcome, count);
+    target_slot<Codec>& slot = *transaction.lease.slot;
+    if (answer.failure == failure_code::kNoAnswer) {
+      group_->ObserveSilence(slot, sent_at);
+      const bool unknown = commits && transaction.wrote;
+      answer.failure =
+          unknown ? failure_code::kInDoubt : failure_code::kAborted;
+      answer.detail = unknown ? "no answer to the commit from the target"
+                              : "no answer from the target; rolled back";
+      co_return answer;
+    }
+    group_->Observe(slot, answer, sent_at);
+    Count(is_write, slot, sent_at);
+    if (answer.failure == failure_code::kNone && commits && transaction.wrote) {
+      group_->ObserveCommit(slot, answer, sent_at);
+    }
+    const bool reads = !commits && !writes;
+    if (answer.failure == failure_code::kNone && reads &&
+        transaction.needs_permit) {
+      const bool permitted =
+          co_await group_->AwaitPermit(transaction.term, scope_.Deadline());
+      if (!permitted) {
+        answer = Refuse("the primary may have been replaced");
+        answer.failure = failure_code::kAborted;
+      }
+    }
+    co_return answer;
+  }
+
+  [[nodiscard]] const std::shared_ptr<target_group<Codec>>& Group() const {
+    return group_;
+  }
+  [[nodiscard]] const operation_scope& Scope() const { return scope_; }
+
+ private:
+  /// Builds the answer to an operation that was not run.
+  [[nodiscard]] statement_result Refuse(std::string reason) const {
+    statement_result answer;
+    answer.failure = failure_code::kBusy;
+    answer.detail = std::move(reason);
+    return answer;
+  }
+
+  /// Turns the last failure of an operation into one for the caller.
+  [[nodiscard]] statement_result Final(statement_result answer) const {
+    if (answer.failure == failure_code::kNoAnswer ||
+        answer.failure == failure_code::kLagging ||
+        answer.failure == failure_code::kReadOnly ||
+        answer.failure == failure_code::kMisrouted ||
+        answer.failure == failure_code::kTooManyConnections) {
+      answer.detail = "no instance could run it (" +
+                      std::string(FailureName(answer.failure)) + ")";
+      answer.failure = failure_code::kBusy;
+    }
+    return answer;
+  }
+
+  /// Reads may be run again unless the caller is at fault.
+  static bool MayRepeat(const statement_result& answer) {
+    return answer.failure == failure_code::kBusy ||
+           answer.failure == failure_code::kLagging ||
+           answer.failure == failure_code::kReadOnly ||
+           answer.failure == failure_code::kMisrouted ||
+           answer.failure == failure_code::kStatementFailed ||
+           answer.failure == failure_code::kNoAnswer;
+  }
+
+  /// Waits for the group to change, as long as an offer is still in time.
+  boost::asio::awaitable<bool> WaitForGroup() {
+    const time_point now = monotonic_clock::now();
+    if (now >= scope_.OfferLimit()) {
+      co_return false;
+    }
+    group_->Resolve();
+    const bool changed = co_await group_->WaitForChange(
+        std::chrono::duration_cast<duration>(scope_.OfferLimit() - now));
+    co_return changed;
+  }
+
+  static statement_result TakeAnswer(const exchange_outcome& outcome,
+                                     std::size_t count) {
+    if (outcome.results.size() == count) {
+      return outcome.results.back();
+    }
+    statement_result missing;
+    missing.failure = failure_code::kNoAnswer;
+    missing.detail = outcome.closed ? "the target ended the connection"
+                                    : "no answer in time";
+    return missing;
+  }
+
+  [[nodiscard]] duration ReadLimit(const target_slot<Codec>& slot) const {
+    const duration usual =
+        std::max(kReadPatience, slot.latency * kReadPatienceFactor);
+    const duration left = std::chrono::duration_cast<duration>(
+        scope_.Deadline() - monotonic_clock::now());
+    return std::max(std::min(usual, left), duration(1));
+  }
+
+  boost::asio::awaitable<statement_result> ReadOn(statement query,
+                                                  read_plan<Codec> plan,
+                                                  link_lease<Codec> lease) {
+    const time_point sent_at = monotonic_clock::now();
+    const term_number term = group_->View().term;
+    std::size_t count = 0;
+    const std::string bytes = BuildBatch<Codec>(
+        memory_, *lease.link,
+        Codec::FormatStatement(query.id, query.text, plan.after), count);
+    if (plan.needs_permit && !IsPermitted(group_->View(), sent_at)) {
+      group_->Prove();
+    }
+    const exchange_outcome outcome =
+        co_await lease.link->Exchange(bytes, count, ReadLimit(*lease.slot));
+    statement_result answer = TakeAnswer(outcome, count);
+    group_->Release(lease, answer.failure != failure_code::kNoAnswer);
+    if (answer.failure == failure_code::kNoAnswer) {
+      group_->ObserveSilence(*lease.slot, sent_at);
+      co_return answer;
+    }
+    group_->Observe(*lease.slot, answer, sent_at);
+    if (answer.failure == failure_code::kLagging) {
+      lease.slot->lagging_until = monotonic_clock::now() + kLaggingTime;
+    }
+    if (answer.failure == failure_code::kBusy) {
+      lease.slot->avoid_until = monotonic_clock::now() + kLaggingTime;
+    }
+    if (answer.failure != failure_code::kNone) {
+      co_return answer;
+    }
+    Count(false, *lease.slot, sent_at);
+    if (plan.needs_permit) {
+      const bool permitted =
+          co_await group_->AwaitPermit(term, scope_.Deadline());
+      if (!permitted) {
+        co_return Refuse("the primary may have been replaced");
+      }
+    }
+    co_return answer;
+  }
+
+  boost::asio::awaitable<statement_result> WriteOn(statement query,
+                                                   link_lease<Codec> lease) {
+    const time_point sent_at = monotonic_clock::now();
+    std::size_t count = 0;
+    const std::string bytes = BuildBatch<Codec>(
+        memory_, *lease.link,
+        Codec::FormatStatement(query.id, query.text, std::nullopt), count);
+    const duration left =
+        std::chrono::duration_cast<duration>(scope_.Deadline() - sent_at);
+    const exchange_outcome outcome =
+        co_await lease.link->Exchange(bytes, count, left);
+    statement_result answer = TakeAnswer(outcome, count);
+    group_->Release(lease, answer.failure != failure_code::kNoAnswer);
+    if (answer.failure == failure_code::kNoAnswer) {
+      group_->ObserveSilence(*lease.slot, sent_at);
+      answer.failure = failure_code::kInDoubt;
+      co_return answer;
+    }
+    group_->Observe(*lease.slot, answer, sent_at);
+    if (answer.failure == failure_code::kNone) {
+      group_->ObserveCommit(*lease.slot, answer, sent_at);
+      Count(true, *lease.slot, sent_at);
+    }
+    co_return answer;
+  }
+
+  boost::asio::awaitable<statement_result> BeginOn(statement begin,
+                                                   read_plan<Codec> plan,
+                                                   link_lease<Codec> lease) {
+    const time_point sent_at = monotonic_clock::now();
+    std::size_t count = 0;
+    const std::string bytes = BuildBatch<Codec>(
+        memory_, *lease.link,
+        Codec::FormatStatement(begin.id, begin.text, plan.after), count);
+    const exchange_outcome outcome =
+        co_await lease.link->Exchange(bytes, count, kReadPatience);
+    statement_result answer = TakeAnswer(outcome, count);
+    if (answer.failure == failure_code::kNoAnswer) {
+      group_->Release(lease, false);
+      group_->ObserveSilence(*lease.slot, sent_at);
+      co_return answer;
+    }
+    group_->Observe(*lease.slot, answer, sent_at);
+    if (answer.failure == failure_code::kLagging) {
+      lease.slot->lagging_until = monotonic_clock::now() + kLaggingTime;
+    }
+    if (answer.failure != failure_code::kNone) {
+      group_->Release(lease, answer.state == transaction_state::kIdle);
+    }
+    co_return answer;
+  }
+
+  void Count(bool write, target_slot<Codec>& slot, time_point sent_at) {
+    const duration took =
+        std::chrono::duration_cast<duration>(monotonic_clock::now() - sent_at);
+    group_->ObserveLatency(slot, took);
+    gateway_counters& counters = gateway_.counters;
+    if (write) {
+      ++counters.writes;
+      counters.write_latency.Record(took);
+    } else {
+      const bool primary = slot.record.id == group_->View().primary;
+      ++(primary ? counters.reads_on_primary : counters.reads_on_replica);
+      counters.read_latency.Record(took);
+    }
+  }
+
+  void NoteRetry(const statement& query, const read_plan<Codec>& plan,
+                 const statement_result& answer) {
+    ++gateway_.counters.retries;
+    Log(log_level::kInfo, "not_run_here",
+        {{"request", query.id},
+         {"pool", scope_.route.pool},
+         {"target", plan.slot->record.id},
+         {"reason", std::string(FailureName(answer.failure))},
+         {"after", plan.after.has_value()
+                       ? std::to_string(plan.after->term) + "." +
+                             std::to_string(plan.after->position)
+                       : std::string("-")}});
+  }
+
+  gateway_state<Codec>& gateway_;
+  const session_memory& memory_;
+  operation_scope scope_;
+  std::shared_ptr<target_group<Codec>> group_;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_GATEWAY_OPERATION_H_
--- /dev/null
+++ b/src/sassafraswick/gateway/registry.cc
@@ -0,0 +1,90 @@
+#include "sassafraswick/gateway/registry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sassafraswick/routing/rendezvous.h"
+
+namespace sassafraswick {
+namespace {
+
+/// Wait of each host behind the one before it in the order.
+constexpr duration kRankStep = std::chrono::milliseconds(250);
+/// Shortest lease; bounds how long a dead holder keeps the failover lease.
+constexpr duration kShortestLease = std::chrono::milliseconds(3000);
+/// Lease time a host; at 1,200 hosts 12 s and 300 renewals a second.
+constexpr duration kLeasePerHost = std::chrono::milliseconds(10);
+
+void RefreshNames(host_registry& registry) {
+  registry.names.clear();
+  for (const std::pair<const std::string, endpoint>& host : registry.hosts) {
+    registry.names.push_back(host.first);
+  }
+}
+
+void ApplyHost(host_registry& registry, const store_item& item) {
+  const std::string name = item.key.substr(kHostsPrefix.size());
+  const result<endpoint> address = ParseEndpoint(item.value);
+  if (item.deleted || !address) {
+    registry.hosts.erase(name);
+  } else {
+    registry.hosts[name] = address.value();
+  }
+  RefreshNames(registry);
+}
+
+void ApplyFailover(failover_lease& failover, const store_item& item,
+                   time_point now) {
+  if (item.revision < failover.fencing_token) {
+    return;
+  }
+  failover.fencing_token = item.revision;
+  failover.holder = item.deleted ? std::string() : item.value;
+  failover.lease = item.deleted ? 0 : item.lease;
+  if (item.deleted) {
+    failover.vacant_since = now;
+  }
+}
+
+}  // namespace
+
+void LoadRegistry(host_registry& registry, const store_page& page,
+                  time_point now) {
+  const failover_lease before = registry.failover;
+  registry = host_registry();
+  registry.failover.vacant_since =
+      before.holder.empty() && before.vacant_since != time_point()
+          ? before.vacant_since
+          : now;
+  for (const store_item& item : page.items) {
+    ApplyRegistryItem(registry, item, now);
+  }
+}
+
+void ApplyRegistryItem(host_registry& registry, const store_item& item,
+                       time_point now) {
+  if (item.key.starts_with(kHostsPrefix)) {
+    ApplyHost(registry, item);
+  } else if (item.key == kFailoverKey) {
+    ApplyFailover(registry.failover, item, now);
+  }
+}
+
+bool ShouldClaimFailover(const host_registry& registry, const std::string& host,
+                         time_point now) {
+  if (!registry.failover.holder.empty()) {
+    return false;
+  }
+  const std::vector<std::string> order =
+      RendezvousOrder(kFailoverKey, registry.names);
+  const auto own = std::find(order.begin(), order.end(), host);
+  const std::ptrdiff_t rank = own - order.begin();
+  return now - registry.failover.vacant_since >= kRankStep * rank;
+}
+
+duration HostLeaseTime(std::size_t hosts) {
+  return std::max(kShortestLease,
+                  kLeasePerHost * static_cast<std::int64_t>(hosts));
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/gateway/report.cc
@@ -0,0 +1,56 @@
+#include "sassafraswick/gateway/report.h"
+
+#include <string_view>
+
+namespace sassafraswick {
+namespace {
+
+void AddLine(std::string& text, std::string_view name, std::uint64_t value) {
+  text += "sassafraswick_";
+  text += name;
+  text += ' ';
+  text += std::to_string(value);
+  text += '\n';
+}
+
+void AddHistogram(std::string& text, const std::string& name,
+                  const latency_histogram& histogram) {
+  duration bound = latency_histogram::kFirstBound;
+  std::uint64_t below = 0;
+  for (int i = 0; i < latency_histogram::kBuckets; ++i) {
+    below += histogram.counts[i];
+    const bool last = i + 1 == latency_histogram::kBuckets;
+    const std::string limit =
+        last ? "+Inf" : std::to_string(ToMilliseconds(bound));
+    AddLine(text, name + "_bucket{le_ms=\"" + limit + "\"}", below);
+    bound *= 2;
+  }
+  AddLine(text, name + "_count", histogram.total);
+  AddLine(text, name + "_sum_us",
+          static_cast<std::uint64_t>(histogram.sum.count()));
+}
+
+}  // namespace
+
+std::string CountersText(const gateway_counters& counters) {
+  std::string text;
+  AddLine(text, "sessions", counters.sessions);
+  AddLine(text, "statements", counters.statements);
+  AddLine(text, "reads_on_replica", counters.reads_on_replica);
+  AddLine(text, "reads_on_primary", counters.reads_on_primary);
+  AddLine(text, "writes", counters.writes);
+  AddLine(text, "status_questions", counters.status_questions);
+  AddLine(text, "connections_opened", counters.connections_opened);
+  AddLine(text, "store_calls", counters.store_calls);
+  AddLine(text, "promotions", counters.promotions);
+  AddLine(text, "retries", counters.retries);
+  for (const std::pair<const std::string, std::uint64_t>& failure :
+       counters.failures) {
+    AddLine(text, "failures{reason=\"" + failure.first + "\"}", failure.second);
+  }
+  AddHistogram(text, "read_latency", counters.read_latency);
+  AddHistogram(text, "write_latency", counters.write_latency);
+  return text;
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/gateway/report.h
@@ -0,0 +1,81 @@
+#ifndef SASSAFRASWICK_GATEWAY_REPORT_H_
+#define SASSAFRASWICK_GATEWAY_REPORT_H_
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <string>
+#include <utility>
+
+#include "sassafraswick/gateway/gateway.h"
+
+/// @file
+/// A gateway's counters and state for operators. No keys or statement text.
+
+namespace sassafraswick {
+
+/// Counters and histograms, one `name value` a line.
+[[nodiscard]] std::string CountersText(const gateway_counters& counters);
+
+template <gateway_platform Platform>
+[[nodiscard]] std::string MetricsText(const gateway<Platform>& process) {
+  return CountersText(process.State().counters);
+}
+
+/// Describes one group.
+template <session_codec Codec>
+[[nodiscard]] boost::json::object DescribeGroup(
+    const target_group<Codec>& group) {
+  const time_point now = monotonic_clock::now();
+  const primary_view& view = group.View();
+  boost::json::object described;
+  described["term"] = view.term;
+  described["primary"] = view.primary;
+  described["permitted"] = IsPermitted(view, now);
+  boost::json::array instances;
+  for (const std::shared_ptr<target_slot<Codec>>& slot : group.Slots()) {
+    boost::json::object instance;
+    instance["id"] = slot->record.id;
+    instance["address"] = FormatEndpoint(slot->record.address);
+    instance["availability_zone"] = slot->record.availability_zone;
+    instance["listed"] = slot->listed;
+    instance["leaving"] = slot->record.leaving;
+    instance["idle"] = slot->idle.size();
+    instance["busy"] = slot->busy;
+    instance["budget"] = slot->budget;
+    instance["latency_ms"] = ToMilliseconds(slot->latency);
+    instances.push_back(instance);
+  }
+  described["instances"] = instances;
+  return described;
+}
+
+/// The whole state as JSON.
+template <gateway_platform Platform>
+[[nodiscard]] std::string DumpText(const gateway<Platform>& process) {
+  using codec = typename Platform::codec;
+  boost::json::object dump;
+  dump["host"] = process.Settings().host;
+  dump["ready"] = process.IsReady();
+  dump["configuration"] = process.State().tables == nullptr
+                              ? std::uint64_t{0}
+                              : process.State().tables->version;
+  dump["sessions"] = process.State().counters.sessions;
+  dump["failover_holder"] = process.Fleet().Registry().failover.holder;
+  boost::json::array hosts;
+  for (const std::string& name : process.Fleet().Registry().names) {
+    hosts.push_back(boost::json::value(name));
+  }
+  dump["hosts"] = hosts;
+  boost::json::object groups;
+  for (const std::pair<const std::string, std::shared_ptr<target_group<codec>>>&
+           entry : process.State().groups) {
+    groups[entry.first] = DescribeGroup(*entry.second);
+  }
+  dump["pools"] = groups;
+  return boost::json::serialize(dump);
+}
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_GATEWAY_REPORT_H_
--- /dev/null
+++ b/src/sassafraswick/gateway/settings.h
@@ -0,0 +1,29 @@
+#ifndef SASSAFRASWICK_GATEWAY_SETTINGS_H_
+#define SASSAFRASWICK_GATEWAY_SETTINGS_H_
+
+#include <string>
+
+#include "sassafraswick/config/endpoint.h"
+#include "sassafraswick/core/log.h"
+#include "sassafraswick/core/time.h"
+
+/// @file
+/// Settings of a gateway process that do not depend on the platform.
+
+namespace sassafraswick {
+
+struct gateway_settings {
+  std::string host;
+  std::string availability_zone;
+  /// Where callers connect.
+  endpoint callers;
+  /// Where other hosts connect.
+  endpoint peers;
+  /// Time between SIGTERM and SIGKILL.
+  duration stop_grace = std::chrono::seconds(6);
+  log_level level = log_level::kInfo;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/src/sassafraswick/gateway/target_group.h
@@ -0,0 +1,630 @@
+#ifndef SASSAFRASWICK_GATEWAY_TARGET_GROUP_H_
+#define SASSAFRASWICK_GATEWAY_TARGET_GROUP_H_
+
+#include <algorithm>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "sassafraswick/config/catalog.h"
+#include "sassafraswick/consistency/primary_view.h"
+#include "sassafraswick/core/log.h"
+#include "sassafraswick/failover/replacement.h"
+#include "sassafraswick/gateway/counters.h"
+#include "sassafraswick/gateway/target_link.h"
+#include "sassafraswick/net/async_event.h"
+#include "sassafraswick/routing/choose_target.h"
+
+/// @file
+/// One database group at one host: its instances, the connections to them and
+/// what their answers prove.
+
+namespace sassafraswick {
+
+/// Time for opening a connection; a handshake takes 14 ms when a slot is free.
+inline constexpr duration kOpenLimit = std::chrono::milliseconds(400);
+/// Time for a question of this host to an instance.
+inline constexpr duration kAskLimit = std::chrono::milliseconds(400);
+/// Time for which an instance is spared after a failure.
+inline constexpr duration kAvoidTime = std::chrono::milliseconds(250);
+/// Time after which an instance that is no longer listed is forgotten. Until
+/// then a promotion has to reckon with its log.
+inline constexpr duration kForgetAfter = std::chrono::seconds(10);
+/// Idle connections beyond the first are closed after this time.
+inline constexpr duration kIdleLinkLife = std::chrono::seconds(8);
+
+/// An instance and this host's connections to it.
+template <session_codec Codec>
+struct target_slot {
+  explicit target_slot(const boost::asio::any_io_executor& executor)
+      : freed(executor) {}
+
+  target_record record;
+  bool listed = true;
+  time_point unlisted_at;
+  std::vector<std::shared_ptr<target_link<Codec>>> idle;
+  std::uint32_t busy = 0;
+  std::uint32_t opening = 0;
+  std::uint32_t budget = 1;
+  async_event freed;
+  time_point avoid_until;
+  /// Lagged behind a read's position.
+  time_point lagging_until;
+  duration latency = duration::zero();
+  /// When any answer of the instance arrived last.
+  time_point answered_at;
+  instance_health health;
+
+  [[nodiscard]] bool IsUsable() const { return listed && !record.leaving; }
+};
+
+/// A connection for one operation.
+template <session_codec Codec>
+struct link_lease {
+  std::shared_ptr<target_slot<Codec>> slot;
+  std::shared_ptr<target_link<Codec>> link;
+  /// Why there is no link.
+  failure_code failure = failure_code::kNone;
+};
+
+template <session_codec Codec>
+class target_group : public std::enable_shared_from_this<target_group<Codec>> {
+ public:
+  using slot_pointer = std::shared_ptr<target_slot<Codec>>;
+  using link_pointer = std::shared_ptr<target_link<Codec>>;
+
+  target_group(boost::asio::io_context& context, std::string name,
+               gateway_counters& counters)
+      : context_(context),
+        name_(std::move(name)),
+        counters_(counters),
+        changed_(context.get_executor()),
+        random_(std::random_device()()) {}
+
+  /// Adds an instance or takes over what it says of itself now.
+  void Update(const target_record& record) {
+    slot_pointer slot = Find(record.id);
+    if (slot == nullptr) {
+      slot = std::make_shared<target_slot<Codec>>(context_.get_executor());
+      slot->health.id = record.id;
+      slots_.push_back(slot);
+    }
+    slot->record = record;
+    slot->listed = true;
+    slot->health.leaving = record.leaving;
+    if (record.claims_primary && view_.primary.empty()) {
+      Resolve();
+    }
+    ApplyBudget();
+    changed_.NotifyAll();
+  }
+
+  /// Notes that an instance is no longer listed.
+  void Unlist(const std::string& id) {
+    const slot_pointer slot = Find(id);
+    if (slot != nullptr && slot->listed) {
+      slot->listed = false;
+      slot->health.leaving = true;
+      slot->unlisted_at = monotonic_clock::now();
+      slot->idle.clear();
+      changed_.NotifyAll();
+    }
+  }
+
+  /// Sets what one host may hold of each instance's connections.
+  void SetBudget(std::uint32_t connections, std::uint32_t hosts) {
+    budget_ = std::max<std::uint32_t>(
+        connections / std::max<std::uint32_t>(hosts, 1), 1);
+    ApplyBudget();
+  }
+
+  void SetSyncReplicas(std::uint32_t replicas) { sync_replicas_ = replicas; }
+
+  /// Forgets instances that left and closes connections that rest too long.
+  void Sweep() {
+    const time_point now = monotonic_clock::now();
+    std::erase_if(slots_, [now](const slot_pointer& slot) {
+      return !slot->listed && now - slot->unlisted_at > kForgetAfter;
+    });
+    for (const slot_pointer& slot : slots_) {
+      std::erase_if(slot->idle, [&slot, now](const link_pointer& link) {
+        const bool spare = slot->idle.size() > 1;
+        return (spare && now - link->idle_since > kIdleLinkLife);
+      });
+    }
+  }
+
+  /// Picks an instance for a read among those that may serve it.
+  /// @param tried Identifiers to leave out.
+  [[nodiscard]] slot_pointer PickReader(const std::string& organisation,
+                                        const std::vector<std::string>& tried) {
+    const time_point now = monotonic_clock::now();
+    std::vector<slot_pointer> usable;
+    std::vector<target_option> options;
+    for (const slot_pointer& slot : slots_) {
+      const bool was_tried =
+          std::find(tried.begin(), tried.end(), slot->record.id) != tried.end();
+      if (!slot->IsUsable() || was_tried) {
+        continue;
+      }
+      usable.push_back(slot);
+      options.push_back(Option(*slot, organisation, now));
+    }
+    const std::optional<std::size_t> chosen = ChooseTarget(options, random_());
+    return chosen.has_value() ? usable[*chosen] : nullptr;
+  }
+
+  /// The instance that leads, if it is known and listed.
+  [[nodiscard]] slot_pointer Primary() const {
+    return view_.primary.empty() ? nullptr : Find(view_.primary);
+  }
+
+  /// Gets a connection for an organisation.
+  /// @param limit Longest wait for a connection to be free.
+  boost::asio::awaitable<link_lease<Codec>> Acquire(slot_pointer slot,
+                                                    std::string organisation,
+                                                    session_number session,
+                                                    time_point limit) {
+    link_lease<Codec> lease;
+    lease.slot = slot;
+    while (true) {
+      lease.link = TakeIdle(*slot, organisation, session);
+      if (lease.link != nullptr) {
+        ++slot->busy;
+        co_return lease;
+      }
+      const std::uint32_t held = Held(*slot);
+      if (held < slot->budget || !slot->idle.empty()) {
+        if (held >= slot->budget) {
+          slot->idle.erase(slot->idle.begin());
+        }
+        co_return co_await Open(slot, organisation);
+      }
+      const time_point now = monotonic_clock::now();
+      if (now >= limit) {
+        lease.failure = failure_code::kBusy;
+        co_return lease;
+      }
+      co_await slot->freed.Wait(
+          std::chrono::duration_cast<duration>(limit - now));
+    }
+  }
+
+  /// Gives a connection back.
+  /// @param reusable The target has answered everything and is at rest.
+  void Release(const link_lease<Codec>& lease, bool reusable) {
+    --lease.slot->busy;
+    const bool keep = reusable && lease.link->IsOpen() && lease.slot->listed &&
+                      Held(*lease.slot) < lease.slot->budget;
+    if (keep) {
+      lease.link->idle_since = monotonic_clock::now();
+      lease.slot->idle.push_back(lease.link);
+    } else {
+      lease.link->Close();
+    }
+    lease.slot->freed.NotifyAll();
+  }
+
+  /// Ends a transaction in the background and gives the connection back.
+  void RollbackAndRelease(link_lease<Codec> lease) {
+    boost::asio::co_spawn(
+        context_,
+        [self = this->shared_from_this(), lease = std::move(lease)] {
+          return self->Rollback(lease);
+        },
+        boost::asio::detached);
+  }
+
+  /// Takes over what an answer shows of an instance.
+  /// @param asked_at When the statement was sent.
+  void Observe(target_slot<Codec>& slot, const statement_result& answer,
+               time_point asked_at) {
+    slot.answered_at = monotonic_clock::now();
+    slot.health.silent_since.reset();
+    slot.health.refused_since.reset();
+    if (!answer.position.has_value()) {
+      return;
+    }
+    if (answer.position->term > view_.term) {
+      NoteChange(RecordFollower(view_, slot.record.id, answer.position->term));
+    }
+    if (answer.failure == failure_code::kReadOnly) {
+      NoteChange(RecordFollower(view_, slot.record.id, view_.term));
+    }
+    RecordPosition(view_, slot.record.id, *answer.position, asked_at);
+  }
+
+  /// Notes a write that was acknowledged by the primary.
+  void ObserveCommit(const target_slot<Codec>& slot,
+                     const statement_result& answer, time_point asked_at) {
+    const bool proves = sync_replicas_ > 0 && answer.position.has_value() &&
+                        slot.record.id == view_.primary;
+    if (proves) {
+      RecordProof(view_, answer.position->term, asked_at);
+    }
+  }
+
+  /// Notes how long an instance took.
+  static void ObserveLatency(target_slot<Codec>& slot, duration latency) {
+    constexpr int kSmoothing = 8;
+    slot.latency =
+        slot.latency == duration::zero()
+            ? latency
+            : (slot.latency * (kSmoothing - 1) + latency) / kSmoothing;
+  }
+
+  /// Notes that an instance gave no answer. One connection that went dark
+  /// proves nothing while others are answered.
+  void ObserveSilence(target_slot<Codec>& slot, time_point asked_at) {
+    if (slot.answered_at > asked_at) {
+      return;
+    }
+    slot.avoid_until = monotonic_clock::now() + kAvoidTime;
+    if (!slot.health.silent_since.has_value()) {
+      slot.health.silent_since = asked_at;
+    }
+  }
+
+  /// Tells whether reads of the primary that were answered by now hold. If it
+  /// is not known, asks.
+  boost::asio::awaitable<bool> AwaitPermit(term_number term, time_point limit) {
+    while (view_.term == term && !view_.primary.empty()) {
+      const time_point now = monotonic_clock::now();
+      if (IsPermitted(view_, now)) {
+        co_return true;
+      }
+      if (now >= limit) {
+        break;
+      }
+      Prove();
+      co_await changed_.Wait(std::chrono::duration_cast<duration>(limit - now));
+    }
+    co_return false;
+  }
+
+  /// Starts to ask who leads, unless that is under way.
+  void Resolve() {
+    if (resolving_) {
+      return;
+    }
+    resolving_ = true;
+    boost::asio::co_spawn(
+        context_, [self = this->shared_from_this()] { return self->AskAll(); },
+        boost::asio::detached);
+  }
+
+  /// Asks the primary and a replica for a proof, unless that is under way.
+  void Prove() {
+    if (proving_) {
+      return;
+    }
+    proving_ = true;
+    boost::asio::co_spawn(
+        context_,
+        [self = this->shared_from_this()] { return self->AskProof(); },
+        boost::asio::detached);
+  }
+
+  /// Asks an instance for its status.
+  boost::asio::awaitable<std::optional<instance_status>> Ask(
+      slot_pointer slot) {
+    return Control(slot, control_statement::kStatus, 0);
+  }
+
+  /// Sends a control statement; all answer with the instance's status.
+  boost::asio::awaitable<std::optional<instance_status>> Control(
+      slot_pointer slot, control_statement what, term_number term) {
+    const time_point asked_at = monotonic_clock::now();
+    ++counters_.status_questions;
+    const link_lease<Codec> lease = co_await AcquireForControl(slot);
+    if (lease.link == nullptr) {
+      if (lease.failure == failure_code::kNoAnswer) {
+        ObserveSilence(*slot, asked_at);
+      }
+      co_return std::nullopt;
+    }
+    const std::string bytes = Codec::FormatControl(what, term);
+    const exchange_outcome outcome =
+        co_await lease.link->Exchange(bytes, 1, kAskLimit);
+    Release(lease, !outcome.results.empty());
+    if (outcome.results.empty()) {
+      ObserveSilence(*slot, asked_at);
+      co_return std::nullopt;
+    }
+    Observe(*slot, outcome.results.front(), asked_at);
+    const result<instance_status> status =
+        Codec::ParseStatus(outcome.results.front());
+    if (!status) {
+      co_return std::nullopt;
+    }
+    ObserveStatus(*slot, status.value(), asked_at);
+    co_return status.value();
+  }
+
+  /// All instances as the failover logic wants them.
+  [[nodiscard]] group_health Health() const {
+    group_health health;
+    for (const slot_pointer& slot : slots_) {
+      health.push_back(slot->health);
+    }
+    return health;
+  }
+
+  [[nodiscard]] slot_pointer Find(const std::string& id) const {
+    const auto found = std::find_if(
+        slots_.begin(), slots_.end(),
+        [&id](const slot_pointer& slot) { return slot->record.id == id; });
+    return found == slots_.end() ? nullptr : *found;
+  }
+
+  /// Waits until the primary, an instance or a proof changed.
+  boost::asio::awaitable<bool> WaitForChange(duration limit) {
+    return changed_.Wait(limit);
+  }
+
+  [[nodiscard]] const primary_view& View() const { return view_; }
+  [[nodiscard]] const std::string& Name() const { return name_; }
+  [[nodiscard]] const std::vector<slot_pointer>& Slots() const {
+    return slots_;
+  }
+
+ private:
+  static std::uint32_t Held(const target_slot<Codec>& slot) {
+    return static_cast<std::uint32_t>(slot.idle.size()) + slot.busy +
+           slot.opening;
+  }
+
+  void ApplyBudget() {
+    for (const slot_pointer& slot : slots_) {
+      slot->budget = budget_;
+      while (!slot->idle.empty() && Held(*slot) > slot->budget) {
+        slot->idle.erase(slot->idle.begin());
+      }
+    }
+  }
+
+  target_option Option(const target_slot<Codec>& slot,
+                       const std::string& organisation, time_point now) const {
+    target_option option;
+    option.in_flight = slot.busy + slot.opening;
+    option.slots = std::max<std::uint32_t>(slot.record.slots, 1);
+    option.latency = slot.latency;
+    option.is_primary = slot.record.id == view_.primary;
+    option.has_connection =
+        std::any_of(slot.idle.begin(), slot.idle.end(),
+                    [&organisation](const link_pointer& link) {
+                      return link->Organisation() == organisation;
+                    });
+    option.avoid = now < slot.avoid_until || now < slot.lagging_until;
+    return option;
+  }
+
+  /// Takes an idle connection of the organisation, best one that holds the
+  /// session's values.
+  link_pointer TakeIdle(target_slot<Codec>& slot,
+                        const std::string& organisation,
+                        session_number session) {
+    std::erase_if(slot.idle,
+                  [](const link_pointer& link) { return link->IsStale(); });
+    auto chosen = slot.idle.end();
+    for (auto each = slot.idle.begin(); each != slot.idle.end(); ++each) {
+      if ((*each)->Organisation() != organisation) {
+        continue;
+      }
+      chosen = each;
+      if ((*each)->memory.owner == session) {
+        break;
+      }
+    }
+    if (chosen == slot.idle.end()) {
+      return nullptr;
+    }
+    link_pointer taken = *chosen;
+    slot.idle.erase(chosen);
+    return taken;
+  }
+
+  boost::asio::awaitable<link_lease<Codec>> Open(slot_pointer slot,
+                                                 std::string organisation) {
+    link_lease<Codec> lease;
+    lease.slot = slot;
+    ++slot->opening;
+    ++counters_.connections_opened;
+    const time_point asked_at = monotonic_clock::now();
+    result<stream_socket> socket =
+        co_await Connect(slot->record.address, kOpenLimit);
+    if (!socket) {
+      --slot->opening;
+      lease.failure = failure_code::kNoAnswer;
+      NoteOpenFailure(*slot, socket.error(), asked_at);
+      co_return lease;
+    }
+    EnableKeepalive(socket.value());
+    link_pointer link = std::make_shared<target_link<Codec>>(
+        std::move(socket.value()), organisation);
+    const std::string hello =
+        Codec::FormatHello(name_, organisation, slot->record.id);
+    const exchange_outcome outcome =
+        co_await link->Exchange(hello, 1, kOpenLimit);
+    --slot->opening;
+    if (outcome.results.empty()) {
+      lease.failure = failure_code::kNoAnswer;
+      ObserveSilence(*slot, asked_at);
+      co_return lease;
+    }
+    const statement_result& greeting = outcome.results.front();
+    lease.failure = greeting.failure;
+    if (greeting.failure != failure_code::kNone) {
+      slot->avoid_until = monotonic_clock::now() + kAvoidTime;
+      Log(log_level::kInfo, "target_refused_connection",
+          {{"pool", name_},
+           {"target", slot->record.id},
+           {"reason", std::string(FailureName(greeting.failure))}});
+      co_return lease;
+    }
+    Observe(*slot, greeting, asked_at);
+    ++slot->busy;
+    lease.link = std::move(link);
+    co_return lease;
+  }
+
+  void NoteOpenFailure(target_slot<Codec>& slot, const error& failure,
+                       time_point asked_at) {
+    const time_point now = monotonic_clock::now();
+    ObserveSilence(slot, asked_at);
+    if (failure.kind == error_kind::kClosed) {
+      if (!slot.health.refused_since.has_value()) {
+        slot.health.refused_since = asked_at;
+      }
+      slot.health.refused_at = now;
+    }
+    Log(log_level::kInfo, "target_connect_failed",
+        {{"pool", name_},
+         {"target", slot.record.id},
+         {"reason", failure.message}});
+  }
+
+  /// Any idle connection will do for a question. Without one a connection is
+  /// opened beyond the budget, so that questions do not wait for statements.
+  boost::asio::awaitable<link_lease<Codec>> AcquireForControl(
+      slot_pointer slot) {
+    std::erase_if(slot->idle,
+                  [](const link_pointer& link) { return link->IsStale(); });
+    if (slot->idle.empty()) {
+      co_return co_await Open(slot, std::string());
+    }
+    link_lease<Codec> lease;
+    lease.slot = slot;
+    lease.link = slot->idle.back();
+    slot->idle.pop_back();
+    ++slot->busy;
+    co_return lease;
+  }
+
+  boost::asio::awaitable<void> Rollback(link_lease<Codec> lease) {
+    const std::string bytes =
+        Codec::FormatControl(control_statement::kRollback, 0);
+    const exchange_outcome outcome =
+        co_await lease.link->Exchange(bytes, 1, kAskLimit);
+    const bool at_rest =
+        !outcome.results.empty() &&
+        outcome.results.front().state == transaction_state::kIdle;
+    Release(lease, at_rest);
+  }
+
+  void ObserveStatus(target_slot<Codec>& slot, const instance_status& status,
+                     time_point asked_at) {
+    if (!slot.health.status.has_value() || asked_at >= slot.health.asked_at) {
+      slot.health.status = status;
+      slot.health.asked_at = asked_at;
+    }
+    if (status.leads) {
+      NoteChange(RecordPrimary(view_, slot.record.id, status.term));
+    } else {
+      NoteChange(RecordFollower(view_, slot.record.id, status.term));
+    }
+  }
+
+  void NoteChange(bool changed) {
+    if (!changed) {
+      return;
+    }
+    Log(log_level::kInfo, "primary_view",
+        {{"pool", name_},
+         {"term", std::to_string(view_.term)},
+         {"primary", view_.primary}});
+    changed_.NotifyAll();
+    if (view_.primary.empty()) {
+      Resolve();
+    }
+  }
+
+  /// Asks all instances until one says that it leads.
+  boost::asio::awaitable<void> AskAll() {
+    constexpr duration kAgain = std::chrono::milliseconds(100);
+    constexpr int kRounds = 30;
+    for (int round = 0; round < kRounds; ++round) {
+      const std::vector<slot_pointer> asked = slots_;
+      for (const slot_pointer& slot : asked) {
+        if (!slot->listed) {
+          continue;
+        }
+        boost::asio::co_spawn(
+            context_,
+            [self = this->shared_from_this(), slot] {
+              return self->AskAndDrop(slot);
+            },
+            boost::asio::detached);
+      }
+      co_await changed_.Wait(kAgain);
+      if (!view_.primary.empty()) {
+        break;
+      }
+      co_await Sleep(kAgain);
+    }
+    resolving_ = false;
+  }
+
+  boost::asio::awaitable<void> AskAndDrop(slot_pointer slot) {
+    const std::optional<instance_status> ignored = co_await Ask(slot);
+    static_cast<void>(ignored);
+  }
+
+  boost::asio::awaitable<void> AskProof() {
+    const time_point asked_at = monotonic_clock::now();
+    const term_number term = view_.term;
+    const slot_pointer primary = Primary();
+    if (primary != nullptr) {
+      const std::optional<instance_status> leading = co_await Ask(primary);
+      const bool leads =
+          leading.has_value() && leading->leads && leading->term == term;
+      const bool replica_free = co_await AskReplica(primary, term);
+      if (leads && replica_free) {
+        RecordProof(view_, term, asked_at);
+      }
+    }
+    proving_ = false;
+    changed_.NotifyAll();
+  }
+
+  /// Tells whether some replica says that nobody stopped it from receiving.
+  boost::asio::awaitable<bool> AskReplica(slot_pointer primary,
+                                          term_number term) {
+    const std::vector<slot_pointer> asked = slots_;
+    bool any = false;
+    for (const slot_pointer& slot : asked) {
+      if (slot == primary || !slot->listed) {
+        continue;
+      }
+      any = true;
+      const std::optional<instance_status> status = co_await Ask(slot);
+      if (status.has_value() && status->term == term &&
+          status->held_term == 0) {
+        co_return true;
+      }
+    }
+    co_return !any;
+  }
+
+  boost::asio::io_context& context_;
+  std::string name_;
+  gateway_counters& counters_;
+  primary_view view_;
+  async_event changed_;
+  std::vector<slot_pointer> slots_;
+  std::uint32_t budget_ = 1;
+  std::uint32_t sync_replicas_ = 0;
+  bool resolving_ = false;
+  bool proving_ = false;
+  std::mt19937_64 random_;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_GATEWAY_TARGET_GROUP_H_
--- /dev/null
+++ b/src/sassafraswick/limits/token_exchange.h
@@ -0,0 +1,85 @@
+#ifndef SASSAFRASWICK_LIMITS_TOKEN_EXCHANGE_H_
+#define SASSAFRASWICK_LIMITS_TOKEN_EXCHANGE_H_
+
+#include <cstdint>
+
+#include "sassafraswick/core/time.h"
+#include "sassafraswick/limits/token_grant.h"
+
+/// @file
+/// An organisation's rate and burst over hosts that nobody coordinates.
+///
+/// Each host makes tokens at an equal share of the rate, so the sum never
+/// passes the limit, whoever is cut off. Hosts that make more than they spend
+/// deposit the rest with one host that the organisation's name selects; hosts
+/// that spend more withdraw there. A lost message loses tokens and makes none;
+/// a bank that is gone costs only what it held.
+///
+/// Half of the burst may lie with the bank and half with the hosts. What is
+/// withdrawn and not spent yet comes on top, up to `kPrefetch` of the demand.
+
+namespace sassafraswick {
+
+/// Demand for which a host holds withdrawn tokens. Two exchange intervals, so
+/// that one lost answer does not make callers wait.
+inline constexpr duration kPrefetch = std::chrono::milliseconds(200);
+
+/// Time between a host's regular exchanges with a bank.
+inline constexpr duration kExchangeInterval = std::chrono::milliseconds(100);
+
+/// One organisation's tokens at one host.
+struct token_account {
+  double level = 0.0;
+  time_point refilled_at;
+  /// Smoothed tokens asked for a second.
+  double demand = 0.0;
+  time_point demand_at;
+  /// Requests that wait for a token.
+  std::uint32_t waiting = 0;
+  /// The bank had nothing to give until then.
+  time_point bank_empty_until;
+};
+
+/// What a host tells a bank.
+struct token_transfer {
+  double deposit = 0.0;
+  double wanted = 0.0;
+};
+
+/// One organisation's deposits.
+struct token_bank {
+  double level = 0.0;
+};
+
+/// Makes the tokens that fell due.
+/// @param hosts Hosts that share the rate, at least 1.
+void RefillAccount(token_account& account, const rate_limit& limit,
+                   std::uint32_t hosts, time_point now);
+
+/// Counts one request into the demand.
+void RecordDemand(token_account& account, time_point now);
+
+/// Spends one token if there is one.
+[[nodiscard]] bool TrySpendToken(token_account& account);
+
+/// Gives back the token of a request that was not run.
+void RefundToken(token_account& account);
+
+/// Decides on the next exchange and takes the deposit out of the account.
+[[nodiscard]] token_transfer PlanTransfer(token_account& account,
+                                          const rate_limit& limit,
+                                          std::uint32_t hosts, time_point now);
+
+/// Serves a transfer at the bank.
+/// @return Tokens for the host that asked.
+[[nodiscard]] double ServeTransfer(token_bank& bank, const rate_limit& limit,
+                                   const token_transfer& transfer);
+
+/// Time until a host's own share will have made a token.
+[[nodiscard]] duration TimeToToken(const token_account& account,
+                                   const rate_limit& limit,
+                                   std::uint32_t hosts);
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_LIMITS_TOKEN_EXCHANGE_H_
--- a/src/sassafraswick/proxy/async_event.cc
+++ b/src/sassafraswick/net/async_event.cc
@@ -1,4 +1,4 @@
-#include "sassafraswick/proxy/async_event.h"
+#include "sassafraswick/net/async_event.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -23,7 +23,7 @@
   const std::vector<boost::asio::steady_timer*> woken =
       std::exchange(waiting_, {});
   for (boost::asio::steady_timer* const timer : woken) {
-    timer->expires_at(time_point::min());
+    timer->expires_at(boost::asio::steady_timer::time_point::min());
   }
 }
 
--- a/src/sassafraswick/proxy/async_event.h
+++ b/src/sassafraswick/net/async_event.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRASWICK_PROXY_ASYNC_EVENT_H_
-#define SASSAFRASWICK_PROXY_ASYNC_EVENT_H_
+#ifndef SASSAFRASWICK_NET_ASYNC_EVENT_H_
+#define SASSAFRASWICK_NET_ASYNC_EVENT_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -36,4 +36,4 @@
 
 }  // namespace sassafraswick
 
-#endif  // SASSAFRASWICK_PROXY_ASYNC_EVENT_H_
+#endif  // SASSAFRASWICK_NET_ASYNC_EVENT_H_
--- /dev/null
+++ b/src/sassafraswick/net/fwd.h
@@ -0,0 +1,10 @@
+#ifndef SASSAFRASWICK_NET_FWD_H_
+#define SASSAFRASWICK_NET_FWD_H_
+
+namespace sassafraswick {
+
+class async_event;
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_NET_FWD_H_
--- a/src/sassafraswick/proxy/fleet_service.cc
+++ b/src/sassafraswick/proxy/fleet_service.cc
@@ -5,9 +5,9 @@
 #include <boost/asio/detached.hpp>
 
 #include "sassafraswick/core/log.h"
-#include "sassafraswick/platform/configuration_store.h"
 #include "sassafraswick/proxy/dump.h"
 #include "sassafraswick/routing/rendezvous.h"
+#include "sassafraswick/store/configuration_store.h"
 
 namespace sassafraswick {
 namespace {
--- a/src/sassafraswick/proxy/fleet_service.h
+++ b/src/sassafraswick/proxy/fleet_service.h
@@ -9,8 +9,8 @@
 
 #include "sassafraswick/peer/membership.h"
 #include "sassafraswick/peer/peer_link.h"
-#include "sassafraswick/platform/etcd_store.h"
 #include "sassafraswick/proxy/host_runtime.h"
+#include "sassafraswick/store/etcd_store.h"
 
 /// @file
 /// What hosts tell each other and the store: membership, configuration,
--- a/src/sassafraswick/proxy/limit_service.h
+++ b/src/sassafraswick/proxy/limit_service.h
@@ -13,8 +13,8 @@
 #include "sassafraswick/limits/capacity_grant.h"
 #include "sassafraswick/limits/grantor_shard.h"
 #include "sassafraswick/limits/token_grant.h"
+#include "sassafraswick/net/async_event.h"
 #include "sassafraswick/peer/message.pb.h"
-#include "sassafraswick/proxy/async_event.h"
 
 /// @file
 /// Asks grantors for tokens and connections, and grants for the shards that
--- a/src/sassafraswick/proxy/stream.cc
+++ b/src/sassafraswick/proxy/stream.cc
@@ -1,32 +1,14 @@
 #include "sassafraswick/proxy/stream.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/connect.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <memory>
 #include <span>
 
 namespace sassafraswick {
-namespace {
 
 namespace asio = boost::asio;
 
-error IoError(const std::string& what,
-              const boost::system::error_code& failure) {
-  const bool closed = failure == asio::error::connection_refused ||
-                      failure == asio::error::connection_reset ||
-                      failure == asio::error::broken_pipe ||
-                      failure == asio::error::eof;
-  return MakeError(closed ? error_kind::kClosed : error_kind::kIo,
-                   what + ": " + failure.message());
-}
-
-}  // namespace
-
 asio::awaitable<result<void>> ReadMore(stream_socket& socket,
                                        frame_buffer& buffer, std::size_t size) {
   boost::system::error_code failure;
@@ -69,69 +51,4 @@
   }
 }
 
-asio::awaitable<result<void>> WriteAll(stream_socket& socket,
-                                       std::string_view bytes) {
-  boost::system::error_code failure;
-  co_await asio::async_write(
-      socket, asio::buffer(bytes.data(), bytes.size()),
-      asio::redirect_error(asio::use_awaitable, failure));
-  if (failure) {
-    co_return IoError("write", failure);
-  }
-  co_return boost::outcome_v2::success();
-}
-
-asio::awaitable<result<stream_socket>> Connect(endpoint address,
-                                               duration limit) {
-  const asio::any_io_executor executor = co_await asio::this_coro::executor;
-  std::shared_ptr<stream_socket> socket =
-      std::make_shared<stream_socket>(executor);
-  std::shared_ptr<asio::steady_timer> timer =
-      std::make_shared<asio::steady_timer>(executor, limit);
-  timer->async_wait([socket](const boost::system::error_code& cancelled) {
-    boost::system::error_code ignored;
-    if (!cancelled) {
-      socket->close(ignored);
-    }
-  });
-  boost::system::error_code failure;
-  co_await socket->async_connect(
-      ToTcp(address), asio::redirect_error(asio::use_awaitable, failure));
-  timer->cancel();
-  if (failure || !socket->is_open()) {
-    co_return IoError("connect to " + FormatEndpoint(address), failure);
-  }
-  boost::system::error_code ignored;
-  socket->set_option(asio::ip::tcp::no_delay(true), ignored);
-  co_return std::move(*socket);
-}
-
-asio::ip::tcp::endpoint ToTcp(const endpoint& address) {
-  boost::system::error_code invalid;
-  const asio::ip::address parsed =
-      asio::ip::make_address(address.address, invalid);
-  return {parsed, address.port};
-}
-
-result<asio::ip::tcp::acceptor> Listen(const asio::any_io_executor& executor,
-                                       const endpoint& address) {
-  asio::ip::tcp::acceptor acceptor(executor);
-  const asio::ip::tcp::endpoint local = ToTcp(address);
-  boost::system::error_code failure;
-  acceptor.open(local.protocol(), failure);
-  if (!failure) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), failure);
-  }
-  if (!failure) {
-    acceptor.bind(local, failure);
-  }
-  if (!failure) {
-    acceptor.listen(asio::socket_base::max_listen_connections, failure);
-  }
-  if (failure) {
-    return IoError("listen on " + FormatEndpoint(address), failure);
-  }
-  return acceptor;
-}
-
 }  // namespace sassafraswick
--- a/src/sassafraswick/proxy/stream.h
+++ b/src/sassafraswick/proxy/stream.h
@@ -2,23 +2,18 @@
 #define SASSAFRASWICK_PROXY_STREAM_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <optional>
-#include <string_view>
 
-#include "sassafraswick/config/endpoint.h"
 #include "sassafraswick/core/error.h"
-#include "sassafraswick/core/time.h"
+#include "sassafraswick/net/tcp.h"
 #include "sassafraswick/wire/frame.h"
 
 /// @file
-/// Reading and writing TCP streams from coroutines, with errors as values.
+/// Reading frames from TCP streams in coroutines, with errors as values.
 
 namespace sassafraswick {
 
-using stream_socket = boost::asio::ip::tcp::socket;
-
 /// Bytes asked for by one read of a busy stream.
 inline constexpr std::size_t kReadSize = 16'384;
 /// Bytes asked for by one read of a stream that may stay idle for long.
@@ -36,23 +31,6 @@
     stream_socket& socket, frame_buffer& buffer, std::size_t limit,
     std::size_t read_size = kReadSize);
 
-/// Writes all bytes.
-boost::asio::awaitable<result<void>> WriteAll(stream_socket& socket,
-                                              std::string_view bytes);
-
-/// Connects to an address.
-/// @param limit Time after which the attempt is given up.
-boost::asio::awaitable<result<stream_socket>> Connect(endpoint address,
-                                                      duration limit);
-
-/// Parses an endpoint that settings have already checked.
-[[nodiscard]] boost::asio::ip::tcp::endpoint ToTcp(const endpoint& address);
-
-/// Opens a listening socket.
-/// @return `error_kind::kIo` naming the address.
-[[nodiscard]] result<boost::asio::ip::tcp::acceptor> Listen(
-    const boost::asio::any_io_executor& executor, const endpoint& address);
-
 }  // namespace sassafraswick
 
 #endif  // SASSAFRASWICK_PROXY_STREAM_H_
--- a/src/sassafraswick/proxy/target_pool.h
+++ b/src/sassafraswick/proxy/target_pool.h
@@ -16,7 +16,7 @@
 
 #include "sassafraswick/config/tables.h"
 #include "sassafraswick/failover/promotion.h"
-#include "sassafraswick/proxy/async_event.h"
+#include "sassafraswick/net/async_event.h"
 #include "sassafraswick/proxy/target_connection.h"
 #include "sassafraswick/routing/dispatch.h"
 
--- /dev/null
+++ b/src/sassafraswick/session/fwd.h
@@ -0,0 +1,13 @@
+#ifndef SASSAFRASWICK_SESSION_FWD_H_
+#define SASSAFRASWICK_SESSION_FWD_H_
+
+namespace sassafraswick {
+
+struct statement;
+struct statement_result;
+class session_memory;
+struct connection_memory;
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_SESSION_FWD_H_
--- a/src/sassafraswick/platform/base64.cc
+++ b/src/sassafraswick/store/base64.cc
@@ -1,4 +1,4 @@
-#include "sassafraswick/platform/base64.h"
+#include "sassafraswick/store/base64.h"
 
 #include <sodium.h>
 
--- a/src/sassafraswick/platform/base64.h
+++ b/src/sassafraswick/store/base64.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRASWICK_PLATFORM_BASE64_H_
-#define SASSAFRASWICK_PLATFORM_BASE64_H_
+#ifndef SASSAFRASWICK_STORE_BASE64_H_
+#define SASSAFRASWICK_STORE_BASE64_H_
 
 #include <string>
 #include <string_view>
@@ -16,4 +16,4 @@
 
 }  // namespace sassafraswick
 
-#endif  // SASSAFRASWICK_PLATFORM_BASE64_H_
+#endif  // SASSAFRASWICK_STORE_BASE64_H_
--- a/src/sassafraswick/platform/configuration_store.cc
+++ b/src/sassafraswick/store/configuration_store.cc
@@ -1,8 +1,8 @@
-#include "sassafraswick/platform/configuration_store.h"
+#include "sassafraswick/store/configuration_store.h"
 
 #include <algorithm>
 
-#include "sassafraswick/proxy/async_event.h"
+#include "sassafraswick/net/async_event.h"
 
 namespace sassafraswick {
 namespace {
--- a/src/sassafraswick/platform/configuration_store.h
+++ b/src/sassafraswick/store/configuration_store.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRASWICK_PLATFORM_CONFIGURATION_STORE_H_
-#define SASSAFRASWICK_PLATFORM_CONFIGURATION_STORE_H_
+#ifndef SASSAFRASWICK_STORE_CONFIGURATION_STORE_H_
+#define SASSAFRASWICK_STORE_CONFIGURATION_STORE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "sassafraswick/config/configuration.h"
-#include "sassafraswick/platform/etcd_store.h"
+#include "sassafraswick/store/etcd_store.h"
 
 /// @file
 /// Reading and changing the configuration record.
@@ -54,4 +54,4 @@
 
 }  // namespace sassafraswick
 
-#endif  // SASSAFRASWICK_PLATFORM_CONFIGURATION_STORE_H_
+#endif  // SASSAFRASWICK_STORE_CONFIGURATION_STORE_H_
--- a/src/sassafraswick/platform/etcd_store.cc
+++ b/src/sassafraswick/store/etcd_store.cc
@@ -1,4 +1,4 @@
-#include "sassafraswick/platform/etcd_store.h"
+#include "sassafraswick/store/etcd_store.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -13,7 +13,7 @@
 #include <boost/json/stream_parser.hpp>
 #include <charconv>
 
-#include "sassafraswick/platform/base64.h"
+#include "sassafraswick/store/base64.h"
 
 namespace sassafraswick {
 namespace {
--- a/src/sassafraswick/platform/etcd_store.h
+++ b/src/sassafraswick/store/etcd_store.h
@@ -1,12 +1,12 @@
-#ifndef SASSAFRASWICK_PLATFORM_ETCD_STORE_H_
-#define SASSAFRASWICK_PLATFORM_ETCD_STORE_H_
+#ifndef SASSAFRASWICK_STORE_ETCD_STORE_H_
+#define SASSAFRASWICK_STORE_ETCD_STORE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <string>
 #include <vector>
 
 #include "sassafraswick/config/endpoint.h"
-#include "sassafraswick/platform/store.h"
+#include "sassafraswick/store/store.h"
 
 /// @file
 /// The platform's services over HTTP: etcd v3's JSON API
@@ -65,4 +65,4 @@
 
 }  // namespace sassafraswick
 
-#endif  // SASSAFRASWICK_PLATFORM_ETCD_STORE_H_
+#endif  // SASSAFRASWICK_STORE_ETCD_STORE_H_
--- a/src/sassafraswick/platform/fwd.h
+++ b/src/sassafraswick/store/fwd.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRASWICK_PLATFORM_FWD_H_
-#define SASSAFRASWICK_PLATFORM_FWD_H_
+#ifndef SASSAFRASWICK_STORE_FWD_H_
+#define SASSAFRASWICK_STORE_FWD_H_
 
 namespace sassafraswick {
 
@@ -9,4 +9,4 @@
 
 }  // namespace sassafraswick
 
-#endif  // SASSAFRASWICK_PLATFORM_FWD_H_
+#endif  // SASSAFRASWICK_STORE_FWD_H_
--- a/src/sassafraswick/platform/store.h
+++ b/src/sassafraswick/store/store.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRASWICK_PLATFORM_STORE_H_
-#define SASSAFRASWICK_PLATFORM_STORE_H_
+#ifndef SASSAFRASWICK_STORE_STORE_H_
+#define SASSAFRASWICK_STORE_STORE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <concepts>
@@ -58,4 +58,4 @@
 
 }  // namespace sassafraswick
 
-#endif  // SASSAFRASWICK_PLATFORM_STORE_H_
+#endif  // SASSAFRASWICK_STORE_STORE_H_
--- a/standin/fault_proxy.cc
+++ b/standin/fault_proxy.cc
@@ -14,7 +14,7 @@
 #include <set>
 #include <sstream>
 
-#include "sassafraswick/proxy/async_event.h"
+#include "sassafraswick/net/async_event.h"
 #include "sassafraswick/proxy/stream.h"
 #include "standin/arguments.h"
 
--- a/standin/instance.h
+++ b/standin/instance.h
@@ -12,7 +12,7 @@
 #include "sassafraswick/config/endpoint.h"
 #include "sassafraswick/core/log_point.h"
 #include "sassafraswick/core/time.h"
-#include "sassafraswick/proxy/async_event.h"
+#include "sassafraswick/net/async_event.h"
 #include "standin/engine.h"
 
 /// @file
--- a/standin/key_value.cc
+++ b/standin/key_value.cc
@@ -4,7 +4,7 @@
 #include <boost/json/value_to.hpp>
 #include <cstdlib>
 
-#include "sassafraswick/platform/base64.h"
+#include "sassafraswick/store/base64.h"
 
 namespace standin {
 namespace {
--- a/standin/standin_platform.cc
+++ b/standin/standin_platform.cc
@@ -14,9 +14,9 @@
 #include <iostream>
 #include <map>
 
-#include "sassafraswick/platform/base64.h"
-#include "sassafraswick/proxy/async_event.h"
+#include "sassafraswick/net/async_event.h"
 #include "sassafraswick/proxy/stream.h"
+#include "sassafraswick/store/base64.h"
 #include "standin/arguments.h"
 #include "standin/key_value.h"
 
