Tie permits to the instance and term of the plan

The permit of the new primary then covered the old one's answer. Ruled out: the promoter's wait (old primary fenced 9.904 s, effect 11.0 s, read 13.0 s).

Change: a plan carries its term, a permit names instance and term. Test: primary_view_test, 'a new primary's permit does not cover the old one's answers'.

--- a/src/sassafraswick/consistency/primary_view.h
+++ b/src/sassafraswick/consistency/primary_view.h
@@ -56,9 +56,13 @@
 void RecordPosition(primary_view& view, const std::string& instance,
                     log_point position, time_point asked_at);
 
-/// Tells whether answers of the primary that have arrived by `now` came from
-/// before any successor's first acknowledged write.
-[[nodiscard]] bool IsPermitted(const primary_view& view, time_point now);
+/// Tells whether answers of an instance that have arrived by `now` came from
+/// the primary and from before any successor's first acknowledged write.
+/// @param instance Instance that answered.
+/// @param term Term that it led when the statement was planned.
+[[nodiscard]] bool IsPermitted(const primary_view& view,
+                               const std::string& instance, term_number term,
+                               time_point now);
 
 /// A position that holds every write acknowledged before `moment`.
 /// @return Nothing if none is proved.
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -74,6 +74,8 @@
   std::optional<log_point> after;
   /// The answer counts only with a permit.
   bool needs_permit = false;
+  /// The group's term when the plan was made.
+  term_number term = 0;
 };
 
 /// Position that proves a read of the route fresh enough, if one is known.
@@ -107,6 +109,7 @@
                                         const operation_scope& scope,
                                         const std::vector<std::string>& tried) {
   read_plan<Codec> plan;
+  plan.term = group.View().term;
   plan.after = RequiredPosition(group, scope);
   if (plan.after.has_value()) {
     plan.slot = group.PickReader(scope.organisation, tried);
@@ -233,6 +236,7 @@
       if (read_only) {
         plan = PlanRead(*group_, scope_, tried);
       } else {
+        plan.term = group_->View().term;
         plan.after = RequiredPosition(*group_, scope_);
         plan.needs_permit = !plan.after.has_value();
         plan.slot = group_->Primary();
@@ -299,8 +303,8 @@
     const bool reads = !commits && !writes;
     if (answer.failure == failure_code::kNone && reads &&
         transaction.needs_permit) {
-      const bool permitted =
-          co_await group_->AwaitPermit(transaction.term, scope_.Deadline());
+      const bool permitted = co_await group_->AwaitPermit(
+          slot.record.id, transaction.term, scope_.Deadline());
       if (!permitted) {
         answer = Refuse("the primary may have been replaced");
         answer.failure = failure_code::kAborted;
@@ -383,12 +387,13 @@
                                                   read_plan<Codec> plan,
                                                   link_lease<Codec> lease) {
     const time_point sent_at = monotonic_clock::now();
-    const term_number term = group_->View().term;
     std::size_t count = 0;
     const std::string bytes = BuildBatch<Codec>(
         memory_, *lease.link,
         Codec::FormatStatement(query.id, query.text, plan.after), count);
-    if (plan.needs_permit && !IsPermitted(group_->View(), sent_at)) {
+    const bool permitted_now = IsPermitted(
+        group_->View(), lease.slot->record.id, plan.term, sent_at);
+    if (plan.needs_permit && !permitted_now) {
       group_->Prove();
     }
     const exchange_outcome outcome =
@@ -411,8 +416,8 @@
     }
     Count(false, *lease.slot, sent_at);
     if (plan.needs_permit) {
-      const bool permitted =
-          co_await group_->AwaitPermit(term, scope_.Deadline());
+      const bool permitted = co_await group_->AwaitPermit(
+          lease.slot->record.id, plan.term, scope_.Deadline());
       if (!permitted) {
         co_return Refuse("the primary may have been replaced");
       }
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -271,12 +271,13 @@
     }
   }
 
-  /// Tells whether reads of the primary that were answered by now hold. If it
-  /// is not known, asks.
-  boost::asio::awaitable<bool> AwaitPermit(term_number term, time_point limit) {
-    while (view_.term == term && !view_.primary.empty()) {
+  /// Tells whether reads that an instance answered by now as the primary of a
+  /// term hold. If it is not known, asks.
+  boost::asio::awaitable<bool> AwaitPermit(std::string instance,
+                                           term_number term, time_point limit) {
+    while (view_.term == term && view_.primary == instance) {
       const time_point now = monotonic_clock::now();
-      if (IsPermitted(view_, now)) {
+      if (IsPermitted(view_, instance, term, now)) {
         co_return true;
       }
       if (now >= limit) {
--- /dev/null
+++ b/test/sassafraswick/consistency/primary_view_test.cc
@@ -0,0 +1,80 @@
+#include "sassafraswick/consistency/primary_view.h"
+
+#include <catch2/catch.hpp>
+
+namespace sassafraswick {
+namespace {
+
+time_point At(int milliseconds) {
+  return time_point(std::chrono::hours(1)) +
+         std::chrono::milliseconds(milliseconds);
+}
+
+/// `a` leads term 1, proved and with a position, both asked at 0 ms.
+primary_view ProvedView() {
+  primary_view view;
+  CHECK(RecordPrimary(view, "a", 1));
+  RecordProof(view, 1, At(0));
+  RecordPosition(view, "a", {1, 10}, At(0));
+  return view;
+}
+
+TEST_CASE("a permit ends a window after its proof was asked for",
+          "[primary_view]") {
+  const primary_view view = ProvedView();
+  CHECK(IsPermitted(view, "a", 1, At(499)));
+  CHECK_FALSE(IsPermitted(view, "a", 1, At(500)));
+}
+
+// Hunt: mdb-pedidos scale-2. A read waited for a connection of the old primary
+// while the host learned of the new one, whose permit then covered it.
+TEST_CASE("a new primary's permit does not cover the old one's answers",
+          "[primary_view]") {
+  primary_view view = ProvedView();
+  CHECK(RecordPrimary(view, "b", 2));
+  RecordProof(view, 2, At(100));
+  CHECK(IsPermitted(view, "b", 2, At(200)));
+  CHECK_FALSE(IsPermitted(view, "a", 1, At(200)));
+  CHECK_FALSE(IsPermitted(view, "a", 2, At(200)));
+  CHECK_FALSE(IsPermitted(view, "b", 1, At(200)));
+}
+
+TEST_CASE("a proof of an old term proves nothing", "[primary_view]") {
+  primary_view view = ProvedView();
+  CHECK(RecordPrimary(view, "b", 2));
+  RecordProof(view, 1, At(100));
+  CHECK_FALSE(IsPermitted(view, "b", 2, At(101)));
+}
+
+TEST_CASE("a position holds what was acknowledged before it was asked for",
+          "[primary_view]") {
+  const primary_view view = ProvedView();
+  CHECK(ProvedPosition(view, At(0)) == log_point{1, 10});
+  CHECK_FALSE(ProvedPosition(view, At(1)).has_value());
+}
+
+TEST_CASE("positions of a primary that may be replaced prove no more than the "
+          "permit",
+          "[primary_view]") {
+  primary_view view = ProvedView();
+  RecordPosition(view, "a", {1, 12}, At(900));
+  CHECK(ProvedPosition(view, At(500)) == log_point{1, 12});
+  CHECK_FALSE(ProvedPosition(view, At(501)).has_value());
+}
+
+TEST_CASE("replicas show no positions that prove anything", "[primary_view]") {
+  primary_view view = ProvedView();
+  RecordPosition(view, "b", {1, 20}, At(100));
+  CHECK(ProvedPosition(view, At(0)) == log_point{1, 10});
+}
+
+TEST_CASE("an answer of a higher term ends what is known", "[primary_view]") {
+  primary_view view = ProvedView();
+  CHECK(RecordFollower(view, "c", 2));
+  CHECK(view.primary.empty());
+  CHECK_FALSE(ProvedPosition(view, At(0)).has_value());
+  CHECK_FALSE(RecordPrimary(view, "a", 1));
+}
+
+}  // namespace
+}  // namespace sassafraswick
