Reckon with lapsed hosts when limits are shared

Ruled out: the banks, whose tokens are only moved.

Change: a host whose entry ended counts for 60 s more; a host that has not read the registry yet makes next to no tokens and is not ready. Test: registry_test, 'limits reckon with a host whose entry lapsed'.

--- a/src/sassafraswick/consistency/primary_view.cc
+++ b/src/sassafraswick/consistency/primary_view.cc
@@ -57,8 +57,7 @@
 bool IsPermitted(const primary_view& view, const std::string& instance,
                  term_number term, time_point now) {
   return !instance.empty() && view.primary == instance && view.term == term &&
-         view.proved_at.has_value() &&
-         now < *view.proved_at + kPermitWindow;
+         view.proved_at.has_value() && now < *view.proved_at + kPermitWindow;
 }
 
 std::optional<log_point> ProvedPosition(const primary_view& view,
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -176,10 +176,11 @@
     }
   }
 
-  /// Until the list of hosts is read, this host shares with nobody.
+  /// This host is one of the fleet, whether its entry is there or not.
   void AddSelf() {
     registry_.hosts[host_] = link_.Identity().listen;
-    registry_.names = {host_};
+    registry_.names.push_back(host_);
+    registry_.lapsed.erase(host_);
   }
 
   /// Reads a prefix and then follows its changes.
@@ -342,11 +343,9 @@
 
   void NoteHosts() {
     if (!registry_.hosts.contains(host_)) {
-      registry_.hosts[host_] = link_.Identity().listen;
-      registry_.names.push_back(host_);
+      AddSelf();
     }
-    const std::uint32_t count =
-        static_cast<std::uint32_t>(registry_.hosts.size());
+    const std::uint32_t count = SharingHosts(registry_, monotonic_clock::now());
     if (count != gateway_.host_count && gateway_.tables != nullptr) {
       gateway_.SetHostCount(count);
     }
--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -70,7 +70,7 @@
   /// Tells whether new callers are welcome.
   [[nodiscard]] bool IsReady() const {
     return state_.tables != nullptr && fleet_.HasTargets() &&
-           !state_.draining_since.has_value();
+           fleet_.Registry().loaded && !state_.draining_since.has_value();
   }
 
   [[nodiscard]] const gateway_state<codec>& State() const { return state_; }
@@ -89,6 +89,11 @@
     environment.hosts = [this]() -> const std::vector<std::string>& {
       return fleet_.Registry().names;
     };
+    environment.sharing = [this]() -> std::uint32_t {
+      const host_registry& registry = fleet_.Registry();
+      return registry.loaded ? SharingHosts(registry, monotonic_clock::now())
+                             : 0;
+    };
     environment.send = [this](const std::string& host,
                               message::envelope envelope) {
       fleet_.SendTo(host, std::move(envelope));
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -391,8 +391,8 @@
     const std::string bytes = BuildBatch<Codec>(
         memory_, *lease.link,
         Codec::FormatStatement(query.id, query.text, plan.after), count);
-    const bool permitted_now = IsPermitted(
-        group_->View(), lease.slot->record.id, plan.term, sent_at);
+    const bool permitted_now =
+        IsPermitted(group_->View(), lease.slot->record.id, plan.term, sent_at);
     if (plan.needs_permit && !permitted_now) {
       group_->Prove();
     }
--- a/src/sassafraswick/gateway/rate_limiter.cc
+++ b/src/sassafraswick/gateway/rate_limiter.cc
@@ -17,6 +17,10 @@
 /// Time for which a bank that gave nothing is taken for empty.
 constexpr duration kEmptyTime = std::chrono::milliseconds(60);
 
+/// Divisor of the limits while the host does not know with how many others it
+/// shares them: the largest fleet that the design is made for.
+constexpr std::uint32_t kUnknownHosts = 1200;
+
 rate_limit LimitOf(const catalog_organisation& organisation) {
   return {organisation.rate, organisation.burst};
 }
@@ -28,8 +32,8 @@
     : environment_(std::move(environment)), changed_(executor) {}
 
 std::uint32_t rate_limiter::HostCount() const {
-  return std::max<std::uint32_t>(
-      static_cast<std::uint32_t>(environment_.hosts().size()), 1);
+  const std::uint32_t sharing = environment_.sharing();
+  return sharing == 0 ? kUnknownHosts : sharing;
 }
 
 std::string rate_limiter::FindBank(const std::string& organisation,
--- a/src/sassafraswick/gateway/rate_limiter.h
+++ b/src/sassafraswick/gateway/rate_limiter.h
@@ -30,6 +30,8 @@
   std::string host;
   /// Names of all hosts, this one included.
   std::function<const std::vector<std::string>&()> hosts;
+  /// Hosts among which limits are shared; zero while that is not known.
+  std::function<std::uint32_t()> sharing;
   std::function<void(const std::string& host, message::envelope envelope)> send;
   /// Newest catalog, or null before the first.
   std::function<const catalog*()> tables;
--- a/src/sassafraswick/gateway/registry.cc
+++ b/src/sassafraswick/gateway/registry.cc
@@ -15,6 +15,10 @@
 /// Lease time a host; at 1,200 hosts 12 s and 300 renewals a second.
 constexpr duration kLeasePerHost = std::chrono::milliseconds(10);
 
+/// Time for which a host whose entry ended is reckoned with: the longest cut
+/// after which the users still expect it to be served by what it holds.
+constexpr duration kLapsedCounts = std::chrono::seconds(60);
+
 void RefreshNames(host_registry& registry) {
   registry.names.clear();
   for (const std::pair<const std::string, endpoint>& host : registry.hosts) {
@@ -22,13 +26,16 @@
   }
 }
 
-void ApplyHost(host_registry& registry, const store_item& item) {
+void ApplyHost(host_registry& registry, const store_item& item,
+               time_point now) {
   const std::string name = item.key.substr(kHostsPrefix.size());
   const result<endpoint> address = ParseEndpoint(item.value);
   if (item.deleted || !address) {
     registry.hosts.erase(name);
+    registry.lapsed[name] = now;
   } else {
     registry.hosts[name] = address.value();
+    registry.lapsed.erase(name);
   }
   RefreshNames(registry);
 }
@@ -50,11 +57,17 @@
 
 void LoadRegistry(host_registry& registry, const store_page& page,
                   time_point now) {
-  const failover_lease before = registry.failover;
+  const host_registry before = std::move(registry);
   registry = host_registry();
+  registry.loaded = true;
+  registry.lapsed = before.lapsed;
+  for (const std::string& name : before.names) {
+    registry.lapsed[name] = now;
+  }
   registry.failover.vacant_since =
-      before.holder.empty() && before.vacant_since != time_point()
-          ? before.vacant_since
+      before.failover.holder.empty() &&
+              before.failover.vacant_since != time_point()
+          ? before.failover.vacant_since
           : now;
   for (const store_item& item : page.items) {
     ApplyRegistryItem(registry, item, now);
@@ -64,12 +77,22 @@
 void ApplyRegistryItem(host_registry& registry, const store_item& item,
                        time_point now) {
   if (item.key.starts_with(kHostsPrefix)) {
-    ApplyHost(registry, item);
+    ApplyHost(registry, item, now);
   } else if (item.key == kFailoverKey) {
     ApplyFailover(registry.failover, item, now);
   }
 }
 
+std::uint32_t SharingHosts(const host_registry& registry, time_point now) {
+  std::uint32_t count = static_cast<std::uint32_t>(registry.hosts.size());
+  for (const std::pair<const std::string, time_point>& host : registry.lapsed) {
+    if (now - host.second < kLapsedCounts) {
+      ++count;
+    }
+  }
+  return count;
+}
+
 bool ShouldClaimFailover(const host_registry& registry, const std::string& host,
                          time_point now) {
   if (!registry.failover.holder.empty()) {
--- a/src/sassafraswick/gateway/registry.h
+++ b/src/sassafraswick/gateway/registry.h
@@ -38,6 +38,10 @@
   std::map<std::string, endpoint, std::less<>> hosts;
   /// Names of `hosts`, in order.
   std::vector<std::string> names;
+  /// Hosts whose entries ended, and when. They may only be cut off and still
+  /// serve, so limits go on reckoning with them.
+  std::map<std::string, time_point, std::less<>> lapsed;
+  bool loaded = false;
   failover_lease failover;
 };
 
@@ -49,6 +53,10 @@
 void ApplyRegistryItem(host_registry& registry, const store_item& item,
                        time_point now);
 
+/// Hosts that share limits: those registered, and those that were lately.
+[[nodiscard]] std::uint32_t SharingHosts(const host_registry& registry,
+                                         time_point now);
+
 /// Tells whether this host should try to take the vacant failover lease. Hosts
 /// further down the order wait longer, so that mostly one tries.
 [[nodiscard]] bool ShouldClaimFailover(const host_registry& registry,
--- a/src/sassafraswick/limits/token_exchange.cc
+++ b/src/sassafraswick/limits/token_exchange.cc
@@ -65,9 +65,9 @@
   account.refilled_at = now;
   // Room for what is kept and for one deposit, so that no token is lost between
   // two exchanges.
-  const double cap = std::max(
-      OwnCap(limit, hosts),
-      Prefetch(account, limit, hosts) + 2.0 * DepositQuantum(limit, hosts));
+  const double cap =
+      std::max(OwnCap(limit, hosts), Prefetch(account, limit, hosts) +
+                                         2.0 * DepositQuantum(limit, hosts));
   if (account.level < cap) {
     account.level = std::min(cap, account.level + made);
   }
--- a/test/sassafraswick/consistency/primary_view_test.cc
+++ b/test/sassafraswick/consistency/primary_view_test.cc
@@ -53,9 +53,10 @@
   CHECK_FALSE(ProvedPosition(view, At(1)).has_value());
 }
 
-TEST_CASE("positions of a primary that may be replaced prove no more than the "
-          "permit",
-          "[primary_view]") {
+TEST_CASE(
+    "positions of a primary that may be replaced prove no more than the "
+    "permit",
+    "[primary_view]") {
   primary_view view = ProvedView();
   RecordPosition(view, "a", {1, 12}, At(900));
   CHECK(ProvedPosition(view, At(500)) == log_point{1, 12});
--- /dev/null
+++ b/test/sassafraswick/gateway/registry_test.cc
@@ -0,0 +1,102 @@
+#include "sassafraswick/gateway/registry.h"
+
+#include <catch2/catch.hpp>
+
+namespace sassafraswick {
+namespace {
+
+time_point At(int seconds) {
+  return time_point(std::chrono::hours(1)) + std::chrono::seconds(seconds);
+}
+
+store_item Host(const std::string& name, std::int64_t revision) {
+  store_item item;
+  item.key = std::string(kHostsPrefix) + name;
+  item.value = "127.0.0.1:7000";
+  item.revision = revision;
+  return item;
+}
+
+store_item Gone(store_item item, std::int64_t revision) {
+  item.deleted = true;
+  item.revision = revision;
+  return item;
+}
+
+store_item Lease(const std::string& holder, std::int64_t revision) {
+  store_item item;
+  item.key = std::string(kFailoverKey);
+  item.value = holder;
+  item.revision = revision;
+  item.lease = 7;
+  return item;
+}
+
+host_registry ThreeHosts() {
+  host_registry registry;
+  LoadRegistry(registry, {{Host("a", 1), Host("b", 2), Host("c", 3)}, 3},
+               At(0));
+  return registry;
+}
+
+// Hunt: mdb-pedidos scale-2, QUOTA. Hosts that were cut off from the store kept
+// their shares while the others divided the limit by fewer.
+TEST_CASE("limits reckon with a host whose entry lapsed", "[registry]") {
+  host_registry registry = ThreeHosts();
+  CHECK(SharingHosts(registry, At(0)) == 3);
+  ApplyRegistryItem(registry, Gone(Host("b", 2), 4), At(1));
+  CHECK(registry.names == std::vector<std::string>{"a", "c"});
+  CHECK(SharingHosts(registry, At(2)) == 3);
+  CHECK(SharingHosts(registry, At(62)) == 2);
+}
+
+TEST_CASE("a host that comes back counts once", "[registry]") {
+  host_registry registry = ThreeHosts();
+  ApplyRegistryItem(registry, Gone(Host("b", 2), 4), At(1));
+  ApplyRegistryItem(registry, Host("b", 5), At(2));
+  CHECK(SharingHosts(registry, At(3)) == 3);
+}
+
+TEST_CASE("hosts that a new reading lacks have lapsed", "[registry]") {
+  host_registry registry = ThreeHosts();
+  LoadRegistry(registry, {{Host("a", 1)}, 9}, At(1));
+  CHECK(registry.names == std::vector<std::string>{"a"});
+  CHECK(SharingHosts(registry, At(2)) == 3);
+}
+
+TEST_CASE("the failover lease's token only rises", "[registry]") {
+  host_registry registry = ThreeHosts();
+  ApplyRegistryItem(registry, Lease("a/1", 10), At(1));
+  ApplyRegistryItem(registry, Lease("b/1", 9), At(1));
+  CHECK(registry.failover.holder == "a/1");
+  CHECK(registry.failover.fencing_token == 10);
+  ApplyRegistryItem(registry, Gone(Lease("a/1", 10), 12), At(2));
+  CHECK(registry.failover.holder.empty());
+}
+
+TEST_CASE("hosts claim a vacant failover lease one after the other",
+          "[registry]") {
+  host_registry registry = ThreeHosts();
+  int at_once = 0;
+  for (const std::string& name : registry.names) {
+    at_once += ShouldClaimFailover(registry, name, At(0)) ? 1 : 0;
+  }
+  CHECK(at_once == 1);
+  for (const std::string& name : registry.names) {
+    CHECK(ShouldClaimFailover(registry, name, At(1)));
+  }
+  ApplyRegistryItem(registry, Lease("a/1", 10), At(1));
+  CHECK_FALSE(ShouldClaimFailover(registry, "b", At(9)));
+}
+
+TEST_CASE("a lease is acted on for less than its time to live", "[registry]") {
+  lease_clock lease;
+  CHECK(lease.ValidUntil() == time_point());
+  lease.id = 1;
+  lease.ttl = std::chrono::seconds(4);
+  lease.renewed_at = At(10);
+  CHECK(lease.ValidUntil() == At(13));
+}
+
+}  // namespace
+}  // namespace sassafraswick
