Read the settings again on SIGHUP

Change: the settings are read and checked again; level and time to stop are taken over, unreadable settings are logged and the old ones stay.

--- a/src/sassafraswick/core/log.cc
+++ b/src/sassafraswick/core/log.cc
@@ -59,9 +59,13 @@
       boost::make_shared<sinks::synchronous_sink<backend>>(stream);
   sink->set_formatter(boost::log::expressions::stream
                       << boost::log::expressions::smessage);
-  sink->set_filter(boost::log::expressions::attr<log_level>("Severity") >=
-                   minimum);
   boost::log::core::get()->add_sink(sink);
+  SetLogLevel(minimum);
+}
+
+void SetLogLevel(log_level minimum) {
+  boost::log::core::get()->set_filter(
+      boost::log::expressions::attr<log_level>("Severity") >= minimum);
 }
 
 log_level ParseLogLevel(std::string_view text) {
--- a/src/sassafraswick/core/log.h
+++ b/src/sassafraswick/core/log.h
@@ -24,6 +24,9 @@
 /// @param minimum Lines below this level are dropped.
 void StartLogging(const std::string& process, log_level minimum);
 
+/// Changes the least level that is logged.
+void SetLogLevel(log_level minimum);
+
 /// Parses `debug`, `info`, `warning` or `error`; anything else is `kInfo`.
 [[nodiscard]] log_level ParseLogLevel(std::string_view text);
 
--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -39,11 +39,15 @@
 class gateway {
  public:
   using codec = typename Platform::codec;
+  /// Reads the settings again.
+  using settings_source = std::function<result<gateway_settings>()>;
 
   gateway(boost::asio::io_context& context, const Platform& platform,
-          const gateway_settings& settings, std::uint64_t boot)
+          const gateway_settings& settings, settings_source source,
+          std::uint64_t boot)
       : context_(context),
         settings_(settings),
+        source_(std::move(source)),
         link_(context, {settings.host, boot, settings.peers}, std::string()),
         state_(context, RateEnvironment()),
         fleet_(platform, state_, link_, settings.host),
@@ -64,6 +68,7 @@
     Spawn([this] { return SweepSessions(); });
     Spawn([this] { return SweepLinks(); });
     Spawn([this] { return StopOnSignal(); });
+    Spawn([this] { return ReloadOnSignal(); });
     return boost::outcome_v2::success();
   }
 
@@ -174,6 +179,27 @@
     }
   }
 
+  /// Takes over what may change while the host runs: the time to stop in and
+  /// the least level logged. Addresses and names need a new start.
+  boost::asio::awaitable<void> ReloadOnSignal() {
+    boost::asio::signal_set signals(context_, SIGHUP);
+    while (true) {
+      boost::system::error_code failure;
+      co_await signals.async_wait(
+          boost::asio::redirect_error(boost::asio::use_awaitable, failure));
+      const result<gateway_settings> read = source_();
+      if (!read) {
+        Log(log_level::kError, "settings_unreadable",
+            {{"reason", read.error().message}});
+        continue;
+      }
+      settings_.stop_grace = read.value().stop_grace;
+      settings_.level = read.value().level;
+      SetLogLevel(settings_.level);
+      Log(log_level::kInfo, "settings_reloaded", {});
+    }
+  }
+
   boost::asio::awaitable<void> StopOnSignal() {
     boost::asio::signal_set signals(context_, SIGTERM, SIGINT);
     boost::system::error_code failure;
@@ -200,6 +226,7 @@
 
   boost::asio::io_context& context_;
   gateway_settings settings_;
+  settings_source source_;
   peer_link link_;
   gateway_state<codec> state_;
   fleet_agent<Platform> fleet_;
