Log statements that alone use up the objective, with their wait for a connection

Cause: nothing told whether late operations waited for connections, for instances or were client retries.

--- a/src/sassafraswick/gateway/client_session.h
+++ b/src/sassafraswick/gateway/client_session.h
@@ -230,6 +230,8 @@
       co_return false;
     }
     ++gateway_.counters.statements;
+    const time_point arrived_at = monotonic_clock::now();
+    last_wait_ = duration::zero();
     statement& query = message.query;
     statement_result answer;
     if (query.text.size() > gateway_.tables->max_statement) {
@@ -244,6 +246,8 @@
     if (answer.failure != failure_code::kNone) {
       CountFailure(query.id, answer);
     }
+    NoteIfSlow(query, std::chrono::duration_cast<duration>(
+                          monotonic_clock::now() - arrived_at));
     const bool sent = co_await Send(Codec::FormatResult(answer));
     const bool turned_away = answer.failure == failure_code::kNotAuthorised ||
                              answer.failure == failure_code::kUnknownDatabase;
@@ -359,6 +363,7 @@
     } else {
       answer = co_await runner.Read(query);
     }
+    last_wait_ = runner.Waited();
     if (answer.failure == failure_code::kBusy) {
       gateway_.limiter.Refund(admission_.organisation.name);
     }
@@ -455,6 +460,7 @@
     if (!transaction_->running.has_value()) {
       const statement_result begun =
           co_await runner.Begin(transaction_->begin, transaction_->running);
+      last_wait_ = runner.Waited();
       if (begun.failure != failure_code::kNone) {
         gateway_.limiter.Refund(scope.organisation);
         co_return begun;
@@ -531,6 +537,19 @@
     }
   }
 
+  /// Logs a statement that alone used up the operation's objective.
+  void NoteIfSlow(const statement& query, duration took) {
+    if (took > admission_.route.target_latency) {
+      Log(log_level::kInfo, "slow",
+          {{"request", query.id},
+           {"database", database_},
+           {"kind", std::to_string(static_cast<int>(query.kind))},
+           {"took_ms", std::to_string(ToMilliseconds(took))},
+           {"waited_for_connection_ms",
+            std::to_string(ToMilliseconds(last_wait_))}});
+    }
+  }
+
   void CountFailure(const std::string& request,
                     const statement_result& answer) {
     const std::string_view reason = FailureName(answer.failure);
@@ -558,6 +577,8 @@
   std::optional<open_transaction> transaction_;
   /// Own writes: what every read must show.
   std::optional<session_floor> floor_;
+  /// Time that the current statement waited for a connection.
+  duration last_wait_ = duration::zero();
   bool at_rest_ = false;
   time_point rests_since_;
   /// Counts messages and timers, so that a late timer does nothing.
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -172,6 +172,7 @@
       }
       const link_lease<Codec> lease = co_await group_->Acquire(
           plan.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
+      waited_ += lease.waited;
       if (lease.link == nullptr) {
         answer = Refuse("no connection to an instance is free");
       } else {
@@ -205,6 +206,7 @@
       }
       const link_lease<Codec> lease = co_await group_->Acquire(
           primary, scope_.organisation, scope_.session, scope_.OfferLimit());
+      waited_ += lease.waited;
       if (lease.link == nullptr) {
         answer = Refuse("no connection to the primary is free");
       } else {
@@ -250,6 +252,7 @@
       }
       const link_lease<Codec> lease = co_await group_->Acquire(
           plan.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
+      waited_ += lease.waited;
       if (lease.link == nullptr) {
         answer = Refuse("no connection to an instance is free");
       } else {
@@ -317,6 +320,8 @@
     return group_;
   }
   [[nodiscard]] const operation_scope& Scope() const { return scope_; }
+  /// Time spent on waiting for connections.
+  [[nodiscard]] duration Waited() const { return waited_; }
 
  private:
   /// Builds the answer to an operation that was not run.
@@ -510,6 +515,7 @@
   const session_memory& memory_;
   operation_scope scope_;
   std::shared_ptr<target_group<Codec>> group_;
+  duration waited_ = duration::zero();
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -71,6 +71,8 @@
   std::shared_ptr<target_link<Codec>> link;
   /// Why there is no link.
   failure_code failure = failure_code::kNone;
+  /// Time until the outcome.
+  duration waited = duration::zero();
 };
 
 template <session_codec Codec>
@@ -171,29 +173,12 @@
                                                     std::string organisation,
                                                     session_number session,
                                                     time_point limit) {
-    link_lease<Codec> lease;
-    lease.slot = slot;
-    while (true) {
-      lease.link = TakeIdle(*slot, organisation, session);
-      if (lease.link != nullptr) {
-        ++slot->busy;
-        co_return lease;
-      }
-      const std::uint32_t held = Held(*slot);
-      if (held < slot->budget || !slot->idle.empty()) {
-        if (held >= slot->budget) {
-          slot->idle.erase(slot->idle.begin());
-        }
-        co_return co_await Open(slot, organisation);
-      }
-      const time_point now = monotonic_clock::now();
-      if (now >= limit) {
-        lease.failure = failure_code::kBusy;
-        co_return lease;
-      }
-      co_await slot->freed.Wait(
-          std::chrono::duration_cast<duration>(limit - now));
-    }
+    const time_point asked_at = monotonic_clock::now();
+    link_lease<Codec> lease =
+        co_await AcquireWithin(slot, organisation, session, limit);
+    lease.waited =
+        std::chrono::duration_cast<duration>(monotonic_clock::now() - asked_at);
+    co_return lease;
   }
 
   /// Gives a connection back.
@@ -431,6 +416,34 @@
     return taken;
   }
 
+  boost::asio::awaitable<link_lease<Codec>> AcquireWithin(
+      slot_pointer slot, std::string organisation, session_number session,
+      time_point limit) {
+    link_lease<Codec> lease;
+    lease.slot = slot;
+    while (true) {
+      lease.link = TakeIdle(*slot, organisation, session);
+      if (lease.link != nullptr) {
+        ++slot->busy;
+        co_return lease;
+      }
+      const std::uint32_t held = Held(*slot);
+      if (held < slot->budget || !slot->idle.empty()) {
+        if (held >= slot->budget) {
+          slot->idle.erase(slot->idle.begin());
+        }
+        co_return co_await Open(slot, organisation);
+      }
+      const time_point now = monotonic_clock::now();
+      if (now >= limit) {
+        lease.failure = failure_code::kBusy;
+        co_return lease;
+      }
+      co_await slot->freed.Wait(
+          std::chrono::duration_cast<duration>(limit - now));
+    }
+  }
+
   boost::asio::awaitable<link_lease<Codec>> Open(slot_pointer slot,
                                                  std::string organisation) {
     link_lease<Codec> lease;
