Keep half of an instance's connections free; open where an instance claims to lead

Each host also opened nine connections only to ask who leads. Ruled out: the store (configuration read 14 ms after the start).

Change: limits/connection_share; spare connections close after 300 ms of rest; an instance that was full is left alone for 120 ms; the instance that claims to lead is used and asked first, its answer's term names the permit.

--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -33,7 +33,7 @@
 /// Time between two looks at the sessions of a stopping host.
 inline constexpr duration kSweepInterval = std::chrono::milliseconds(50);
 /// Time between two looks at idle connections.
-inline constexpr duration kLinkSweepInterval = std::chrono::seconds(1);
+inline constexpr duration kLinkSweepInterval = std::chrono::milliseconds(150);
 
 template <gateway_platform Platform>
 class gateway {
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -307,7 +307,7 @@
     if (answer.failure == failure_code::kNone && reads &&
         transaction.needs_permit) {
       const bool permitted = co_await group_->AwaitPermit(
-          slot.record.id, transaction.term, scope_.Deadline());
+          slot.record.id, TermOf(answer, transaction.term), scope_.Deadline());
       if (!permitted) {
         answer = Refuse("the primary may have been replaced");
         answer.failure = failure_code::kAborted;
@@ -324,6 +324,13 @@
   [[nodiscard]] duration Waited() const { return waited_; }
 
  private:
+  /// Term that the instance was in when it answered. An instance that leads
+  /// this term later led it then.
+  static term_number TermOf(const statement_result& answer,
+                            term_number planned) {
+    return answer.position.has_value() ? answer.position->term : planned;
+  }
+
   /// Builds the answer to an operation that was not run.
   [[nodiscard]] statement_result Refuse(std::string reason) const {
     statement_result answer;
@@ -422,7 +429,7 @@
     Count(false, *lease.slot, sent_at);
     if (plan.needs_permit) {
       const bool permitted = co_await group_->AwaitPermit(
-          lease.slot->record.id, plan.term, scope_.Deadline());
+          lease.slot->record.id, TermOf(answer, plan.term), scope_.Deadline());
       if (!permitted) {
         co_return Refuse("the primary may have been replaced");
       }
@@ -478,6 +485,8 @@
     }
     if (answer.failure != failure_code::kNone) {
       group_->Release(lease, answer.state == transaction_state::kIdle);
+    } else if (begin.kind == statement_kind::kBegin) {
+      group_->ObserveLeader(*lease.slot, answer);
     }
     co_return answer;
   }
--- a/src/sassafraswick/gateway/report.h
+++ b/src/sassafraswick/gateway/report.h
@@ -42,7 +42,6 @@
     instance["leaving"] = slot->record.leaving;
     instance["idle"] = slot->idle.size();
     instance["busy"] = slot->busy;
-    instance["budget"] = slot->budget;
     instance["latency_ms"] = ToMilliseconds(slot->latency);
     instances.push_back(instance);
   }
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -18,6 +18,7 @@
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/gateway/counters.h"
 #include "sassafraswick/gateway/target_link.h"
+#include "sassafraswick/limits/connection_share.h"
 #include "sassafraswick/net/async_event.h"
 #include "sassafraswick/routing/choose_target.h"
 
@@ -36,8 +37,10 @@
 /// Time after which an instance that is no longer listed is forgotten. Until
 /// then a promotion has to reckon with its log.
 inline constexpr duration kForgetAfter = std::chrono::seconds(10);
-/// Idle connections beyond the first are closed after this time.
-inline constexpr duration kIdleLinkLife = std::chrono::seconds(8);
+/// Idle connections beyond a host's share are closed after this time.
+inline constexpr duration kSpareLinkLife = std::chrono::milliseconds(300);
+/// Time for which no connection is opened to an instance that was at its cap.
+inline constexpr duration kFullPause = std::chrono::milliseconds(120);
 
 /// An instance and this host's connections to it.
 template <session_codec Codec>
@@ -51,9 +54,10 @@
   std::vector<std::shared_ptr<target_link<Codec>>> idle;
   std::uint32_t busy = 0;
   std::uint32_t opening = 0;
-  std::uint32_t budget = 1;
   async_event freed;
   time_point avoid_until;
+  /// The instance had no room for a connection.
+  time_point full_until;
   /// Lagged behind a read's position.
   time_point lagging_until;
   duration latency = duration::zero();
@@ -100,10 +104,14 @@
     slot->record = record;
     slot->listed = true;
     slot->health.leaving = record.leaving;
-    if (record.claims_primary && view_.primary.empty()) {
-      Resolve();
+    if (record.claims_primary && view_.primary != record.id) {
+      boost::asio::co_spawn(
+          context_,
+          [self = this->shared_from_this(), slot] {
+            return self->AskAndDrop(slot);
+          },
+          boost::asio::detached);
     }
-    ApplyBudget();
     changed_.NotifyAll();
   }
 
@@ -121,9 +129,7 @@
 
   /// Sets what one host may hold of each instance's connections.
   void SetBudget(std::uint32_t connections, std::uint32_t hosts) {
-    budget_ = std::max<std::uint32_t>(
-        connections / std::max<std::uint32_t>(hosts, 1), 1);
-    ApplyBudget();
+    budget_ = ShareConnections(connections, hosts);
   }
 
   void SetSyncReplicas(std::uint32_t replicas) { sync_replicas_ = replicas; }
@@ -135,10 +141,7 @@
       return !slot->listed && now - slot->unlisted_at > kForgetAfter;
     });
     for (const slot_pointer& slot : slots_) {
-      std::erase_if(slot->idle, [&slot, now](const link_pointer& link) {
-        const bool spare = slot->idle.size() > 1;
-        return (spare && now - link->idle_since > kIdleLinkLife);
-      });
+      CloseSpare(*slot, now);
     }
   }
 
@@ -162,9 +165,23 @@
     return chosen.has_value() ? usable[*chosen] : nullptr;
   }
 
-  /// The instance that leads, if it is known and listed.
+  /// The instance that leads, or while that is not known, the one that claims
+  /// to. A write proves the claim or is not run.
   [[nodiscard]] slot_pointer Primary() const {
-    return view_.primary.empty() ? nullptr : Find(view_.primary);
+    if (!view_.primary.empty()) {
+      return Find(view_.primary);
+    }
+    slot_pointer claiming;
+    for (const slot_pointer& slot : slots_) {
+      if (!slot->listed || !slot->record.claims_primary) {
+        continue;
+      }
+      if (claiming != nullptr) {
+        return nullptr;
+      }
+      claiming = slot;
+    }
+    return claiming;
   }
 
   /// Gets a connection for an organisation.
@@ -186,7 +203,7 @@
   void Release(const link_lease<Codec>& lease, bool reusable) {
     --lease.slot->busy;
     const bool keep = reusable && lease.link->IsOpen() && lease.slot->listed &&
-                      Held(*lease.slot) < lease.slot->budget;
+                      Held(*lease.slot) < budget_.most;
     if (keep) {
       lease.link->idle_since = monotonic_clock::now();
       lease.slot->idle.push_back(lease.link);
@@ -228,13 +245,23 @@
   /// Notes a write that was acknowledged by the primary.
   void ObserveCommit(const target_slot<Codec>& slot,
                      const statement_result& answer, time_point asked_at) {
-    const bool proves = sync_replicas_ > 0 && answer.position.has_value() &&
-                        slot.record.id == view_.primary;
-    if (proves) {
+    if (!answer.position.has_value()) {
+      return;
+    }
+    ObserveLeader(slot, answer);
+    if (sync_replicas_ > 0 && slot.record.id == view_.primary) {
       RecordProof(view_, answer.position->term, asked_at);
     }
   }
 
+  /// Notes that an instance did what only a primary does.
+  void ObserveLeader(const target_slot<Codec>& slot,
+                     const statement_result& answer) {
+    if (answer.position.has_value()) {
+      NoteChange(RecordPrimary(view_, slot.record.id, answer.position->term));
+    }
+  }
+
   /// Notes how long an instance took.
   static void ObserveLatency(target_slot<Codec>& slot, duration latency) {
     constexpr int kSmoothing = 8;
@@ -366,12 +393,28 @@
            slot.opening;
   }
 
-  void ApplyBudget() {
-    for (const slot_pointer& slot : slots_) {
-      slot->budget = budget_;
-      while (!slot->idle.empty() && Held(*slot) > slot->budget) {
-        slot->idle.erase(slot->idle.begin());
-      }
+  /// Tells whether another connection may be opened, and makes room for it.
+  bool MayOpen(target_slot<Codec>& slot) {
+    if (monotonic_clock::now() < slot.full_until) {
+      return false;
+    }
+    if (Held(slot) < budget_.most) {
+      return true;
+    }
+    if (slot.idle.empty()) {
+      return false;
+    }
+    slot.idle.erase(slot.idle.begin());
+    return true;
+  }
+
+  /// Closes idle connections beyond this host's share. What is open when hosts
+  /// lose power goes on to count for seconds, so the fleet keeps at rest only
+  /// what leaves room for as much again.
+  void CloseSpare(target_slot<Codec>& slot, time_point now) {
+    while (!slot.idle.empty() && Held(slot) > budget_.kept &&
+           now - slot.idle.front()->idle_since > kSpareLinkLife) {
+      slot.idle.erase(slot.idle.begin());
     }
   }
 
@@ -427,20 +470,22 @@
         ++slot->busy;
         co_return lease;
       }
-      const std::uint32_t held = Held(*slot);
-      if (held < slot->budget || !slot->idle.empty()) {
-        if (held >= slot->budget) {
-          slot->idle.erase(slot->idle.begin());
+      if (MayOpen(*slot)) {
+        lease = co_await Open(slot, organisation);
+        const bool wait_instead =
+            lease.failure == failure_code::kTooManyConnections &&
+            slot->busy > 0;
+        if (!wait_instead) {
+          co_return lease;
         }
-        co_return co_await Open(slot, organisation);
       }
       const time_point now = monotonic_clock::now();
       if (now >= limit) {
         lease.failure = failure_code::kBusy;
         co_return lease;
       }
-      co_await slot->freed.Wait(
-          std::chrono::duration_cast<duration>(limit - now));
+      const duration left = std::chrono::duration_cast<duration>(limit - now);
+      co_await slot->freed.Wait(std::min(left, kFullPause));
     }
   }
 
@@ -475,7 +520,10 @@
     const statement_result& greeting = outcome.results.front();
     lease.failure = greeting.failure;
     if (greeting.failure != failure_code::kNone) {
-      slot->avoid_until = monotonic_clock::now() + kAvoidTime;
+      const time_point now = monotonic_clock::now();
+      slot->answered_at = now;
+      slot->avoid_until = now + kAvoidTime;
+      slot->full_until = now + kFullPause;
       Log(log_level::kInfo, "target_refused_connection",
           {{"pool", name_},
            {"target", slot->record.id},
@@ -510,11 +558,15 @@
       slot_pointer slot) {
     std::erase_if(slot->idle,
                   [](const link_pointer& link) { return link->IsStale(); });
+    link_lease<Codec> lease;
+    lease.slot = slot;
+    if (slot->idle.empty() && monotonic_clock::now() < slot->full_until) {
+      lease.failure = failure_code::kTooManyConnections;
+      co_return lease;
+    }
     if (slot->idle.empty()) {
       co_return co_await Open(slot, std::string());
     }
-    link_lease<Codec> lease;
-    lease.slot = slot;
     lease.link = slot->idle.back();
     slot->idle.pop_back();
     ++slot->busy;
@@ -559,12 +611,17 @@
     }
   }
 
-  /// Asks all instances until one says that it leads.
+  /// Asks the instance that claims to lead, or all, until one says that it
+  /// does.
   boost::asio::awaitable<void> AskAll() {
-    constexpr duration kAgain = std::chrono::milliseconds(100);
-    constexpr int kRounds = 30;
+    constexpr duration kAgain = std::chrono::milliseconds(150);
+    constexpr int kRounds = 20;
     for (int round = 0; round < kRounds; ++round) {
-      const std::vector<slot_pointer> asked = slots_;
+      const slot_pointer claiming = Primary();
+      std::vector<slot_pointer> asked = slots_;
+      if (claiming != nullptr && round % 2 == 0) {
+        asked.assign(1, claiming);
+      }
       for (const slot_pointer& slot : asked) {
         if (!slot->listed) {
           continue;
@@ -632,7 +689,7 @@
   primary_view view_;
   async_event changed_;
   std::vector<slot_pointer> slots_;
-  std::uint32_t budget_ = 1;
+  connection_share budget_;
   std::uint32_t sync_replicas_ = 0;
   bool resolving_ = false;
   bool proving_ = false;
