Ask replicas for the oldest position that a route's age allows

Ruled out: proofs, which were there. Change: a view keeps the positions of the last 6 s, 40 ms apart, and a read takes the lowest one that its age allows. Test: primary_view_test, 'a read asks for no more than its age needs'.

--- a/src/sassafraswick/consistency/primary_view.cc
+++ b/src/sassafraswick/consistency/primary_view.cc
@@ -46,11 +46,20 @@
 
 void RecordPosition(primary_view& view, const std::string& instance,
                     log_point position, time_point asked_at) {
-  const bool newer =
-      !view.position.has_value() || asked_at > view.position_asked_at;
-  if (view.primary == instance && position.term == view.term && newer) {
-    view.position = position;
-    view.position_asked_at = asked_at;
+  std::deque<seen_position>& kept = view.positions;
+  const bool newer = kept.empty() || asked_at > kept.back().asked_at;
+  if (view.primary != instance || position.term != view.term || !newer) {
+    return;
+  }
+  const bool replaces =
+      kept.size() > 1 &&
+      kept.back().asked_at - kept[kept.size() - 2].asked_at < kPositionSpacing;
+  if (replaces) {
+    kept.pop_back();
+  }
+  kept.push_back({position, asked_at});
+  while (asked_at - kept.front().asked_at > kPositionLife) {
+    kept.pop_front();
   }
 }
 
@@ -62,12 +71,17 @@
 
 std::optional<log_point> ProvedPosition(const primary_view& view,
                                         time_point moment) {
-  if (!view.position.has_value() || !view.proved_at.has_value()) {
+  const bool covered =
+      view.proved_at.has_value() && moment <= *view.proved_at + kPermitWindow;
+  if (!covered) {
     return std::nullopt;
   }
-  const time_point complete_until =
-      std::min(view.position_asked_at, *view.proved_at + kPermitWindow);
-  return complete_until >= moment ? view.position : std::nullopt;
+  for (const seen_position& each : view.positions) {
+    if (each.asked_at >= moment) {
+      return each.position;
+    }
+  }
+  return std::nullopt;
 }
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/consistency/primary_view.h
+++ b/src/sassafraswick/consistency/primary_view.h
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASWICK_CONSISTENCY_PRIMARY_VIEW_H_
 #define SASSAFRASWICK_CONSISTENCY_PRIMARY_VIEW_H_
 
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -26,6 +27,18 @@
 /// Shorter windows cost more questions, longer ones lengthen failovers.
 inline constexpr duration kPermitWindow = std::chrono::milliseconds(500);
 
+/// Positions that the primary showed are kept for this long. Beyond the oldest
+/// age that the users' routes accept (2,500 ms).
+inline constexpr duration kPositionLife = std::chrono::milliseconds(6000);
+/// Shortest time between two kept positions.
+inline constexpr duration kPositionSpacing = std::chrono::milliseconds(40);
+
+/// A position and when it was asked for.
+struct seen_position {
+  log_point position;
+  time_point asked_at;
+};
+
 /// One host's knowledge of a group's primary.
 struct primary_view {
   term_number term = 0;
@@ -33,9 +46,9 @@
   std::string primary;
   /// When the question of the newest proof was sent.
   std::optional<time_point> proved_at;
-  /// Newest position that the primary showed, and when it was asked.
-  std::optional<log_point> position;
-  time_point position_asked_at;
+  /// Positions that the primary showed, oldest first. The last one is the
+  /// newest, whatever the spacing.
+  std::deque<seen_position> positions;
 };
 
 /// Notes that an instance said it leads a term.
@@ -64,7 +77,8 @@
                                const std::string& instance, term_number term,
                                time_point now);
 
-/// A position that holds every write acknowledged before `moment`.
+/// The lowest known position that holds every write acknowledged before
+/// `moment`: the fewer entries a read asks for, the more replicas have them.
 /// @return Nothing if none is proved.
 [[nodiscard]] std::optional<log_point> ProvedPosition(const primary_view& view,
                                                       time_point moment);
--- a/test/sassafraswick/consistency/primary_view_test.cc
+++ b/test/sassafraswick/consistency/primary_view_test.cc
@@ -63,6 +63,29 @@
   CHECK_FALSE(ProvedPosition(view, At(501)).has_value());
 }
 
+// mdb-pedidos trouble-1: replicas 1.4 s behind were asked for the newest
+// position although their routes accept 1.5 s.
+TEST_CASE("a read asks for no more than its age needs", "[primary_view]") {
+  primary_view view = ProvedView();
+  RecordPosition(view, "a", {1, 15}, At(200));
+  RecordPosition(view, "a", {1, 18}, At(220));
+  RecordPosition(view, "a", {1, 20}, At(400));
+  CHECK(ProvedPosition(view, At(-100)) == log_point{1, 10});
+  CHECK(ProvedPosition(view, At(0)) == log_point{1, 10});
+  CHECK(ProvedPosition(view, At(1)) == log_point{1, 18});
+  CHECK(ProvedPosition(view, At(221)) == log_point{1, 20});
+}
+
+TEST_CASE("old positions are dropped", "[primary_view]") {
+  primary_view view = ProvedView();
+  for (int i = 1; i < 400; ++i) {
+    RecordPosition(view, "a", {1, 10 + static_cast<log_position>(i)},
+                   At(i * 50));
+  }
+  CHECK(view.positions.size() < 130);
+  CHECK(view.positions.back().position == log_point{1, 409});
+}
+
 TEST_CASE("replicas show no positions that prove anything", "[primary_view]") {
   primary_view view = ProvedView();
   RecordPosition(view, "b", {1, 20}, At(100));
