Do not replace a primary for one deaf replica

Ruled out: a slow promotion (0.7 s each). Change: with one replica that answers, a standstill has to last 4 s. Tests: replacement_test (new), 'a lone replica that stops receiving is not promoted at once' and the rest of the state machine.

--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -32,11 +32,12 @@
          !instance.refused_since.has_value();
 }
 
-bool AnyOtherAnswers(const group_health& group, const std::string& primary) {
-  return std::any_of(group.begin(), group.end(),
-                     [&primary](const instance_health& instance) {
-                       return instance.id != primary && Answers(instance);
-                     });
+std::size_t CountOthersThatAnswer(const group_health& group,
+                                  const std::string& primary) {
+  return static_cast<std::size_t>(std::count_if(
+      group.begin(), group.end(), [&primary](const instance_health& instance) {
+        return instance.id != primary && Answers(instance);
+      }));
 }
 
 bool AnyOtherStays(const group_health& group, const std::string& primary) {
@@ -103,7 +104,8 @@
                     [](const instance_health& each) { return Answers(each); });
     return known ? replacement_cause::kOrphaned : replacement_cause::kNone;
   }
-  if (!AnyOtherAnswers(group, leader->id)) {
+  const std::size_t others = CountOthersThatAnswer(group, leader->id);
+  if (others == 0) {
     return replacement_cause::kNone;
   }
   if (IsRefused(*leader, settings)) {
@@ -115,7 +117,9 @@
   if (leader->leaving && AnyOtherStays(group, leader->id)) {
     return replacement_cause::kLeaving;
   }
-  const bool stalled = now - state.replicas_grew_at >= settings.cut_off_after;
+  const duration patience =
+      others > 1 ? settings.cut_off_after : settings.lone_cut_off_after;
+  const bool stalled = now - state.replicas_grew_at >= patience;
   return stalled ? replacement_cause::kCutOff : replacement_cause::kNone;
 }
 
--- a/src/sassafraswick/failover/replacement.h
+++ b/src/sassafraswick/failover/replacement.h
@@ -60,6 +60,9 @@
   /// Time without progress on any replica after which a primary that has
   /// entries to send is taken for cut off from them.
   duration cut_off_after = std::chrono::milliseconds(900);
+  /// The same if only one replica answers: the fault may be the replica's, and
+  /// then its promotion helps nobody.
+  duration lone_cut_off_after = std::chrono::milliseconds(4000);
   /// Time a group may be without primary before it gets one.
   duration orphaned_after = std::chrono::milliseconds(300);
   /// Time before a step is tried again.
--- /dev/null
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -0,0 +1,196 @@
+#include "sassafraswick/failover/replacement.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "sassafraswick/consistency/primary_view.h"
+
+namespace sassafraswick {
+namespace {
+
+const replacement_settings kSettings;
+
+time_point At(int milliseconds) {
+  return time_point(std::chrono::hours(1)) +
+         std::chrono::milliseconds(milliseconds);
+}
+
+instance_health Instance(const std::string& id, bool leads,
+                         log_position received, time_point asked_at) {
+  instance_health health;
+  health.id = id;
+  health.asked_at = asked_at;
+  health.status = instance_status{1, leads, {1, received}, 0};
+  return health;
+}
+
+/// `a` leads term 1; all hold ten entries.
+group_health Healthy(int now) {
+  return {Instance("a", true, 10, At(now)), Instance("b", false, 10, At(now)),
+          Instance("c", false, 10, At(now))};
+}
+
+/// A state that has watched a healthy group for longer than it must.
+replacement_state Watching() {
+  replacement_state state;
+  CHECK(TickReplacement(state, Healthy(0), kSettings, At(0)).empty());
+  CHECK(TickReplacement(state, Healthy(2000), kSettings, At(2000)).empty());
+  return state;
+}
+
+bool Contains(const std::vector<replacement_action>& actions,
+              replacement_action_kind kind, const std::string& instance) {
+  return std::any_of(
+      actions.begin(), actions.end(), [&](const replacement_action& action) {
+        return action.kind == kind && action.instance == instance;
+      });
+}
+
+/// Feeds a replica's answer to a hold.
+void Hold(replacement_state& state, group_health& group, std::size_t index,
+          log_position received, int now) {
+  instance_health& health = group.at(index);
+  health.asked_at = At(now);
+  health.status = instance_status{1, false, {1, received}, 2};
+  RecordFenced(state, group, {replacement_action_kind::kHold, health.id, 2},
+               *health.status, At(now));
+}
+
+TEST_CASE(
+    "a silent primary is fenced, and after the window the furthest "
+    "replica is promoted",
+    "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = Healthy(2000);
+  group[0].silent_since = At(2000);
+  CHECK(TickReplacement(state, group, kSettings, At(2400)).empty());
+  const std::vector<replacement_action> fence =
+      TickReplacement(state, group, kSettings, At(2460));
+  CHECK(Contains(fence, replacement_action_kind::kStepDown, "a"));
+  CHECK(Contains(fence, replacement_action_kind::kHold, "b"));
+  CHECK(Contains(fence, replacement_action_kind::kHold, "c"));
+  Hold(state, group, 1, 11, 2465);
+  CHECK(state.phase == replacement_phase::kFencing);
+  Hold(state, group, 2, 12, 2470);
+  CHECK(state.phase == replacement_phase::kWaiting);
+  CHECK(TickReplacement(state, group, kSettings, At(2960)).empty());
+  const std::vector<replacement_action> promote =
+      TickReplacement(state, group, kSettings, At(2470) + kPermitWindow);
+  REQUIRE(promote.size() == 1);
+  CHECK(promote[0].kind == replacement_action_kind::kPromote);
+  CHECK(promote[0].instance == "c");
+}
+
+TEST_CASE("with a replica's log unheard nobody is promoted", "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = Healthy(2000);
+  group[0].silent_since = At(2000);
+  group[2].refused_since = At(1900);
+  group[2].refused_at = At(2300);
+  CHECK_FALSE(TickReplacement(state, group, kSettings, At(2460)).empty());
+  Hold(state, group, 1, 11, 2465);
+  for (int now = 2500; now < 9000; now += 50) {
+    for (const replacement_action& action :
+         TickReplacement(state, group, kSettings, At(now))) {
+      CHECK(action.kind != replacement_action_kind::kPromote);
+    }
+  }
+}
+
+TEST_CASE("a primary that answers again before its end goes on",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = Healthy(2000);
+  group[0].silent_since = At(2000);
+  CHECK_FALSE(TickReplacement(state, group, kSettings, At(2460)).empty());
+  Hold(state, group, 1, 10, 2465);
+  Hold(state, group, 2, 10, 2465);
+  group[0] = Instance("a", true, 10, At(2600));
+  const std::vector<replacement_action> actions =
+      TickReplacement(state, group, kSettings, At(2800));
+  CHECK(state.phase == replacement_phase::kWatching);
+  CHECK(Contains(actions, replacement_action_kind::kRelease, "b"));
+  CHECK(Contains(actions, replacement_action_kind::kRelease, "c"));
+}
+
+TEST_CASE("a leaving primary's successor has all its entries",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = Healthy(2000);
+  group[0].leaving = true;
+  const std::vector<replacement_action> fence =
+      TickReplacement(state, group, kSettings, At(2050));
+  CHECK(Contains(fence, replacement_action_kind::kStepDown, "a"));
+  CHECK_FALSE(Contains(fence, replacement_action_kind::kHold, "b"));
+  group[0].status = instance_status{1, false, {1, 15}, 0};
+  RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
+               *group[0].status, At(2060));
+  group[1] = Instance("b", false, 14, At(2600));
+  CHECK(TickReplacement(state, group, kSettings, At(2600)).size() <= 3);
+  CHECK(state.phase == replacement_phase::kWaiting);
+  group[2] = Instance("c", false, 15, At(2640));
+  const std::vector<replacement_action> promote =
+      TickReplacement(state, group, kSettings, At(2650));
+  REQUIRE(promote.size() == 1);
+  CHECK(promote[0].instance == "c");
+}
+
+TEST_CASE("a primary whose two replicas stop receiving is cut off",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = Healthy(2000);
+  group[0].status->received = {1, 20};
+  CHECK(TickReplacement(state, group, kSettings, At(2850)).empty());
+  CHECK_FALSE(TickReplacement(state, group, kSettings, At(2950)).empty());
+  CHECK(state.cause == replacement_cause::kCutOff);
+}
+
+// pgnc-alm trouble-3: after a failover the new primary's only replica was deaf.
+// Its promotion cost the group two more failovers.
+TEST_CASE("a lone replica that stops receiving is not promoted at once",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = Healthy(2000);
+  group[0].status->received = {1, 20};
+  group[2].silent_since = At(2000);
+  CHECK(TickReplacement(state, group, kSettings, At(3000)).empty());
+  CHECK(TickReplacement(state, group, kSettings, At(5900)).empty());
+  CHECK_FALSE(TickReplacement(state, group, kSettings, At(6100)).empty());
+}
+
+TEST_CASE("a new holder first watches", "[replacement]") {
+  replacement_state state;
+  group_health group = Healthy(0);
+  group[0].silent_since = At(-5000);
+  CHECK(TickReplacement(state, group, kSettings, At(0)).empty());
+  CHECK(TickReplacement(state, group, kSettings, At(1400)).empty());
+  CHECK_FALSE(TickReplacement(state, group, kSettings, At(1500)).empty());
+}
+
+TEST_CASE("replicas that an abandoned replacement holds are released",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = Healthy(2000);
+  group[1].status->held_term = 2;
+  const std::vector<replacement_action> actions =
+      TickReplacement(state, group, kSettings, At(2300));
+  CHECK(Contains(actions, replacement_action_kind::kRelease, "b"));
+}
+
+TEST_CASE("a promotion that somebody else carried out ends the own one",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = Healthy(2000);
+  group[0].silent_since = At(2000);
+  CHECK_FALSE(TickReplacement(state, group, kSettings, At(2460)).empty());
+  group[1].status = instance_status{2, true, {2, 12}, 0};
+  const std::vector<replacement_action> actions =
+      TickReplacement(state, group, kSettings, At(2500));
+  CHECK(state.phase == replacement_phase::kWatching);
+  REQUIRE(actions.size() == 1);
+  CHECK(Contains(actions, replacement_action_kind::kStepDown, "a"));
+  CHECK(actions[0].term == 2);
+}
+
+}  // namespace
+}  // namespace sassafraswick
