Learn of a new primary although its connections are full; prove before reading

Change: a claim to lead is asked after until it is clear; the last claim counts; hosts open about what the instance takes between them, two left for questions; an instance that gave no answer is tried by one request at a time; reads on other routes than 'primary' wait for one proof; a failed proof pauses 30 ms. Tests: connection_share_test.

--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -76,6 +76,8 @@
   bool needs_permit = false;
   /// The group's term when the plan was made.
   term_number term = 0;
+  /// The read has to wait for a position that is proved fresh enough.
+  bool awaits_proof = false;
 };
 
 /// Position that proves a read of the route fresh enough, if one is known.
@@ -103,6 +105,16 @@
   return ProvedPosition(view, scope.floor->at);
 }
 
+/// The primary, unless it gave no answer lately.
+template <session_codec Codec>
+[[nodiscard]] std::shared_ptr<target_slot<Codec>> AvailablePrimary(
+    const target_group<Codec>& group) {
+  const std::shared_ptr<target_slot<Codec>> primary = group.Primary();
+  const bool suspect =
+      primary != nullptr && primary->IsSuspect(monotonic_clock::now());
+  return suspect ? nullptr : primary;
+}
+
 /// Chooses an instance for a read.
 template <session_codec Codec>
 [[nodiscard]] read_plan<Codec> PlanRead(target_group<Codec>& group,
@@ -117,9 +129,14 @@
       return plan;
     }
     plan.after.reset();
+  } else if (scope.route.consistency != read_consistency::kPrimary) {
+    // One question finds a position for all. Without it every read would run
+    // on the primary, whose full slots then keep the question out.
+    plan.awaits_proof = true;
+    return plan;
   }
   plan.needs_permit = true;
-  plan.slot = group.Primary();
+  plan.slot = AvailablePrimary(group);
   return plan;
 }
 
@@ -164,7 +181,7 @@
     while (true) {
       const read_plan<Codec> plan = PlanRead(*group_, scope_, tried);
       if (plan.slot == nullptr) {
-        const bool changed = co_await WaitForGroup();
+        const bool changed = co_await WaitForGroup(plan.awaits_proof);
         if (changed) {
           continue;
         }
@@ -196,9 +213,10 @@
   boost::asio::awaitable<statement_result> Write(statement query) {
     statement_result answer = Refuse("the group has no primary at present");
     while (true) {
-      const std::shared_ptr<target_slot<Codec>> primary = group_->Primary();
+      const std::shared_ptr<target_slot<Codec>> primary =
+          AvailablePrimary(*group_);
       if (primary == nullptr) {
-        const bool changed = co_await WaitForGroup();
+        const bool changed = co_await WaitForGroup(false);
         if (changed) {
           continue;
         }
@@ -217,7 +235,7 @@
           co_return answer;
         }
       }
-      const bool changed = co_await WaitForGroup();
+      const bool changed = co_await WaitForGroup(false);
       if (!changed) {
         co_return Final(answer);
       }
@@ -241,10 +259,10 @@
         plan.term = group_->View().term;
         plan.after = RequiredPosition(*group_, scope_);
         plan.needs_permit = !plan.after.has_value();
-        plan.slot = group_->Primary();
+        plan.slot = AvailablePrimary(*group_);
       }
       if (plan.slot == nullptr) {
-        const bool changed = co_await WaitForGroup();
+        const bool changed = co_await WaitForGroup(false);
         if (changed) {
           continue;
         }
@@ -364,12 +382,18 @@
   }
 
   /// Waits for the group to change, as long as an offer is still in time.
-  boost::asio::awaitable<bool> WaitForGroup() {
+  /// @param prove Ask for a proof meanwhile.
+  boost::asio::awaitable<bool> WaitForGroup(bool prove) {
     const time_point now = monotonic_clock::now();
     if (now >= scope_.OfferLimit()) {
       co_return false;
     }
-    group_->Resolve();
+    if (group_->View().primary.empty()) {
+      group_->Resolve();
+    }
+    if (prove) {
+      group_->Prove();
+    }
     const bool changed = co_await group_->WaitForChange(
         std::chrono::duration_cast<duration>(scope_.OfferLimit() - now));
     co_return changed;
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -32,6 +32,8 @@
 inline constexpr duration kOpenLimit = std::chrono::milliseconds(400);
 /// Time for a question of this host to an instance.
 inline constexpr duration kAskLimit = std::chrono::milliseconds(400);
+/// Time after a failed proof before the next one.
+inline constexpr duration kProofRetry = std::chrono::milliseconds(30);
 /// Time for which an instance is spared after a failure.
 inline constexpr duration kAvoidTime = std::chrono::milliseconds(250);
 /// Time after which an instance that is no longer listed is forgotten. Until
@@ -63,7 +65,16 @@
   time_point answered_at;
   instance_health health;
 
+  /// Order in which instances began to claim that they lead.
+  std::uint64_t claim = 0;
+
   [[nodiscard]] bool IsUsable() const { return listed && !record.leaving; }
+
+  /// Gave no answer lately. After a pause one request at a time tries again.
+  [[nodiscard]] bool IsSuspect(time_point now) const {
+    return health.silent_since.has_value() &&
+           (now < avoid_until || busy + opening > 0);
+  }
 };
 
 /// A connection for one operation.
@@ -99,16 +110,14 @@
       slot->health.id = record.id;
       slots_.push_back(slot);
     }
+    if (record.claims_primary && !slot->record.claims_primary) {
+      slot->claim = ++last_claim_;
+    }
     slot->record = record;
     slot->listed = true;
     slot->health.leaving = record.leaving;
     if (record.claims_primary && view_.primary != record.id) {
-      boost::asio::co_spawn(
-          context_,
-          [self = this->shared_from_this(), slot] {
-            return self->AskAndDrop(slot);
-          },
-          boost::asio::detached);
+      Check(slot);
     }
     changed_.NotifyAll();
   }
@@ -163,21 +172,18 @@
     return chosen.has_value() ? usable[*chosen] : nullptr;
   }
 
-  /// The instance that leads, or while that is not known, the one that claims
-  /// to. A write proves the claim or is not run.
+  /// The instance that leads, or while that is not known, the last one that
+  /// began to claim it. A write proves the claim or is not run.
   [[nodiscard]] slot_pointer Primary() const {
     if (!view_.primary.empty()) {
       return Find(view_.primary);
     }
     slot_pointer claiming;
     for (const slot_pointer& slot : slots_) {
-      if (!slot->listed || !slot->record.claims_primary) {
-        continue;
-      }
-      if (claiming != nullptr) {
-        return nullptr;
+      const bool claims = slot->listed && slot->record.claims_primary;
+      if (claims && (claiming == nullptr || slot->claim > claiming->claim)) {
+        claiming = slot;
       }
-      claiming = slot;
     }
     return claiming;
   }
@@ -428,7 +434,8 @@
                     [&organisation](const link_pointer& link) {
                       return link->Organisation() == organisation;
                     });
-    option.avoid = now < slot.avoid_until || now < slot.lagging_until;
+    option.avoid = now < slot.avoid_until || now < slot.lagging_until ||
+                   slot.IsSuspect(now);
     return option;
   }
 
@@ -520,6 +527,7 @@
     if (greeting.failure != failure_code::kNone) {
       const time_point now = monotonic_clock::now();
       slot->answered_at = now;
+      slot->health.silent_since.reset();
       slot->avoid_until = now + kAvoidTime;
       slot->full_until = now + kFullPause;
       Log(log_level::kInfo, "target_refused_connection",
@@ -558,12 +566,18 @@
                   [](const link_pointer& link) { return link->IsStale(); });
     link_lease<Codec> lease;
     lease.slot = slot;
-    if (slot->idle.empty() && monotonic_clock::now() < slot->full_until) {
-      lease.failure = failure_code::kTooManyConnections;
-      co_return lease;
+    if (slot->idle.empty() && monotonic_clock::now() >= slot->full_until) {
+      lease = co_await Open(slot, std::string());
+      if (lease.failure != failure_code::kTooManyConnections) {
+        co_return lease;
+      }
+    }
+    if (slot->idle.empty() && slot->busy > 0) {
+      co_await slot->freed.Wait(kFullPause);
     }
     if (slot->idle.empty()) {
-      co_return co_await Open(slot, std::string());
+      lease.failure = failure_code::kTooManyConnections;
+      co_return lease;
     }
     lease.link = slot->idle.back();
     slot->idle.pop_back();
@@ -609,6 +623,30 @@
     }
   }
 
+  /// Asks an instance that began to claim that it leads, until it is clear
+  /// whether it does.
+  void Check(slot_pointer slot) {
+    boost::asio::co_spawn(
+        context_,
+        [self = this->shared_from_this(), slot] {
+          return self->AskUntilClear(slot);
+        },
+        boost::asio::detached);
+  }
+
+  boost::asio::awaitable<void> AskUntilClear(slot_pointer slot) {
+    constexpr duration kAgain = std::chrono::milliseconds(60);
+    constexpr int kRounds = 40;
+    for (int round = 0; round < kRounds; ++round) {
+      const std::optional<instance_status> status = co_await Ask(slot);
+      const bool clear = status.has_value() || view_.primary == slot->record.id;
+      if (clear || !slot->listed) {
+        break;
+      }
+      co_await Sleep(kAgain);
+    }
+  }
+
   /// Asks the instance that claims to lead, or all, until one says that it
   /// does.
   boost::asio::awaitable<void> AskAll() {
@@ -647,17 +685,20 @@
 
   boost::asio::awaitable<void> AskProof() {
     const time_point asked_at = monotonic_clock::now();
-    const term_number term = view_.term;
     const slot_pointer primary = Primary();
     if (primary != nullptr) {
       const std::optional<instance_status> leading = co_await Ask(primary);
-      const bool leads =
-          leading.has_value() && leading->leads && leading->term == term;
+      const bool leads = leading.has_value() && leading->leads;
+      const term_number term = leads ? leading->term : 0;
       const bool replica_free = co_await AskReplica(primary, term);
       if (leads && replica_free) {
         RecordProof(view_, term, asked_at);
       }
     }
+    if (!IsPermitted(view_, view_.primary, view_.term,
+                     monotonic_clock::now())) {
+      co_await Sleep(kProofRetry);
+    }
     proving_ = false;
     changed_.NotifyAll();
   }
@@ -688,6 +729,7 @@
   async_event changed_;
   std::vector<slot_pointer> slots_;
   connection_share budget_;
+  std::uint64_t last_claim_ = 0;
   std::uint32_t sync_replicas_ = 0;
   bool resolving_ = false;
   bool proving_ = false;
--- a/src/sassafraswick/limits/connection_share.h
+++ b/src/sassafraswick/limits/connection_share.h
@@ -18,19 +18,23 @@
   std::uint32_t kept = 1;
 };
 
+/// Connections of each instance that are left for questions of hosts whose own
+/// are all in use.
+inline constexpr std::uint32_t kReservedConnections = 2;
+
 /// Shares an instance's connections.
 ///
-/// At rest the fleet keeps half of them: connections of hosts that lost power
-/// count for seconds after, and the same hosts need as many again at once. A
-/// busy host may use up to half of all by itself, since hosts are rarely busy
-/// at the same instance together.
+/// All hosts together open no more than the instance takes, but for rounding.
+/// At rest the fleet keeps half: connections of hosts that lost power count for
+/// seconds after, and the same hosts need as many again at once.
 [[nodiscard]] constexpr connection_share ShareConnections(
     std::uint32_t connections, std::uint32_t hosts) noexcept {
-  const std::uint32_t half = connections / 2;
   const std::uint32_t sharing = std::max<std::uint32_t>(hosts, 1);
+  const std::uint32_t usable =
+      connections - std::min(connections, kReservedConnections);
   connection_share share;
-  share.kept = std::max<std::uint32_t>(half / sharing, 1);
-  share.most = std::max(half, share.kept);
+  share.kept = std::max<std::uint32_t>(connections / 2 / sharing, 1);
+  share.most = std::max((usable + sharing / 2) / sharing, share.kept);
   return share;
 }
 
--- a/test/sassafraswick/limits/connection_share_test.cc
+++ b/test/sassafraswick/limits/connection_share_test.cc
@@ -18,6 +18,18 @@
   }
 }
 
+// pgnc-alm trouble-3: busy hosts filled a new primary's connections, so that
+// nobody could ask who leads.
+TEST_CASE("busy hosts together hardly pass what an instance takes",
+          "[connection_share]") {
+  CHECK(ShareConnections(21, 7).most == 3);
+  CHECK(ShareConnections(32, 8).most == 4);
+  CHECK(ShareConnections(82, 90).most == 1);
+  for (std::uint32_t hosts = 1; hosts < 16; ++hosts) {
+    CHECK(ShareConnections(32, hosts).most * hosts <= 32 + hosts / 2);
+  }
+}
+
 TEST_CASE("every host may open one connection, however many share",
           "[connection_share]") {
   CHECK(ShareConnections(20, 90).kept == 1);
