Pace new connections by the slots they take

After all hosts were killed the two slots of each primary did little else, questions were answered 'busy' and 1,964 tries found no instance ready. Ruled out: a lost duty (taken at 15.7 s, no primary was missing by then).

Change: limits/connection_share paces openings: half of an instance's slots for the fleet's handshakes, eight at once a host. Test: connection_share_test, 'handshakes take a part of an instance's slots'.

--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -185,7 +185,7 @@
         if (changed) {
           continue;
         }
-        co_return answer;
+        co_return Final(answer);
       }
       const link_lease<Codec> lease = co_await group_->Acquire(
           plan.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
@@ -220,7 +220,7 @@
         if (changed) {
           continue;
         }
-        co_return answer;
+        co_return Final(answer);
       }
       const link_lease<Codec> lease = co_await group_->Acquire(
           primary, scope_.organisation, scope_.session, scope_.OfferLimit());
@@ -262,11 +262,11 @@
         plan.slot = AvailablePrimary(*group_);
       }
       if (plan.slot == nullptr) {
-        const bool changed = co_await WaitForGroup(false);
+        const bool changed = co_await WaitForGroup(plan.awaits_proof);
         if (changed) {
           continue;
         }
-        co_return answer;
+        co_return Final(answer);
       }
       const link_lease<Codec> lease = co_await group_->Acquire(
           plan.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -54,6 +54,7 @@
   std::vector<std::shared_ptr<target_link<Codec>>> idle;
   std::uint32_t busy = 0;
   std::uint32_t opening = 0;
+  open_pace pace;
   async_event freed;
   time_point avoid_until;
   /// The instance had no room for a connection.
@@ -137,6 +138,7 @@
   /// Sets what one host may hold of each instance's connections.
   void SetBudget(std::uint32_t connections, std::uint32_t hosts) {
     budget_ = ShareConnections(connections, hosts);
+    hosts_ = hosts;
   }
 
   void SetSyncReplicas(std::uint32_t replicas) { sync_replicas_ = replicas; }
@@ -403,13 +405,15 @@
     if (monotonic_clock::now() < slot.full_until) {
       return false;
     }
-    if (Held(slot) < budget_.most) {
-      return true;
-    }
-    if (slot.idle.empty()) {
+    const bool has_room = Held(slot) < budget_.most || !slot.idle.empty();
+    if (!has_room ||
+        !TryOpen(slot.pace, std::max<std::uint32_t>(slot.record.slots, 1),
+                 hosts_, monotonic_clock::now())) {
       return false;
     }
-    slot.idle.erase(slot.idle.begin());
+    if (Held(slot) >= budget_.most) {
+      slot.idle.erase(slot.idle.begin());
+    }
     return true;
   }
 
@@ -729,6 +733,7 @@
   async_event changed_;
   std::vector<slot_pointer> slots_;
   connection_share budget_;
+  std::uint32_t hosts_ = 1;
   std::uint64_t last_claim_ = 0;
   std::uint32_t sync_replicas_ = 0;
   bool resolving_ = false;
--- a/src/sassafraswick/limits/connection_share.h
+++ b/src/sassafraswick/limits/connection_share.h
@@ -2,8 +2,11 @@
 #define SASSAFRASWICK_LIMITS_CONNECTION_SHARE_H_
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 
+#include "sassafraswick/core/time.h"
+
 /// @file
 /// One host's part of an instance's connections, where the instance itself
 /// turns away what is too much.
@@ -38,6 +41,40 @@
   return share;
 }
 
+/// Slot time of opening a connection; the users' sheets.
+inline constexpr duration kHandshakeTime = std::chrono::milliseconds(12);
+/// Part of an instance's slots that the fleet may spend on handshakes. Beyond
+/// it, an overloaded instance would do little else.
+inline constexpr double kHandshakePart = 0.5;
+/// Connections that a host may open at once after a rest.
+inline constexpr double kOpenBurst = 8.0;
+
+/// Paces one host's openings of connections to one instance.
+struct open_pace {
+  double tokens = kOpenBurst;
+  time_point refilled_at;
+};
+
+/// Takes leave to open a connection.
+/// @param slots Statements that the instance runs at a time.
+/// @return False if the host has opened too many lately.
+[[nodiscard]] inline bool TryOpen(open_pace& pace, std::uint32_t slots,
+                                  std::uint32_t hosts, time_point now) {
+  const double handshake =
+      std::chrono::duration<double>(kHandshakeTime).count();
+  const double rate =
+      kHandshakePart * slots / handshake / std::max<std::uint32_t>(hosts, 1);
+  const double elapsed =
+      std::chrono::duration<double>(now - pace.refilled_at).count();
+  pace.tokens = std::min(kOpenBurst, pace.tokens + rate * elapsed);
+  pace.refilled_at = now;
+  if (pace.tokens < 1.0) {
+    return false;
+  }
+  pace.tokens -= 1.0;
+  return true;
+}
+
 }  // namespace sassafraswick
 
 #endif  // SASSAFRASWICK_LIMITS_CONNECTION_SHARE_H_
--- a/test/sassafraswick/limits/connection_share_test.cc
+++ b/test/sassafraswick/limits/connection_share_test.cc
@@ -36,5 +36,25 @@
   CHECK(ShareConnections(1, 90).most == 1);
 }
 
+// pgnc-alm trouble-3: after all hosts were killed, handshakes of 12 ms filled
+// the two slots of each primary, and nothing was served for five seconds.
+TEST_CASE("handshakes take a part of an instance's slots", "[open_pace]") {
+  constexpr std::uint32_t kHosts = 8;
+  constexpr std::uint32_t kSlots = 2;
+  open_pace paces[kHosts];
+  int opened = 0;
+  for (int now = 0; now < 10'000; ++now) {
+    for (open_pace& pace : paces) {
+      const time_point at =
+          time_point(std::chrono::hours(1)) + std::chrono::milliseconds(now);
+      opened += TryOpen(pace, kSlots, kHosts, at) ? 1 : 0;
+    }
+  }
+  const double slot_seconds = opened * 0.012;
+  CHECK(slot_seconds <
+        kHandshakePart * kSlots * 10.0 + kHosts * kOpenBurst * 0.012);
+  CHECK(opened > 400);
+}
+
 }  // namespace
 }  // namespace sassafraswick
