Log to standard output, bounded and without blocking

Cause: lines went to standard error through a stream that blocks when nobody reads, and an overloaded host wrote hundreds of lines a second for one reason. Change: each event has a budget of 50 lines a second and 200 at once; what is left out is counted in the next line and in the metrics; a line is written only if the pipe takes it whole.

--- a/src/sassafraswick/core/log.cc
+++ b/src/sassafraswick/core/log.cc
@@ -1,29 +1,41 @@
 #include "sassafraswick/core/log.h"
 
-#include <boost/core/null_deleter.hpp>
+#include <poll.h>
+#include <unistd.h>
+
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
 #include <chrono>
-#include <iostream>
+#include <climits>
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "sassafraswick/core/log_budget.h"
 
 namespace sassafraswick {
 namespace {
 
 using severity_source = boost::log::sources::severity_logger<log_level>;
 
+/// Longest line, in bytes: what a pipe that is ready takes without blocking.
+constexpr std::size_t kMaxLine = PIPE_BUF;
+
 /// What every line of this process carries.
 struct log_context {
   std::string process = "sassafraswick";
   severity_source source;
+  std::map<std::string, log_budget, std::less<>> budgets;
+  std::uint64_t left_out = 0;
 };
 
 log_context& Context() {
@@ -31,6 +43,35 @@
   return context;
 }
 
+/// Writes a line to standard output, or leaves it out if nobody reads.
+void WriteLine(std::string line) {
+  constexpr std::string_view kCut = "\"cut\"\n";
+  line += '\n';
+  if (line.size() > kMaxLine) {
+    line.resize(kMaxLine - kCut.size());
+    line += kCut;
+  }
+  pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+  const bool writable =
+      poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+  const bool written =
+      writable && write(STDOUT_FILENO, line.data(), line.size()) > 0;
+  if (!written) {
+    ++Context().left_out;
+  }
+}
+
+/// Passes formatted lines on.
+class output_backend : public boost::log::sinks::basic_formatted_sink_backend<
+                           char, boost::log::sinks::synchronized_feeding> {
+ public:
+  // Boost.Log calls this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  void consume(const boost::log::record_view&, const string_type& line) {
+    WriteLine(line);
+  }
+};
+
 std::string_view LevelName(log_level level) {
   switch (level) {
     case log_level::kDebug:
@@ -50,13 +91,9 @@
 void StartLogging(const std::string& process, log_level minimum) {
   namespace sinks = boost::log::sinks;
   Context().process = process;
-  using backend = sinks::text_ostream_backend;
-  boost::shared_ptr<backend> stream = boost::make_shared<backend>();
-  stream->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  stream->auto_flush(true);
-  boost::shared_ptr<sinks::synchronous_sink<backend>> sink =
-      boost::make_shared<sinks::synchronous_sink<backend>>(stream);
+  boost::shared_ptr<sinks::synchronous_sink<output_backend>> sink =
+      boost::make_shared<sinks::synchronous_sink<output_backend>>(
+          boost::make_shared<output_backend>());
   sink->set_formatter(boost::log::expressions::stream
                       << boost::log::expressions::smessage);
   boost::log::core::get()->add_sink(sink);
@@ -80,6 +117,16 @@
 
 void Log(log_level level, std::string_view event,
          std::initializer_list<log_field> fields) {
+  const auto known = Context().budgets.find(event);
+  log_budget& budget = known == Context().budgets.end()
+                           ? Context().budgets[std::string(event)]
+                           : known->second;
+  const std::optional<std::uint64_t> left_out =
+      budget.TryWrite(monotonic_clock::now());
+  if (!left_out.has_value()) {
+    ++Context().left_out;
+    return;
+  }
   using wall_clock = std::chrono::system_clock;
   const std::chrono::milliseconds since_epoch =
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -92,7 +139,12 @@
   for (const log_field& field : fields) {
     line[field.name] = field.value;
   }
+  if (*left_out > 0) {
+    line["left_out"] = *left_out;
+  }
   BOOST_LOG_SEV(Context().source, level) << boost::json::serialize(line);
 }
 
+std::uint64_t LogLinesLeftOut() { return Context().left_out; }
+
 }  // namespace sassafraswick
--- a/src/sassafraswick/core/log.h
+++ b/src/sassafraswick/core/log.h
@@ -19,7 +19,8 @@
   std::string value;
 };
 
-/// Starts logging to standard error.
+/// Starts logging to standard output. Writing never blocks: what nobody reads,
+/// and what one event writes beyond its rate, is left out and counted.
 /// @param process Name put into every line.
 /// @param minimum Lines below this level are dropped.
 void StartLogging(const std::string& process, log_level minimum);
@@ -37,6 +38,9 @@
 void Log(log_level level, std::string_view event,
          std::initializer_list<log_field> fields = {});
 
+/// Lines left out so far.
+[[nodiscard]] std::uint64_t LogLinesLeftOut();
+
 }  // namespace sassafraswick
 
 #endif  // SASSAFRASWICK_CORE_LOG_H_
--- a/src/sassafraswick/gateway/report.cc
+++ b/src/sassafraswick/gateway/report.cc
@@ -2,6 +2,8 @@
 
 #include <string_view>
 
+#include "sassafraswick/core/log.h"
+
 namespace sassafraswick {
 namespace {
 
@@ -22,7 +24,11 @@
     const bool last = i + 1 == latency_histogram::kBuckets;
     const std::string limit =
         last ? "+Inf" : std::to_string(ToMilliseconds(bound));
-    AddLine(text, name + "_bucket{le_ms=\"" + limit + "\"}", below);
+    std::string label = name;
+    label += "_bucket{le_ms=\"";
+    label += limit;
+    label += "\"}";
+    AddLine(text, label, below);
     bound *= 2;
   }
   AddLine(text, name + "_count", histogram.total);
@@ -44,6 +50,7 @@
   AddLine(text, "store_calls", counters.store_calls);
   AddLine(text, "promotions", counters.promotions);
   AddLine(text, "retries", counters.retries);
+  AddLine(text, "log_lines_left_out", LogLinesLeftOut());
   for (const std::pair<const std::string, std::uint64_t>& failure :
        counters.failures) {
     AddLine(text, "failures{reason=\"" + failure.first + "\"}", failure.second);
--- a/test/integration/gateway_test.cc
+++ b/test/integration/gateway_test.cc
@@ -24,6 +24,14 @@
 
 constexpr milliseconds kPatience(15'000);
 
+std::string Joined(std::initializer_list<std::string_view> parts) {
+  std::string text;
+  for (const std::string_view part : parts) {
+    text += part;
+  }
+  return text;
+}
+
 /// Runs a statement until it succeeds.
 bool RunUntilDone(line_client& client, const std::string& text) {
   return WaitFor(kPatience, [&client, &text] {
@@ -117,6 +125,7 @@
   constexpr int kSessions = 8;
   constexpr int kRounds = 60;
   std::vector<std::thread> callers;
+  callers.reserve(kSessions);
   std::vector<int> mixed(kSessions, 0);
   for (int number = 0; number < kSessions; ++number) {
     callers.emplace_back([&platform, &mixed, number] {
@@ -125,17 +134,18 @@
       const std::string own = "v" + std::to_string(number);
       const std::string item = "item" + std::to_string(number);
       client.Run("SET owner " + own);
-      client.Run("PREPARE s0 READ q" + std::to_string(number));
+      client.Run(Joined({"PREPARE s0 READ q", std::to_string(number)}));
       for (int round = 0; round < kRounds; ++round) {
-        const std::string data = own + "r" + std::to_string(round);
-        const std::string write = client.Run("WRITE " + item + " " + data);
+        const std::string data = Joined({own, "r", std::to_string(round)});
+        const std::string write =
+            client.Run(Joined({"WRITE ", item, " ", data}));
         if (!write.starts_with("COMPLETE")) {
           continue;
         }
         const std::string read = client.Run("EXECUTE s0 " + item);
         const bool refused = read.starts_with("ERROR BUSY");
-        const bool right =
-            read.starts_with("ROW " + data + " owner=" + own + "|COMPLETE");
+        const bool right = read.starts_with(
+            Joined({"ROW ", data, " owner=", own, "|COMPLETE"}));
         mixed.at(static_cast<std::size_t>(number)) += refused || right ? 0 : 1;
       }
     });
