--- a/src/sassafraswick/gateway/client_session.h
+++ b/src/sassafraswick/gateway/client_session.h
@@ -232,6 +232,7 @@
     ++gateway_.counters.statements;
     const time_point arrived_at = monotonic_clock::now();
     last_wait_ = duration::zero();
+    last_target_.clear();
     statement& query = message.query;
     statement_result answer;
     if (query.text.size() > gateway_.tables->max_statement) {
@@ -363,7 +364,7 @@
     } else {
       answer = co_await runner.Read(query);
     }
-    last_wait_ = runner.Waited();
+    NoteRunner(runner);
     if (answer.failure == failure_code::kBusy) {
       gateway_.limiter.Refund(admission_.organisation.name);
     }
@@ -460,12 +461,13 @@
     if (!transaction_->running.has_value()) {
       const statement_result begun =
           co_await runner.Begin(transaction_->begin, transaction_->running);
-      last_wait_ = runner.Waited();
+      NoteRunner(runner);
       if (begun.failure != failure_code::kNone) {
         gateway_.limiter.Refund(scope.organisation);
         co_return begun;
       }
     }
+    last_target_ = transaction_->running->lease.slot->record.id;
     statement_result answer =
         co_await runner.RunInside(query, *writes, *transaction_->running);
     if (commits) {
@@ -474,6 +476,11 @@
     co_return answer;
   }
 
+  void NoteRunner(const operation_runner<Codec>& runner) {
+    last_wait_ = runner.Waited();
+    last_target_ = runner.LastTarget();
+  }
+
   /// Ends a transaction whose commit was answered, or is in doubt.
   void EndCommitted(const statement_result& answer) {
     const bool succeeded = answer.failure == failure_code::kNone;
@@ -558,6 +565,8 @@
         {{"request", request},
          {"database", database_},
          {"organisation", admission_.organisation.name},
+         {"pool", admission_.route.pool},
+         {"target", last_target_},
          {"reason", std::string(reason)},
          {"detail", answer.detail},
          {"configuration", std::to_string(gateway_.tables->version)}});
@@ -579,6 +588,8 @@
   std::optional<session_floor> floor_;
   /// Time that the current statement waited for a connection.
   duration last_wait_ = duration::zero();
+  /// Instance that it was sent to last.
+  std::string last_target_;
   bool at_rest_ = false;
   time_point rests_since_;
   /// Counts messages and timers, so that a late timer does nothing.
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -168,7 +168,7 @@
       }
       const link_lease<Codec> lease = co_await group_->Acquire(
           plan.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
-      waited_ += lease.waited;
+      NoteLease(lease);
       if (lease.link == nullptr) {
         answer = Refuse("no connection to an instance is free");
       } else {
@@ -203,7 +203,7 @@
       }
       const link_lease<Codec> lease = co_await group_->Acquire(
           primary, scope_.organisation, scope_.session, scope_.OfferLimit());
-      waited_ += lease.waited;
+      NoteLease(lease);
       if (lease.link == nullptr) {
         answer = Refuse("no connection to the primary is free");
       } else {
@@ -249,7 +249,7 @@
       }
       const link_lease<Codec> lease = co_await group_->Acquire(
           plan.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
-      waited_ += lease.waited;
+      NoteLease(lease);
       if (lease.link == nullptr) {
         answer = Refuse("no connection to an instance is free");
       } else {
@@ -319,6 +319,8 @@
   [[nodiscard]] const operation_scope& Scope() const { return scope_; }
   /// Time spent on waiting for connections.
   [[nodiscard]] duration Waited() const { return waited_; }
+  /// Instance that was tried last; empty if none was.
+  [[nodiscard]] const std::string& LastTarget() const { return last_target_; }
 
  private:
   /// Term that the instance was in when it answered. An instance that leads
@@ -378,6 +380,11 @@
     co_return changed;
   }
 
+  void NoteLease(const link_lease<Codec>& lease) {
+    waited_ += lease.waited;
+    last_target_ = lease.slot->record.id;
+  }
+
   static statement_result TakeAnswer(const exchange_outcome& outcome,
                                      std::size_t count) {
     if (outcome.results.size() == count) {
@@ -528,6 +535,7 @@
   operation_scope scope_;
   std::shared_ptr<target_group<Codec>> group_;
   duration waited_ = duration::zero();
+  std::string last_target_;
 };
 
 }  // namespace sassafraswick
