--- /dev/null
+++ b/test/platform/documents_test.cc
@@ -0,0 +1,92 @@
+#include "platform/documents.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <random>
+
+#include "platform/settings.h"
+
+namespace sassafraswick::platform {
+namespace {
+
+const std::string kConfiguration =
+    R"({"version":7,"routes":[{"name":"r-1","host":"counter","route_type":)"
+    R"("bounded_staleness","timeout_ms":2000,"target_latency_ms":600,)"
+    R"("priority":2,"service":"orders","max_staleness_ms":1500,)"
+    R"("public":false}],"services":[{"name":"orders","max_connections":21,)"
+    R"("sync_replicas":1}],"limits":{"tx_idle_ms":3000},"tenants":[)"
+    R"({"name":"gallery","api_keys":["k1","k2"],"rate_per_s":113,)"
+    R"("burst":113}]})";
+
+const std::string kEntry =
+    R"({"service":"orders","address":"127.0.0.1:8080","zone":"z","slots":3,)"
+    R"("state":"ready","db_role":"replica","sequence":4,"born":17})";
+
+TEST_CASE("a configuration is decoded into the product's terms",
+          "[documents]") {
+  const catalog version = *DecodeConfiguration(kConfiguration).value();
+  CHECK(version.version == 7);
+  const catalog_route& route = version.routes.at("counter");
+  CHECK(route.pool == "orders");
+  CHECK(route.consistency == read_consistency::kBoundedStaleness);
+  CHECK(route.max_staleness == std::chrono::milliseconds(1500));
+  CHECK(version.pools.at("orders").sync_replicas == 1);
+  CHECK(AdmitCaller(version, "counter", "k2").verdict ==
+        admission_verdict::kAdmitted);
+  CHECK(AdmitCaller(version, "counter", "k2").organisation.rate == 113);
+  CHECK(AdmitCaller(version, "counter", "k3").verdict ==
+        admission_verdict::kNotAuthorised);
+  CHECK(AdmitCaller(version, "nowhere", "k2").verdict ==
+        admission_verdict::kUnknownDatabase);
+}
+
+TEST_CASE("a server's entry is decoded or refused whole", "[documents]") {
+  const target_record record = DecodeServerEntry("servers/i-1", kEntry).value();
+  CHECK(record.id == "i-1");
+  CHECK(record.pool == "orders");
+  CHECK_FALSE(record.leaving);
+  CHECK_FALSE(record.claims_primary);
+  for (const char* const bad :
+       {R"({})", R"([1])", "\x01", R"({"service":7})",
+        R"({"service":"o","address":"x","zone":"z","slots":3,"state":"ready",)"
+        R"("db_role":"replica"})",
+        R"({"service":"o","address":"1.2.3.4:5","zone":"z","slots":3,)"
+        R"("state":"asleep","db_role":"replica"})",
+        R"({"service":"o","address":"1.2.3.4:5","zone":"z","slots":0,)"
+        R"("state":"ready","db_role":"replica"})"}) {
+    CHECK_FALSE(DecodeServerEntry("servers/i-1", bad));
+  }
+  CHECK_FALSE(DecodeServerEntry("servers/", kEntry));
+}
+
+TEST_CASE("damaged documents never break the decoders", "[documents][fuzz]") {
+  std::mt19937 random(5);
+  for (int i = 0; i < 5000; ++i) {
+    std::string configuration = kConfiguration;
+    std::string entry = kEntry;
+    for (int j = 0; j < 3; ++j) {
+      configuration[random() % configuration.size()] =
+          static_cast<char>(random());
+      entry[random() % entry.size()] = static_cast<char>(random());
+    }
+    static_cast<void>(DecodeConfiguration(configuration).has_value());
+    static_cast<void>(DecodeServerEntry("servers/i-1", entry).has_value());
+  }
+}
+
+TEST_CASE("settings that miss something say what and where", "[settings]") {
+  const std::string path = "/tmp/sassafraswick_settings_test.ini";
+  std::ofstream(path) << "[host]\nname = a\n";
+  const result<process_settings> missing = LoadSettings(path);
+  REQUIRE_FALSE(missing);
+  CHECK(missing.error().message ==
+        path + ": [host] availability_zone is missing");
+  std::ofstream(path) << "[host]\nname = a\navailability_zone = z\n"
+                      << "[listen]\ncallers = nowhere\n";
+  const result<process_settings> bad = LoadSettings(path);
+  REQUIRE_FALSE(bad);
+  CHECK(bad.error().message.find("[listen] callers") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace sassafraswick::platform
--- /dev/null
+++ b/test/sassafraswick/routing/choose_target_test.cc
@@ -0,0 +1,52 @@
+#include "sassafraswick/routing/choose_target.h"
+
+#include <catch2/catch.hpp>
+
+namespace sassafraswick {
+namespace {
+
+target_option Option(int latency_ms) {
+  target_option option;
+  option.slots = 3;
+  option.latency = std::chrono::milliseconds(latency_ms);
+  option.has_connection = true;
+  return option;
+}
+
+TEST_CASE("nothing is chosen from nothing", "[choose_target]") {
+  CHECK_FALSE(ChooseTarget({}, 1).has_value());
+}
+
+TEST_CASE("a slow or loaded instance is spared", "[choose_target]") {
+  target_option loaded = Option(20);
+  loaded.in_flight = 6;
+  for (std::uint64_t random = 0; random < 100; ++random) {
+    CHECK(ChooseTarget({Option(60), Option(20)}, random) == 1U);
+    CHECK(ChooseTarget({loaded, Option(20)}, random) == 1U);
+  }
+}
+
+TEST_CASE("equal instances share the reads", "[choose_target]") {
+  int first = 0;
+  for (std::uint64_t random = 0; random < 1000; ++random) {
+    first += ChooseTarget({Option(20), Option(20)}, random * 7919) == 0U;
+  }
+  CHECK(first > 300);
+  CHECK(first < 700);
+}
+
+TEST_CASE("the primary keeps its slots for writes", "[choose_target]") {
+  target_option primary = Option(20);
+  primary.is_primary = true;
+  CHECK(ChooseTarget({primary, Option(25)}, 3) == 1U);
+}
+
+TEST_CASE("an instance to avoid is taken only if all are", "[choose_target]") {
+  target_option avoided = Option(1);
+  avoided.avoid = true;
+  CHECK(ChooseTarget({avoided, Option(500)}, 3) == 1U);
+  CHECK(ChooseTarget({avoided}, 3) == 0U);
+}
+
+}  // namespace
+}  // namespace sassafraswick
