--- a/src/sassafraswick/failover/promotion.cc
+++ b/src/sassafraswick/failover/promotion.cc
@@ -221,11 +221,10 @@
 }
 
 void RecordPromotion(failover_state& state, const failover_command& command,
-                     bool accepted, time_point now) {
+                     time_point now) {
   const bool expected =
       state.phase == promotion_phase::kPromoting && command.term == state.term;
   if (expected) {
-    static_cast<void>(accepted);
     Restart(state, now, now);
   }
 }
--- a/src/sassafraswick/failover/promotion.h
+++ b/src/sassafraswick/failover/promotion.h
@@ -105,9 +105,10 @@
                  const failover_command& command, bool accepted,
                  log_point log_end, time_point now);
 
-/// Feeds the answer of a promotion.
+/// Feeds the answer of a promotion. Accepted or not, the group's next reports
+/// tell what came of it.
 void RecordPromotion(failover_state& state, const failover_command& command,
-                     bool accepted, time_point now);
+                     time_point now);
 
 }  // namespace sassafraswick
 
--- a/src/sassafraswick/limits/capacity_grant.cc
+++ b/src/sassafraswick/limits/capacity_grant.cc
@@ -4,6 +4,12 @@
 
 namespace sassafraswick {
 
+std::uint32_t GrantableConnections(std::uint32_t connections,
+                                   std::uint32_t hosts) noexcept {
+  const std::uint32_t taken = kReservedForControl + hosts;
+  return connections > taken ? connections - taken : 1;
+}
+
 std::map<std::string, std::uint32_t> DivideFairly(
     std::uint32_t total, const std::map<std::string, std::uint32_t>& wishes) {
   std::map<std::string, std::uint32_t> shares;
--- a/src/sassafraswick/limits/capacity_grant.h
+++ b/src/sassafraswick/limits/capacity_grant.h
@@ -39,6 +39,14 @@
   std::map<std::string, capacity_holder> holders;
 };
 
+/// Connections of an instance kept back for promotions and tools.
+inline constexpr std::uint32_t kReservedForControl = 2;
+
+/// Connections of an instance that hosts may share for callers: all but the
+/// reserve and one a host, which watches the instance.
+[[nodiscard]] std::uint32_t GrantableConnections(std::uint32_t connections,
+                                                 std::uint32_t hosts) noexcept;
+
 /// Divides a total among wishes: nobody gets more than wished, and nobody could
 /// get more without taking it from somebody who has less.
 [[nodiscard]] std::map<std::string, std::uint32_t> DivideFairly(
--- a/src/sassafraswick/proxy/caller_execution.cc
+++ b/src/sassafraswick/proxy/caller_execution.cc
@@ -6,12 +6,9 @@
 /// connection then carries.
 
 namespace sassafraswick {
-namespace {
 
 namespace asio = boost::asio;
 
-}  // namespace
-
 std::string caller_session::Prefix(const request_unit& unit,
                                    target_connection& connection,
                                    relay_request& expected) const {
--- a/src/sassafraswick/proxy/host_runtime.cc
+++ b/src/sassafraswick/proxy/host_runtime.cc
@@ -3,14 +3,13 @@
 #include <algorithm>
 
 #include "sassafraswick/core/log.h"
+#include "sassafraswick/limits/capacity_grant.h"
 #include "sassafraswick/proxy/caller_session.h"
 #include "sassafraswick/routing/rendezvous.h"
 
 namespace sassafraswick {
 namespace {
 
-/// Connections to each instance that stay free for fencing and promotion.
-constexpr std::uint32_t kReservedConnections = 2;
 /// Time without contact after which a host stops serving.
 constexpr duration kIsolationLimit = std::chrono::seconds(10);
 
@@ -27,9 +26,8 @@
 std::uint32_t EvenShare(const pool& definition, std::size_t host_count) {
   const std::uint32_t hosts =
       static_cast<std::uint32_t>(std::max<std::size_t>(host_count, 1));
-  const std::uint32_t taken = kReservedConnections + hosts;
   const std::uint32_t left =
-      definition.connections > taken ? definition.connections - taken : 0;
+      GrantableConnections(definition.connections, hosts);
   return std::max<std::uint32_t>(left / hosts, 1);
 }
 
--- a/src/sassafraswick/proxy/instance_watch.cc
+++ b/src/sassafraswick/proxy/instance_watch.cc
@@ -109,7 +109,7 @@
                 accepted ? answer.value().report.log_end : log_point(), now);
   } else {
     counts_.promotions += accepted ? 1 : 0;
-    RecordPromotion(failover_, command, accepted, now);
+    RecordPromotion(failover_, command, now);
   }
   ask_now_.NotifyAll();
 }
--- a/src/sassafraswick/proxy/limit_service.cc
+++ b/src/sassafraswick/proxy/limit_service.cc
@@ -22,8 +22,6 @@
 constexpr duration kCapacityUrgentGap = std::chrono::milliseconds(20);
 /// Use of a resource is reported for that long after its last use.
 constexpr duration kCapacityLinger = std::chrono::seconds(5);
-/// Connections to each instance that stay free for fencing and promotion.
-constexpr std::uint32_t kReservedConnections = 2;
 
 std::string HostKey(const std::string& host, std::uint64_t boot) {
   return host + "/" + std::to_string(boot);
@@ -350,9 +348,7 @@
   }
   const std::uint32_t watching =
       static_cast<std::uint32_t>(LiveHosts(environment_.fleet()).size());
-  const std::uint32_t taken = kReservedConnections + watching;
-  return found->second.connections > taken ? found->second.connections - taken
-                                           : 1;
+  return GrantableConnections(found->second.connections, watching);
 }
 
 void limit_service::ServeCapacities(const std::string& host,
--- a/test/benchmark/traffic.cc
+++ b/test/benchmark/traffic.cc
@@ -2,6 +2,8 @@
 
 #include <chrono>
 
+#include "test/support/workload.h"
+
 namespace benchmark {
 namespace {
 
@@ -9,18 +11,12 @@
 using test_support::outcome;
 using test_support::pg_answer;
 using test_support::pg_client;
+using test_support::TermOf;
 
 /// Threads that share one organisation's statements.
 constexpr std::size_t kParts = 3;
 constexpr std::uint64_t kRowsPerWorker = 10'000'000;
 
-std::uint64_t TermOf(const std::string& token) {
-  const std::size_t begin = token.find('.');
-  return begin == std::string::npos
-             ? 0
-             : std::strtoull(token.c_str() + begin + 1, nullptr, 10);
-}
-
 void Judge(const pg_answer& answer, offered_statement& statement) {
   statement.end = monotonic_clock::now();
   statement.done = answer.ok;
--- a/test/support/history.h
+++ b/test/support/history.h
@@ -60,7 +60,6 @@
   /// For token reads, the value whose write returned the token.
   std::uint64_t token_value = 0;
   std::chrono::milliseconds max_staleness{0};
-  bool repeatable = false;
   time_point start;
   time_point end;
 };
--- a/test/support/history_test.cc
+++ b/test/support/history_test.cc
@@ -26,20 +26,20 @@
 
 TEST_CASE("a good history passes", "[history]") {
   history good = GoodHistory();
-  good.reads = {{0, 1, read_kind::kToken, 1, {}, false, At(15), At(16)},
-                {0, 2, read_kind::kStrong, 0, {}, false, At(31), At(32)}};
+  good.reads = {{0, 1, read_kind::kToken, 1, {}, At(15), At(16)},
+                {0, 2, read_kind::kStrong, 0, {}, At(31), At(32)}};
   CHECK(CheckHistory(good).Total() == 0);
 }
 
 TEST_CASE("each planted fault is caught by its own count", "[history]") {
   SECTION("stale read with token") {
     history bad = GoodHistory();
-    bad.reads = {{0, 1, read_kind::kToken, 2, {}, false, At(31), At(32)}};
+    bad.reads = {{0, 1, read_kind::kToken, 2, {}, At(31), At(32)}};
     CHECK(CheckHistory(bad).stale_reads == 1);
   }
   SECTION("stale read without token") {
     history bad = GoodHistory();
-    bad.reads = {{0, 1, read_kind::kStrong, 0, {}, false, At(31), At(32)}};
+    bad.reads = {{0, 1, read_kind::kStrong, 0, {}, At(31), At(32)}};
     CHECK(CheckHistory(bad).stale_reads == 1);
   }
   SECTION("read older than stated") {
--- a/test/support/workload.cc
+++ b/test/support/workload.cc
@@ -11,14 +11,6 @@
 constexpr std::uint64_t kRowsPerWrite = 2;
 constexpr std::chrono::seconds kFinishLimit(20);
 
-/// Reads the term out of a token `sst1.TERM.POSITION.SIGNATURE`.
-std::uint64_t TermOf(const std::string& token) {
-  const std::size_t begin = token.find('.');
-  return begin == std::string::npos
-             ? 0
-             : std::strtoull(token.c_str() + begin + 1, nullptr, 10);
-}
-
 outcome OutcomeOf(const pg_answer& answer) {
   if (answer.ok) {
     return outcome::kDone;
@@ -29,6 +21,13 @@
 
 }  // namespace
 
+std::uint64_t TermOf(const std::string& token) {
+  const std::size_t begin = token.find('.');
+  return begin == std::string::npos
+             ? 0
+             : std::strtoull(token.c_str() + begin + 1, nullptr, 10);
+}
+
 struct workload::client_state {
   std::size_t index = 0;
   std::mt19937_64 random;
--- a/test/support/workload.h
+++ b/test/support/workload.h
@@ -68,6 +68,9 @@
   workload_counts counts_;
 };
 
+/// Reads the term out of a token `sst1.TERM.POSITION.SIGNATURE`.
+[[nodiscard]] std::uint64_t TermOf(const std::string& token);
+
 /// Creates the tables that the workload uses.
 [[nodiscard]] bool PrepareTables(fleet& target, const std::string& organisation,
                                  std::size_t keys);
