Let large fleets deposit fractions of a token

Change: the smallest deposit shrinks with the share; deposits need no answer. Test: token_exchange_test, 'a large fleet strands less than the burst'.

--- a/src/sassafraswick/gateway/rate_limiter.cc
+++ b/src/sassafraswick/gateway/rate_limiter.cc
@@ -21,6 +21,13 @@
 /// shares them: the largest fleet that the design is made for.
 constexpr std::uint32_t kUnknownHosts = 1200;
 
+/// Tells whether a transfer wants an answer; deposits alone do not.
+bool WantsTokens(const message::token_transfer& transfer) {
+  return std::any_of(
+      transfer.entries().begin(), transfer.entries().end(),
+      [](const message::token_entry& entry) { return entry.wanted() > 0.0; });
+}
+
 rate_limit LimitOf(const catalog_organisation& organisation) {
   return {organisation.rate, organisation.burst};
 }
@@ -146,11 +153,13 @@
       HandleAnswer(environment_.host, Serve(entry.second));
       continue;
     }
-    bank_contact& contact = contacts_[entry.first];
-    if (!contact.unanswered || now - contact.asked_at >= kBankRetry) {
-      contact.asked_at = now;
+    if (WantsTokens(entry.second)) {
+      bank_contact& contact = contacts_[entry.first];
+      if (!contact.unanswered || now - contact.asked_at >= kBankRetry) {
+        contact.asked_at = now;
+      }
+      contact.unanswered = true;
     }
-    contact.unanswered = true;
     message::envelope envelope;
     *envelope.mutable_token_transfer() = std::move(entry.second);
     environment_.send(entry.first, std::move(envelope));
@@ -185,7 +194,9 @@
                                   const message::token_transfer& transfer) {
   message::envelope envelope;
   *envelope.mutable_token_answer() = Serve(transfer);
-  environment_.send(from, std::move(envelope));
+  if (WantsTokens(transfer)) {
+    environment_.send(from, std::move(envelope));
+  }
 }
 
 void rate_limiter::HandleAnswer(const std::string& from,
--- a/src/sassafraswick/limits/token_exchange.cc
+++ b/src/sassafraswick/limits/token_exchange.cc
@@ -43,7 +43,10 @@
 }
 
 double DepositQuantum(const rate_limit& limit, std::uint32_t hosts) {
-  return std::max(kLeastDeposit, kDepositPart * OwnCap(limit, hosts));
+  // Large fleets deposit less than half a token: one each would be more than
+  // the burst.
+  const double cap = OwnCap(limit, hosts);
+  return std::max(std::min(kLeastDeposit, cap), kDepositPart * cap);
 }
 
 /// Lets the smoothed demand fade.
--- a/test/sassafraswick/limits/token_exchange_test.cc
+++ b/test/sassafraswick/limits/token_exchange_test.cc
@@ -96,6 +96,21 @@
   CHECK(fleet.bank.level > 9.0);
 }
 
+// mdb-pedidos-grown quiet-1: of 87 small organisations each of 90 hosts kept up
+// to a token, and requests within the rate were refused.
+TEST_CASE("a large fleet strands less than the burst", "[token_exchange]") {
+  token_fleet fleet(90, {20, 20});
+  for (int now = 0; now < 20'000; now += 100) {
+    fleet.Exchange(now);
+  }
+  double stranded = 0.0;
+  for (const token_account& account : fleet.accounts) {
+    stranded += account.level;
+  }
+  CHECK(stranded <= 20.0);
+  CHECK(fleet.bank.level == 10.0);
+}
+
 TEST_CASE("no window admits more than rate and burst with the users' slack",
           "[token_exchange]") {
   for (const std::uint32_t hosts : {1U, 7U, 11U, 90U}) {
