--- a/src/sassafraswick/gateway/registry.cc
+++ b/src/sassafraswick/gateway/registry.cc
@@ -15,8 +15,9 @@
 /// Lease time a host; at 1,200 hosts 12 s and 300 renewals a second.
 constexpr duration kLeasePerHost = std::chrono::milliseconds(10);
 
-/// Time for which a host whose entry ended is reckoned with: the longest cut
-/// after which the users still expect it to be served by what it holds.
+/// Time for which a host whose entry ended is reckoned with. Longer than any
+/// cut of the users' days (12 s); until then its share stays unused if it is
+/// gone.
 constexpr duration kLapsedCounts = std::chrono::seconds(60);
 
 void RefreshNames(host_registry& registry) {
--- a/src/sassafraswick/session/statement.h
+++ b/src/sassafraswick/session/statement.h
@@ -74,14 +74,6 @@
 /// Name of a failure in logs and metrics.
 [[nodiscard]] std::string_view FailureName(failure_code code) noexcept;
 
-/// Tells whether a target says that it did not run the statement.
-[[nodiscard]] constexpr bool IsNotRun(failure_code code) noexcept {
-  return code == failure_code::kBusy || code == failure_code::kLagging ||
-         code == failure_code::kReadOnly || code == failure_code::kMisrouted ||
-         code == failure_code::kTooManyConnections ||
-         code == failure_code::kUnknownStatement;
-}
-
 enum class transaction_state : std::uint8_t { kIdle, kOpen, kFailed };
 
 /// A target's or this host's answer to a statement.
