Keep the ports of concurrent tests apart

A port counted as free between its choice and its use, and the choice began at the process id modulo 200 blocks, so two tests in one block chose the same. Ruled out: the ephemeral range (32768 and above). Change: a process holds its block's first port until it ends.

--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -37,6 +37,38 @@
   return descriptor;
 }
 
+/// Ports are handed out in blocks, below the range that outgoing connections
+/// draw from.
+constexpr int kFirstPort = 10'000;
+constexpr int kPortBlocks = 200;
+constexpr int kPortBlockSize = 100;
+
+/// @return A socket bound to a loopback port, or -1 if it is taken.
+int BindPort(int port) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = Loopback(static_cast<std::uint16_t>(port));
+  const int bound = bind(
+      descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  if (bound != 0) {
+    close(descriptor);
+    return -1;
+  }
+  return descriptor;
+}
+
+/// Claims a block of ports until this process ends, by its first port. Between
+/// the choice of a port and its use another test could otherwise choose it too.
+int ClaimPortBlock() {
+  for (int i = getpid();; ++i) {
+    const int first = kFirstPort + (i % kPortBlocks) * kPortBlockSize;
+    const int descriptor = BindPort(first);
+    if (descriptor >= 0) {
+      listen(descriptor, 1);
+      return first;
+    }
+  }
+}
+
 }  // namespace
 
 child_process::child_process(const std::vector<std::string>& arguments,
@@ -123,22 +155,13 @@
 }
 
 std::uint16_t FreePort() {
-  // Blocks by process id, below the range that outgoing connections draw from,
-  // so that fleets which start at the same time do not collide.
-  constexpr int kFirst = 10'000;
-  constexpr int kBlocks = 200;
-  constexpr int kBlockSize = 100;
+  static const int first = ClaimPortBlock();
   static int next = 0;
   while (true) {
-    const int port =
-        kFirst + (getpid() % kBlocks) * kBlockSize + next++ % kBlockSize;
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = Loopback(static_cast<std::uint16_t>(port));
-    const int bound =
-        bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
-             sizeof(address));
-    close(descriptor);
-    if (bound == 0) {
+    const int port = first + 1 + next++ % (kPortBlockSize - 1);
+    const int descriptor = BindPort(port);
+    if (descriptor >= 0) {
+      close(descriptor);
       return static_cast<std::uint16_t>(port);
     }
   }
