--- a/src/sassafraswick/gateway/client_session.h
+++ b/src/sassafraswick/gateway/client_session.h
@@ -43,7 +43,7 @@
         socket_(std::move(socket)),
         timer_(socket_.get_executor()),
         number_(number),
-        memory_(number) {
+        engine_(number, answer_policy::kHost) {
     ++gateway_.counters.sessions;
   }
   client_session(const client_session&) = delete;
@@ -92,7 +92,6 @@
     std::shared_ptr<target_group<Codec>> group;
     /// Set once the first statement went to a target.
     std::optional<running_transaction<Codec>> running;
-    bool failed = false;
   };
 
   [[nodiscard]] bool IsInTransaction() const {
@@ -234,16 +233,16 @@
     last_wait_ = duration::zero();
     last_target_.clear();
     statement& query = message.query;
+    idle_timer_generation_ = 0;
     statement_result answer;
     if (query.text.size() > gateway_.tables->max_statement) {
       answer = Fail(failure_code::kTooLarge, "the statement is too long");
-      FailTransaction();
-    } else if (transaction_.has_value()) {
-      answer = co_await ServeInside(query);
+      engine_.NoteFailed();
     } else {
-      answer = co_await ServeOutside(query);
+      answer = co_await CarryOut(query);
     }
-    answer.state = State();
+    SettleTransaction();
+    answer.state = engine_.State();
     if (answer.failure != failure_code::kNone) {
       CountFailure(query.id, answer);
     }
@@ -255,14 +254,6 @@
     co_return sent && !turned_away;
   }
 
-  [[nodiscard]] transaction_state State() const {
-    if (!transaction_.has_value()) {
-      return transaction_state::kIdle;
-    }
-    return transaction_->failed ? transaction_state::kFailed
-                                : transaction_state::kOpen;
-  }
-
   static statement_result Fail(failure_code code, std::string detail) {
     statement_result answer;
     answer.failure = code;
@@ -270,45 +261,34 @@
     return answer;
   }
 
-  /// Serves a statement outside a transaction.
-  boost::asio::awaitable<statement_result> ServeOutside(statement query) {
-    switch (query.kind) {
-      case statement_kind::kSet:
-      case statement_kind::kPrepare:
-      case statement_kind::kDeallocate:
-        co_return ChangeMemory(query);
-      case statement_kind::kBegin:
-      case statement_kind::kBeginReadOnly:
+  /// Does with a statement what the engine decides.
+  boost::asio::awaitable<statement_result> CarryOut(statement query) {
+    session_decision decision = engine_.Decide(query);
+    switch (decision.step) {
+      case session_step::kOpen:
         co_return co_await OpenTransaction(query);
-      case statement_kind::kRead:
-      case statement_kind::kWrite:
-      case statement_kind::kExecute:
-        co_return co_await RunSingle(query);
-      case statement_kind::kCommit:
-      case statement_kind::kRollback:
-        co_return Fail(failure_code::kMalformed, "no transaction is open");
-      case statement_kind::kUnknown:
+      case session_step::kRunSingle:
+        co_return co_await RunSingle(query, decision.writes);
+      case session_step::kRunInside:
+        co_return co_await RunInside(query, decision.writes);
+      case session_step::kDrop:
+        DropTransaction();
+        break;
+      case session_step::kAnswer:
+      case session_step::kOwnParameter:
         break;
     }
-    co_return Fail(failure_code::kMalformed, "unknown statement");
+    co_return std::move(decision.answer);
   }
 
-  statement_result ChangeMemory(const statement& query) {
-    if (memory_.Apply(query)) {
-      return {};
+  /// Brings connection and timer in line with the transaction's state.
+  void SettleTransaction() {
+    if (engine_.State() == transaction_state::kFailed) {
+      ReleaseRunning();
     }
-    return Fail(failure_code::kUnknownStatement,
-                "no prepared statement has this name");
-  }
-
-  /// Tells whether a statement writes.
-  /// @return Nothing if it executes an unknown name.
-  [[nodiscard]] std::optional<bool> Writes(const statement& query) const {
-    if (query.kind != statement_kind::kExecute) {
-      return query.kind == statement_kind::kWrite;
+    if (transaction_.has_value()) {
+      StartIdleTimer();
     }
-    const bool* const prepared = memory_.FindPrepared(query.name);
-    return prepared == nullptr ? std::nullopt : std::optional<bool>(*prepared);
   }
 
   /// Admits one operation: route, key and rate.
@@ -343,22 +323,18 @@
     return scope;
   }
 
-  boost::asio::awaitable<statement_result> RunSingle(statement query) {
-    const std::optional<bool> writes = Writes(query);
-    if (!writes.has_value()) {
-      co_return Fail(failure_code::kUnknownStatement,
-                     "no prepared statement has this name");
-    }
+  boost::asio::awaitable<statement_result> RunSingle(statement query,
+                                                     bool writes) {
     statement_result admitted = co_await AdmitOperation();
     if (admitted.failure != failure_code::kNone) {
       co_return admitted;
     }
-    operation_runner<Codec> runner(gateway_, memory_, MakeScope());
+    operation_runner<Codec> runner(gateway_, engine_, MakeScope());
     if (runner.Group() == nullptr) {
       co_return Fail(failure_code::kBusy, "the pool is not known yet");
     }
     statement_result answer;
-    if (*writes) {
+    if (writes) {
       answer = co_await runner.Write(query);
       NoteOwnWrite(answer);
     } else {
@@ -387,77 +363,33 @@
     opened.scope = MakeScope();
     opened.group = gateway_.FindGroup(opened.scope.route.pool);
     transaction_ = std::move(opened);
-    StartIdleTimer();
+    engine_.NoteOpened(false);
     co_return statement_result();
   }
 
-  /// Serves a statement inside a transaction.
-  boost::asio::awaitable<statement_result> ServeInside(statement query) {
-    idle_timer_generation_ = 0;
-    if (transaction_->failed) {
-      co_return ServeFailed(query);
-    }
-    statement_result answer;
-    switch (query.kind) {
-      case statement_kind::kSet:
-      case statement_kind::kPrepare:
-      case statement_kind::kDeallocate:
-        answer = ChangeMemory(query);
-        break;
-      case statement_kind::kRead:
-      case statement_kind::kWrite:
-      case statement_kind::kExecute:
-      case statement_kind::kCommit:
-        answer = co_await RunInside(query);
-        break;
-      case statement_kind::kRollback:
-        DropTransaction();
-        co_return statement_result();
-      case statement_kind::kBegin:
-      case statement_kind::kBeginReadOnly:
-      case statement_kind::kUnknown:
-        answer = Fail(failure_code::kMalformed,
-                      "not a statement of an open transaction");
-        break;
-    }
-    if (transaction_.has_value()) {
-      if (answer.failure != failure_code::kNone) {
-        FailTransaction();
-      }
-      StartIdleTimer();
+  boost::asio::awaitable<statement_result> RunInside(statement query,
+                                                     bool writes) {
+    statement_result answer = co_await RunOnTarget(query, writes);
+    const bool ended = query.kind == statement_kind::kCommit &&
+                       transaction_->running.has_value();
+    if (ended) {
+      EndCommitted(answer);
+    } else if (answer.failure != failure_code::kNone) {
+      engine_.NoteFailed();
     }
     co_return answer;
   }
 
-  /// Only the end of a failed transaction is accepted.
-  statement_result ServeFailed(const statement& query) {
-    if (query.kind == statement_kind::kRollback) {
-      DropTransaction();
-      return {};
-    }
-    if (query.kind == statement_kind::kCommit) {
-      DropTransaction();
-      return Fail(failure_code::kAborted,
-                  "the transaction had failed and was rolled back");
-    }
-    StartIdleTimer();
-    return Fail(failure_code::kMalformed,
-                "the transaction has failed; end it first");
-  }
-
-  boost::asio::awaitable<statement_result> RunInside(statement query) {
-    const bool commits = query.kind == statement_kind::kCommit;
-    const std::optional<bool> writes = commits ? false : Writes(query);
-    if (!writes.has_value()) {
-      co_return Fail(failure_code::kUnknownStatement,
-                     "no prepared statement has this name");
-    }
+  /// Runs a statement on the transaction's target, which is chosen now if it
+  /// has none.
+  boost::asio::awaitable<statement_result> RunOnTarget(statement query,
+                                                       bool writes) {
     if (transaction_->group == nullptr) {
       co_return Fail(failure_code::kBusy, "the pool is not known yet");
     }
     operation_scope scope = transaction_->scope;
     scope.arrived_at = monotonic_clock::now();
-    operation_runner<Codec> runner(gateway_, memory_, scope);
+    operation_runner<Codec> runner(gateway_, engine_, scope);
     if (!transaction_->running.has_value()) {
       const statement_result begun =
           co_await runner.Begin(transaction_->begin, transaction_->running);
@@ -468,12 +400,7 @@
       }
     }
     last_target_ = transaction_->running->lease.slot->record.id;
-    statement_result answer =
-        co_await runner.RunInside(query, *writes, *transaction_->running);
-    if (commits) {
-      EndCommitted(answer);
-    }
-    co_return answer;
+    co_return co_await runner.RunInside(query, writes, *transaction_->running);
   }
 
   void NoteRunner(const operation_runner<Codec>& runner) {
@@ -484,24 +411,17 @@
   /// Ends a transaction whose commit was answered, or is in doubt.
   void EndCommitted(const statement_result& answer) {
     const bool succeeded = answer.failure == failure_code::kNone;
-    if (succeeded && transaction_->running->wrote) {
+    if (succeeded && engine_.Wrote()) {
       NoteOwnWrite(answer);
     }
     const link_lease<Codec> lease = transaction_->running->lease;
     transaction_->group->Release(
         lease, succeeded && answer.state == transaction_state::kIdle);
     transaction_.reset();
+    engine_.NoteEnded();
   }
 
-  /// Rolls back on the target; the caller has yet to end the transaction.
-  void FailTransaction() {
-    if (!transaction_.has_value()) {
-      return;
-    }
-    transaction_->failed = true;
-    ReleaseRunning();
-  }
-
+  /// Rolls back on the target.
   void ReleaseRunning() {
     if (transaction_->running.has_value()) {
       transaction_->group->RollbackAndRelease(transaction_->running->lease);
@@ -513,6 +433,7 @@
     if (transaction_.has_value()) {
       ReleaseRunning();
       transaction_.reset();
+      engine_.NoteEnded();
     }
   }
 
@@ -536,11 +457,12 @@
   }
 
   void GiveUpTransaction(std::uint64_t generation) {
-    if (generation == idle_timer_generation_ && transaction_.has_value() &&
-        !transaction_->failed) {
+    if (generation == idle_timer_generation_ &&
+        engine_.State() == transaction_state::kOpen) {
       Log(log_level::kInfo, "transaction_rested_too_long",
           {{"request", transaction_->begin.id}});
-      FailTransaction();
+      engine_.NoteFailed();
+      ReleaseRunning();
     }
   }
 
@@ -578,7 +500,7 @@
   stream_socket socket_;
   boost::asio::steady_timer timer_;
   session_number number_;
-  session_memory memory_;
+  session_engine engine_;
   std::string input_;
   std::string database_;
   std::string key_;
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -11,7 +11,7 @@
 
 #include "sassafraswick/gateway/gateway_state.h"
 #include "sassafraswick/gateway/read_plan.h"
-#include "sassafraswick/session/session_memory.h"
+#include "sassafraswick/session/session_engine.h"
 
 /// @file
 /// Runs one operation's statements on targets: chooses instances, retries what
@@ -24,42 +24,49 @@
 struct running_transaction {
   link_lease<Codec> lease;
   term_number term = 0;
-  bool wrote = false;
   /// Reads have to be covered by a permit of the primary.
   bool needs_permit = false;
 };
 
-/// Joins what a connection lacks with a statement.
+/// Joins what a connection lacks for a statement with the statement.
+/// @param after Position that the target must show.
 /// @param count Set to the number of answers to expect.
 template <session_codec Codec>
 [[nodiscard]] std::string BuildBatch(const session_memory& memory,
                                      target_link<Codec>& link,
-                                     const std::string& last,
+                                     const statement& query,
+                                     const std::optional<log_point>& after,
                                      std::size_t& count) {
-  const memory_update update = memory.UpdateFor(link.memory);
+  memory_use use;
+  if (query.kind == statement_kind::kExecute) {
+    use.runs.insert(query.name);
+  }
+  const memory_update update = memory.UpdateFor(link.memory, use);
   std::string bytes;
   count = 1;
   if (update.reset) {
     bytes += Codec::FormatControl(control_statement::kReset, 0);
     ++count;
   }
-  for (const std::string& text : update.texts) {
-    bytes += Codec::FormatUpdate(text);
-    ++count;
+  for (const std::vector<std::string>* const texts :
+       {&update.values, &update.prepares}) {
+    for (const std::string& text : *texts) {
+      bytes += Codec::FormatUpdate(text);
+      ++count;
+    }
   }
-  bytes += last;
-  link.memory = memory.Current();
-  return bytes;
+  memory.RecordUpdate(link.memory, update, use);
+  return bytes + Codec::FormatStatement(query.id, query.text, after);
 }
 
 /// Runs statements of one operation.
 template <session_codec Codec>
 class operation_runner {
  public:
-  operation_runner(gateway_state<Codec>& gateway, const session_memory& memory,
+  operation_runner(gateway_state<Codec>& gateway, session_engine& engine,
                    operation_scope scope)
       : gateway_(gateway),
-        memory_(memory),
+        engine_(engine),
         scope_(std::move(scope)),
         group_(gateway.FindGroup(scope_.route.pool)) {}
 
@@ -166,7 +173,7 @@
         answer = co_await BeginOn(begin, plan, lease);
         if (answer.failure == failure_code::kNone) {
           transaction = running_transaction<Codec>{lease, group_->View().term,
-                                                   false, plan.needs_permit};
+                                                   plan.needs_permit};
           co_return answer;
         }
       }
@@ -187,27 +194,27 @@
     const time_point sent_at = monotonic_clock::now();
     std::size_t count = 0;
     const std::string bytes = BuildBatch<Codec>(
-        memory_, *transaction.lease.link,
-        Codec::FormatStatement(query.id, query.text, std::nullopt), count);
+        engine_.Memory(), *transaction.lease.link, query, std::nullopt, count);
     const bool commits = query.kind == statement_kind::kCommit;
-    transaction.wrote = transaction.wrote || writes;
-    const bool is_write = commits ? transaction.wrote : writes;
+    if (writes) {
+      engine_.NoteWrite();
+    }
+    const bool is_write = commits ? engine_.Wrote() : writes;
     const exchange_outcome outcome = co_await transaction.lease.link->Exchange(
         bytes, count, scope_.route.statement_timeout);
     statement_result answer = TakeAnswer(outcome, count);
     target_slot<Codec>& slot = *transaction.lease.slot;
     if (answer.failure == failure_code::kNoAnswer) {
       group_->ObserveSilence(slot, sent_at);
-      const bool unknown = commits && transaction.wrote;
-      answer.failure =
-          unknown ? failure_code::kInDoubt : failure_code::kAborted;
-      answer.detail = unknown ? "no answer to the commit from the target"
-                              : "no answer from the target; rolled back";
+      answer.failure = engine_.OutcomeOfLoss(commits);
+      answer.detail = answer.failure == failure_code::kInDoubt
+                          ? "no answer to the commit from the target"
+                          : "no answer from the target; rolled back";
       co_return answer;
     }
     group_->Observe(slot, answer, sent_at);
     Count(is_write, slot, sent_at);
-    if (answer.failure == failure_code::kNone && commits && transaction.wrote) {
+    if (answer.failure == failure_code::kNone && commits && is_write) {
       group_->ObserveCommit(slot, answer, sent_at);
     }
     const bool reads = !commits && !writes;
@@ -320,9 +327,8 @@
                                                   link_lease<Codec> lease) {
     const time_point sent_at = monotonic_clock::now();
     std::size_t count = 0;
-    const std::string bytes = BuildBatch<Codec>(
-        memory_, *lease.link,
-        Codec::FormatStatement(query.id, query.text, plan.after), count);
+    const std::string bytes = BuildBatch<Codec>(engine_.Memory(), *lease.link,
+                                                query, plan.after, count);
     const bool permitted_now =
         IsPermitted(group_->View(), lease.slot->record.id, plan.term, sent_at);
     if (plan.needs_permit && !permitted_now) {
@@ -361,9 +367,8 @@
                                                    link_lease<Codec> lease) {
     const time_point sent_at = monotonic_clock::now();
     std::size_t count = 0;
-    const std::string bytes = BuildBatch<Codec>(
-        memory_, *lease.link,
-        Codec::FormatStatement(query.id, query.text, std::nullopt), count);
+    const std::string bytes = BuildBatch<Codec>(engine_.Memory(), *lease.link,
+                                                query, std::nullopt, count);
     const duration left =
         std::chrono::duration_cast<duration>(scope_.Deadline() - sent_at);
     const exchange_outcome outcome =
@@ -388,9 +393,8 @@
                                                    link_lease<Codec> lease) {
     const time_point sent_at = monotonic_clock::now();
     std::size_t count = 0;
-    const std::string bytes = BuildBatch<Codec>(
-        memory_, *lease.link,
-        Codec::FormatStatement(begin.id, begin.text, plan.after), count);
+    const std::string bytes = BuildBatch<Codec>(engine_.Memory(), *lease.link,
+                                                begin, plan.after, count);
     const exchange_outcome outcome =
         co_await lease.link->Exchange(bytes, count, kReadPatience);
     statement_result answer = TakeAnswer(outcome, count);
@@ -441,7 +445,7 @@
   }
 
   gateway_state<Codec>& gateway_;
-  const session_memory& memory_;
+  session_engine& engine_;
   operation_scope scope_;
   std::shared_ptr<target_group<Codec>> group_;
   duration waited_ = duration::zero();
--- a/src/sassafraswick/proxy/caller_execution.cc
+++ b/src/sassafraswick/proxy/caller_execution.cc
@@ -12,31 +12,26 @@
 std::string caller_session::Prefix(const request_unit& unit,
                                    target_connection& connection,
                                    relay_request& expected) const {
+  const session_memory& memory = engine_.Memory();
+  const memory_update update = memory.UpdateFor(connection.memory, unit.use);
   std::string out;
-  if (connection.owner != id_) {
-    if (connection.owner != 0) {
-      AppendQuery(out, "DISCARD ALL");
-      ++expected.own_queries;
-      connection.prepared.clear();
-    }
-    std::string replayed;
-    for (const std::pair<const std::string, std::string>& entry :
-         set_statements_) {
-      replayed += entry.second + ";";
-    }
-    if (!replayed.empty()) {
-      AppendQuery(out, replayed);
-      ++expected.own_queries;
-    }
-    connection.owner = id_;
+  if (update.reset) {
+    AppendQuery(out, "DISCARD ALL");
+    ++expected.own_queries;
   }
-  for (const std::string& name : unit.references) {
-    const auto found = prepared_.find(name);
-    if (found != prepared_.end() && !connection.prepared.contains(name)) {
-      out += found->second.frame;
-      ++expected.own_parses;
-    }
+  std::string values;
+  for (const std::string& text : update.values) {
+    values += text + ";";
   }
+  if (!values.empty()) {
+    AppendQuery(out, values);
+    ++expected.own_queries;
+  }
+  for (const std::string& frame : update.prepares) {
+    out += frame;
+    ++expected.own_parses;
+  }
+  memory.RecordUpdate(connection.memory, update, unit.use);
   return out;
 }
 
@@ -58,31 +53,35 @@
     outcome.end = relay_end::kTargetLost;
   }
   if (outcome.end == relay_end::kComplete) {
-    RecordPrepared(unit, connection, outcome);
+    RecordChanges(unit, connection, outcome);
   }
   co_return outcome;
 }
 
-void caller_session::RecordPrepared(const request_unit& unit,
-                                    target_connection& connection,
-                                    const relay_outcome& outcome) {
-  for (const std::string& name : unit.references) {
-    connection.prepared.insert(name);
-  }
+void caller_session::RecordChanges(const request_unit& unit,
+                                   target_connection& connection,
+                                   const relay_outcome& outcome) {
+  session_memory& memory = engine_.Memory();
   for (std::size_t i = 0; i < outcome.parses_done; ++i) {
-    const std::string& name = unit.prepared_order.at(i);
-    prepared_[name] = unit.prepared.at(name);
-    connection.prepared.insert(name);
+    const statement& prepared = unit.prepared.at(i);
+    static_cast<void>(memory.Apply(prepared));
+    memory.RecordPrepared(connection.memory, prepared.name);
   }
   for (std::size_t i = 0; i < outcome.closes_done && i < unit.closed.size();
        ++i) {
-    prepared_.erase(unit.closed[i]);
-    connection.prepared.erase(unit.closed[i]);
+    static_cast<void>(memory.Apply(unit.closed[i]));
+    connection.memory.prepared.erase(unit.closed[i].name);
   }
-  if (unit.statement.kind == statement_kind::kSet && unit.is_simple &&
-      !outcome.failed) {
+  const bool sets = unit.leading.kind == statement_kind::kSet &&
+                    unit.is_simple && !outcome.failed;
+  if (sets) {
     body_reader reader(std::string_view(unit.bytes).substr(kFrameHeaderSize));
-    set_statements_[unit.statement.name] = std::string(reader.String());
+    statement change;
+    change.kind = statement_kind::kSet;
+    change.name = unit.leading.name;
+    change.text = reader.String();
+    static_cast<void>(memory.Apply(change));
+    memory.RecordUpdate(connection.memory, {}, {});
   }
 }
 
--- a/src/sassafraswick/proxy/caller_reply.cc
+++ b/src/sassafraswick/proxy/caller_reply.cc
@@ -23,7 +23,7 @@
   AppendError(out, message);
   if (unit.ends_batch) {
     transaction_status status = transaction_status::kIdle;
-    if (transaction_failed_) {
+    if (engine_.State() == transaction_state::kFailed) {
       status = transaction_status::kFailed;
     } else if (pinned_.has_value()) {
       status = transaction_status::kInTransaction;
--- a/src/sassafraswick/proxy/caller_session.cc
+++ b/src/sassafraswick/proxy/caller_session.cc
@@ -15,8 +15,6 @@
 constexpr duration kFarewellLimit = std::chrono::seconds(1);
 constexpr duration kLoginLimit = std::chrono::seconds(10);
 constexpr duration kIdleTransactionLimit = std::chrono::seconds(60);
-constexpr std::string_view kRolledBack = "40001";
-constexpr std::string_view kInFailedTransaction = "25P02";
 
 }  // namespace
 
@@ -33,6 +31,7 @@
 asio::awaitable<void> caller_session::Run() {
   const std::shared_ptr<caller_session> self = shared_from_this();
   id_ = runtime_.Register(self);
+  engine_ = session_engine(id_, answer_policy::kTarget);
   ++runtime_.Metrics().sessions_opened;
   if (!co_await Start()) {
     stream_.Close();
@@ -66,6 +65,7 @@
   if (pinned_.has_value()) {
     pool_->RollbackAndRelease(std::move(*pinned_));
     pinned_.reset();
+    engine_.NoteEnded();
   }
 }
 
@@ -185,7 +185,7 @@
     }
     const result<bool> complete =
         AddFrame(unit, *input_.Frame(found),
-                 input_.Data().substr(0, found.size), prepared_);
+                 input_.Data().substr(0, found.size), engine_.Memory());
     input_.Consume(found.size);
     if (!complete) {
       ++runtime_.Metrics().protocol_errors;
@@ -204,43 +204,43 @@
   if (nothing_to_run && !pinned_.has_value()) {
     std::string out;
     if (unit.ends_batch) {
-      AppendReadyForQuery(out, transaction_failed_ ? transaction_status::kFailed
-                                                   : transaction_status::kIdle);
+      AppendReadyForQuery(out, engine_.State() == transaction_state::kFailed
+                                   ? transaction_status::kFailed
+                                   : transaction_status::kIdle);
     }
     co_return co_await Send(std::move(out));
   }
-  if (transaction_failed_) {
-    co_return co_await ServeFailedTransaction(unit);
-  }
-  const statement_kind kind = unit.statement.kind;
-  if (kind == statement_kind::kUnsupported) {
-    const std::string reply = ErrorReply(
-        unit,
-        {error_severity::kError, std::string(sqlstate::kFeatureNotSupported),
-         unit.statement.name +
-             " cannot be used through pooled connections, not run",
-         ""});
-    co_return co_await Send(reply);
-  }
-  if (kind == statement_kind::kProxySet || kind == statement_kind::kProxyShow) {
-    co_return co_await ServeProxyStatement(unit);
-  }
-  if (pinned_.has_value()) {
-    co_return co_await ServePinned(unit);
+  statement leading;
+  leading.kind = unit.leading.kind;
+  leading.name = unit.leading.name;
+  const session_decision decision = engine_.Decide(leading);
+  switch (decision.step) {
+    case session_step::kOwnParameter:
+      co_return co_await ServeProxyStatement(unit);
+    case session_step::kDrop:
+      engine_.NoteEnded();
+      co_return co_await ReplyRolledBack(unit);
+    case session_step::kRunInside:
+      co_return co_await ServePinned(unit, decision.writes);
+    case session_step::kRunSingle:
+      co_return co_await ServeRouted(unit);
+    case session_step::kOpen:
+    case session_step::kAnswer:
+      break;
   }
-  co_return co_await ServeRouted(unit);
+  co_return co_await ReplyDecision(unit, decision.answer);
 }
 
 asio::awaitable<bool> caller_session::ServeProxyStatement(
     const request_unit& unit) {
-  const bool is_set = unit.statement.kind == statement_kind::kProxySet;
+  const bool is_set = unit.leading.kind == statement_kind::kSetOwn;
   result<std::string> value = std::string();
   if (!is_set) {
-    value = ShowParameter(settings_, unit.statement.name, runtime_.Tokens(),
-                          Scope());
+    value =
+        ShowParameter(settings_, unit.leading.name, runtime_.Tokens(), Scope());
   } else if (unit.is_simple || unit.executes) {
     const result<void> set =
-        SetParameter(settings_, unit.statement.name, unit.statement.value,
+        SetParameter(settings_, unit.leading.name, unit.leading.value,
                      runtime_.Tokens(), Scope());
     if (!set) {
       value = set.error();
@@ -269,7 +269,7 @@
     }
     AppendCommandComplete(answer, "SET");
   } else {
-    AppendTextResult(answer, unit.statement.name, value.value(), "SHOW");
+    AppendTextResult(answer, unit.leading.name, value.value(), "SHOW");
   }
   out += answer;
   AppendReadyForQuery(out, pinned_.has_value()
@@ -278,231 +278,4 @@
   co_return co_await Send(std::move(out));
 }
 
-request_entry caller_session::MakeRequest(const request_unit& unit,
-                                          time_point deadline) const {
-  const configuration& version = *runtime_.Configuration();
-  request_entry request;
-  request.organisation = identity_.organisation;
-  request.deadline = deadline;
-  const auto owner = version.tables.organisations.find(identity_.organisation);
-  if (owner != version.tables.organisations.end()) {
-    request.weight = owner->second.weight;
-  }
-  const bool reads = unit.statement.kind == statement_kind::kRead ||
-                     unit.statement.kind == statement_kind::kBeginReadOnly;
-  request.access = reads ? access_kind::kRead : access_kind::kWrite;
-  std::optional<duration> staleness = settings_.max_staleness;
-  const auto entry = version.tables.routes.find(identity_.route);
-  if (!staleness.has_value() && !settings_.has_token &&
-      entry != version.tables.routes.end()) {
-    staleness = entry->second.max_staleness;
-  }
-  request.requirement.max_staleness = staleness;
-  if (settings_.has_token || staleness.has_value()) {
-    request.requirement.at_least = settings_.floor;
-  }
-  return request;
-}
-
-asio::awaitable<bool> caller_session::ServeRouted(request_unit& unit) {
-  const std::shared_ptr<const configuration> version = runtime_.Configuration();
-  const auto entry = version->tables.routes.find(identity_.route);
-  if (entry == version->tables.routes.end()) {
-    co_return false;
-  }
-  pool_ = runtime_.FindPool(entry->second.pool);
-  const time_point started = monotonic_clock::now();
-  request_entry request = MakeRequest(unit, started + Deadline());
-  const bool reads = request.access == access_kind::kRead;
-  attempt tried;
-  tried.deadline = request.deadline;
-  tried.attempts_made = 0;
-  tried.repeatable = reads || settings_.idempotent ||
-                     unit.statement.kind == statement_kind::kBegin;
-  runtime_.Retries().RecordRequest();
-  const admission admitted = co_await runtime_.Limits().Admit(
-      identity_.organisation, request.deadline);
-  if (!admitted.admitted) {
-    co_return co_await ReplyNotAdmitted(unit, admitted);
-  }
-  while (true) {
-    const acquire_result acquired = co_await pool_->Acquire(request, id_);
-    if (const refusal* refused = std::get_if<refusal>(&acquired)) {
-      co_return co_await ReplyRefusal(unit, *refused);
-    }
-    const connection_lease lease = std::get<connection_lease>(acquired);
-    ++tried.attempts_made;
-    if (lease.connection->IsStale()) {
-      pool_->Release(lease, false);
-      tried.state = attempt_state::kNotSent;
-    } else {
-      relay_outcome outcome = co_await RunUnit(unit, lease, !reads);
-      if (outcome.end == relay_end::kComplete) {
-        organisation_metrics& metrics =
-            runtime_.Metrics().organisations[identity_.organisation];
-        ++metrics.admitted;
-        const bool finished = co_await FinishUnit(
-            unit, lease, std::move(outcome), lease.on_primary && !reads);
-        metrics.latency.Record(std::chrono::duration_cast<duration>(
-            monotonic_clock::now() - started));
-        co_return finished;
-      }
-      const bool rejected = outcome.end == relay_end::kNeedsPrimary;
-      pool_->Release(lease, rejected);
-      if (outcome.end == relay_end::kCallerLost) {
-        co_return false;
-      }
-      tried.state = rejected ? attempt_state::kRejected : attempt_state::kSent;
-      tried.answer_begun = outcome.answer_begun;
-      request.needs_primary = request.needs_primary || rejected;
-    }
-    const verdict decided =
-        DecideAfterFailure(tried, runtime_.Retries(), monotonic_clock::now());
-    if (decided == verdict::kAbort) {
-      co_return false;
-    }
-    if (decided == verdict::kSayUnknown) {
-      ++pool_->Counts().outcome_unknown;
-      const std::string reply = ErrorReply(
-          unit,
-          {error_severity::kError, std::string(sqlstate::kUnknownOutcome),
-           "outcome unknown: the connection to the target was lost after the "
-           "statement was sent",
-           ""});
-      co_return co_await Send(reply);
-    }
-    if (decided == verdict::kSayNotRun) {
-      co_return co_await ReplyRefusal(
-          unit, {0, refusal_reason::kNoInstance, std::chrono::seconds(1)});
-    }
-    ++pool_->Counts().retries;
-    if (tried.state != attempt_state::kRejected) {
-      co_await Sleep(RetryDelay(tried.attempts_made, pool_->Random()));
-    }
-  }
-}
-
-asio::awaitable<bool> caller_session::ServePinned(request_unit& unit) {
-  const connection_lease lease = *pinned_;
-  const bool replaced =
-      lease.on_primary && CurrentTerm(pool_->Group()) > lease.term;
-  const bool ends = unit.statement.kind == statement_kind::kEnd;
-  const bool reads = unit.statement.kind == statement_kind::kRead;
-  relay_outcome outcome;
-  outcome.end = relay_end::kTargetLost;
-  if (!replaced) {
-    pinned_wrote_ = pinned_wrote_ || (!reads && !ends);
-    outcome = co_await RunUnit(unit, lease, lease.on_primary && !reads);
-  }
-  if (outcome.end == relay_end::kComplete) {
-    co_return co_await FinishUnit(unit, lease, std::move(outcome),
-                                  lease.on_primary && pinned_wrote_);
-  }
-  pinned_.reset();
-  pool_->Release(lease, false);
-  if (outcome.end == relay_end::kCallerLost || outcome.answer_begun) {
-    co_return false;
-  }
-  if (!replaced && pinned_wrote_ && (ends || !unit.is_simple)) {
-    ++pool_->Counts().outcome_unknown;
-    const std::string reply = ErrorReply(
-        unit, {error_severity::kError, std::string(sqlstate::kUnknownOutcome),
-               "outcome unknown: the target was lost while the transaction was "
-               "being ended",
-               ""});
-    co_return co_await Send(reply);
-  }
-  transaction_failed_ = true;
-  const std::string reply = ErrorReply(
-      unit, {error_severity::kError, std::string(kRolledBack),
-             "transaction was rolled back: its target was lost or replaced",
-             "repeat the transaction"});
-  co_return co_await Send(reply);
-}
-
-asio::awaitable<bool> caller_session::ServeFailedTransaction(
-    const request_unit& unit) {
-  if (unit.statement.kind != statement_kind::kEnd) {
-    const std::string reply = ErrorReply(
-        unit, {error_severity::kError, std::string(kInFailedTransaction),
-               "current transaction is aborted, commands ignored until end of "
-               "transaction block",
-               ""});
-    co_return co_await Send(reply);
-  }
-  transaction_failed_ = false;
-  std::string out;
-  if (!unit.is_simple) {
-    for (std::size_t i = 0; i < unit.prepared.size(); ++i) {
-      AppendEmpty(out, backend::kParseComplete);
-    }
-    AppendEmpty(out, '2');
-    if (unit.describes) {
-      AppendEmpty(out, 'n');
-    }
-  }
-  AppendCommandComplete(out, "ROLLBACK");
-  AppendReadyForQuery(out, transaction_status::kIdle);
-  co_return co_await Send(std::move(out));
-}
-
-asio::awaitable<bool> caller_session::FinishUnit(const request_unit& unit,
-                                                 const connection_lease& lease,
-                                                 relay_outcome outcome,
-                                                 bool may_have_written) {
-  const bool idle =
-      unit.ends_batch && outcome.status == transaction_status::kIdle;
-  const std::optional<log_point> position = lease.connection->Position();
-  bool acknowledged = true;
-  if (idle && may_have_written && !outcome.held.empty()) {
-    durability known = durability::kUnknown;
-    if (position.has_value()) {
-      known = co_await pool_->AwaitDurable(lease.term, *position,
-                                           monotonic_clock::now() + Deadline());
-    }
-    acknowledged = known == durability::kAcknowledge;
-  }
-  pool_counts& counts = pool_->Counts();
-  if (idle) {
-    counts.writes += may_have_written ? 1 : 0;
-    counts.reads_on_primary += !may_have_written && lease.on_primary ? 1 : 0;
-    counts.reads_on_replica += lease.on_primary ? 0 : 1;
-  }
-  std::string out = std::move(outcome.unsent);
-  if (acknowledged) {
-    out += outcome.held;
-    if (position.has_value()) {
-      Advance(settings_.seen, *position);
-      if (may_have_written) {
-        Advance(settings_.floor, *position);
-      }
-      pool_->NotePosition(lease.connection->Instance(), *position);
-    }
-    AppendToken(out);
-  } else {
-    ++counts.outcome_unknown;
-    AppendError(out,
-                {error_severity::kError, std::string(sqlstate::kUnknownOutcome),
-                 "outcome unknown: the primary was replaced, or no majority of "
-                 "the group confirmed the write in time",
-                 ""});
-  }
-  if (unit.ends_batch) {
-    AppendReadyForQuery(out, outcome.status);
-  } else {
-    skip_to_sync_ = outcome.failed;
-  }
-  if (idle) {
-    pinned_.reset();
-    pinned_wrote_ = false;
-    pool_->Release(lease, acknowledged);
-  } else {
-    if (!pinned_.has_value()) {
-      pinned_wrote_ = unit.statement.kind == statement_kind::kWrite;
-    }
-    pinned_ = lease;
-  }
-  co_return co_await Send(std::move(out));
-}
-
 }  // namespace sassafraswick
--- a/src/sassafraswick/proxy/caller_session.h
+++ b/src/sassafraswick/proxy/caller_session.h
@@ -2,7 +2,6 @@
 #define SASSAFRASWICK_PROXY_CALLER_SESSION_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +11,7 @@
 #include "sassafraswick/proxy/caller_stream.h"
 #include "sassafraswick/proxy/host_runtime.h"
 #include "sassafraswick/proxy/response_relay.h"
+#include "sassafraswick/session/session_engine.h"
 #include "sassafraswick/wire/message.h"
 #include "sassafraswick/wire/request_unit.h"
 
@@ -68,7 +68,7 @@
   boost::asio::awaitable<bool> ReplyNotAdmitted(const request_unit& unit,
                                                 const admission& refused);
   boost::asio::awaitable<bool> ServeRouted(request_unit& unit);
-  boost::asio::awaitable<bool> ServePinned(request_unit& unit);
+  boost::asio::awaitable<bool> ServePinned(request_unit& unit, bool writes);
   boost::asio::awaitable<relay_outcome> RunUnit(const request_unit& unit,
                                                 const connection_lease& lease,
                                                 bool hold);
@@ -82,14 +82,16 @@
   boost::asio::awaitable<bool> Send(std::string bytes);
   boost::asio::awaitable<bool> ReplyRefusal(const request_unit& unit,
                                             const refusal& refused);
-  boost::asio::awaitable<bool> ServeFailedTransaction(const request_unit& unit);
+  boost::asio::awaitable<bool> ReplyRolledBack(const request_unit& unit);
+  boost::asio::awaitable<bool> ReplyDecision(const request_unit& unit,
+                                             const statement_result& answer);
   [[nodiscard]] request_entry MakeRequest(const request_unit& unit,
                                           time_point deadline) const;
   [[nodiscard]] std::string Prefix(const request_unit& unit,
                                    target_connection& connection,
                                    relay_request& expected) const;
-  void RecordPrepared(const request_unit& unit, target_connection& connection,
-                      const relay_outcome& outcome);
+  void RecordChanges(const request_unit& unit, target_connection& connection,
+                     const relay_outcome& outcome);
   void AppendToken(std::string& out);
   void ReleaseConnections();
   void EndWith(std::string_view code, const std::string& message);
@@ -103,18 +105,12 @@
   caller_stream stream_;
   frame_buffer input_;
   caller_identity identity_;
-  session_id id_ = 0;
+  session_number id_ = 0;
   std::shared_ptr<target_pool> pool_;
   caller_settings settings_;
-  /// SET statements of the caller, by parameter, replayed on new connections.
-  std::map<std::string, std::string> set_statements_;
-  prepared_map prepared_;
+  session_engine engine_{0, answer_policy::kTarget};
   /// Held during a transaction or an unfinished batch.
   std::optional<connection_lease> pinned_;
-  /// The pinned connection ran something that may have changed data.
-  bool pinned_wrote_ = false;
-  /// The transaction ended by a fault; the caller has yet to end it.
-  bool transaction_failed_ = false;
   bool skip_to_sync_ = false;
   bool end_when_idle_ = false;
   /// Part of a request has been read.
--- a/src/sassafraswick/proxy/caller_startup.cc
+++ b/src/sassafraswick/proxy/caller_startup.cc
@@ -238,8 +238,11 @@
       }
     } else if (!IsConnectionParameter(entry.first) &&
                IsParameterName(entry.first)) {
-      set_statements_[entry.first] =
-          "SET " + entry.first + " = " + QuoteLiteral(entry.second);
+      statement change;
+      change.kind = statement_kind::kSet;
+      change.name = entry.first;
+      change.text = "SET " + entry.first + " = " + QuoteLiteral(entry.second);
+      static_cast<void>(engine_.Memory().Apply(change));
     }
   }
   co_return true;
--- a/src/sassafraswick/proxy/host_runtime.cc
+++ b/src/sassafraswick/proxy/host_runtime.cc
@@ -78,10 +78,10 @@
       {{"version", std::to_string(configuration_->version)},
        {"change_id", configuration_->change_id}});
   UpdatePools();
-  const std::unordered_map<session_id, std::weak_ptr<caller_session>> checked =
-      sessions_;
-  for (const std::pair<const session_id, std::weak_ptr<caller_session>>& entry :
-       checked) {
+  const std::unordered_map<session_number, std::weak_ptr<caller_session>>
+      checked = sessions_;
+  for (const std::pair<const session_number, std::weak_ptr<caller_session>>&
+           entry : checked) {
     if (const std::shared_ptr<caller_session> session = entry.second.lock()) {
       session->CheckAdmission(*configuration_);
     }
@@ -146,21 +146,21 @@
   return found == pools_.end() ? nullptr : found->second;
 }
 
-session_id host_runtime::Register(
+session_number host_runtime::Register(
     const std::shared_ptr<caller_session>& session) {
-  const session_id id = next_session_++;
+  const session_number id = next_session_++;
   sessions_[id] = session;
   return id;
 }
 
-void host_runtime::Unregister(session_id id) { sessions_.erase(id); }
+void host_runtime::Unregister(session_number id) { sessions_.erase(id); }
 
 void host_runtime::Drain() {
   draining_ = true;
-  const std::unordered_map<session_id, std::weak_ptr<caller_session>> open =
+  const std::unordered_map<session_number, std::weak_ptr<caller_session>> open =
       sessions_;
-  for (const std::pair<const session_id, std::weak_ptr<caller_session>>& entry :
-       open) {
+  for (const std::pair<const session_number, std::weak_ptr<caller_session>>&
+           entry : open) {
     if (const std::shared_ptr<caller_session> session = entry.second.lock()) {
       session->EndWhenIdle();
     }
@@ -172,10 +172,10 @@
   if (SeesMajority(fleet_)) {
     current_at_ = now;
   }
-  const std::unordered_map<session_id, std::weak_ptr<caller_session>> open =
+  const std::unordered_map<session_number, std::weak_ptr<caller_session>> open =
       sessions_;
-  for (const std::pair<const session_id, std::weak_ptr<caller_session>>& entry :
-       open) {
+  for (const std::pair<const session_number, std::weak_ptr<caller_session>>&
+           entry : open) {
     if (const std::shared_ptr<caller_session> session = entry.second.lock()) {
       session->CheckLimits(now, IsIsolated(now));
     }
--- a/src/sassafraswick/proxy/host_runtime.h
+++ b/src/sassafraswick/proxy/host_runtime.h
@@ -51,8 +51,8 @@
       std::string_view name) const;
 
   /// Registers a session for as long as it lives.
-  session_id Register(const std::shared_ptr<caller_session>& session);
-  void Unregister(session_id id);
+  session_number Register(const std::shared_ptr<caller_session>& session);
+  void Unregister(session_number id);
 
   /// Stops taking callers and ends sessions as they become idle.
   void Drain();
@@ -103,8 +103,8 @@
   token_codec tokens_;
   std::shared_ptr<const configuration> configuration_;
   std::map<std::string, std::shared_ptr<target_pool>, std::less<>> pools_;
-  std::unordered_map<session_id, std::weak_ptr<caller_session>> sessions_;
-  session_id next_session_ = 1;
+  std::unordered_map<session_number, std::weak_ptr<caller_session>> sessions_;
+  session_number next_session_ = 1;
   retry_budget retries_;
   host_metrics metrics_;
   membership fleet_;
--- a/src/sassafraswick/proxy/target_connection.h
+++ b/src/sassafraswick/proxy/target_connection.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "sassafraswick/config/tables.h"
@@ -13,6 +12,7 @@
 #include "sassafraswick/core/log_point.h"
 #include "sassafraswick/failover/group_state.h"
 #include "sassafraswick/proxy/stream.h"
+#include "sassafraswick/session/session_memory.h"
 #include "sassafraswick/wire/frame.h"
 
 /// @file
@@ -20,9 +20,6 @@
 
 namespace sassafraswick {
 
-/// Identifies a caller's session within its host; 0 is nobody.
-using session_id = std::uint64_t;
-
 /// What a pool shows to its instances; never a caller's key.
 struct target_credentials {
   std::string user;
@@ -65,10 +62,8 @@
     return position_;
   }
 
-  /// Session whose state the connection carries.
-  session_id owner = 0;
-  /// Names of statements prepared for `owner`.
-  std::set<std::string> prepared;
+  /// Whose values and prepared statements the connection holds.
+  connection_memory memory;
   /// When the current use began.
   time_point leased_at;
 
--- a/src/sassafraswick/proxy/target_pool.cc
+++ b/src/sassafraswick/proxy/target_pool.cc
@@ -115,7 +115,7 @@
 }
 
 asio::awaitable<acquire_result> target_pool::Acquire(request_entry request,
-                                                     session_id session) {
+                                                     session_number session) {
   const time_point now = monotonic_clock::now();
   request.id = next_request_++;
   request.arrived = now;
@@ -178,12 +178,12 @@
 /// Takes an idle connection: one that carries the session's state, else the one
 /// that has rested longest, whose former session is least likely to return.
 std::shared_ptr<target_connection> target_pool::TakeIdle(
-    instance_index instance, session_id session) {
+    instance_index instance, session_number session) {
   std::deque<std::shared_ptr<target_connection>>& connections = idle_[instance];
   auto chosen = std::find_if(
       connections.begin(), connections.end(),
       [session](const std::shared_ptr<target_connection>& connection) {
-        return connection->owner == session;
+        return connection->memory.owner == session;
       });
   if (chosen == connections.end()) {
     chosen = connections.begin();
@@ -195,7 +195,7 @@
 
 void target_pool::Assign(const assignment& assigned) {
   const auto waiting = waiters_.find(assigned.request);
-  const session_id session =
+  const session_number session =
       waiting == waiters_.end() ? 0 : waiting->second->session;
   connection_lease lease;
   lease.connection = TakeIdle(assigned.instance, session);
--- a/src/sassafraswick/proxy/target_pool.h
+++ b/src/sassafraswick/proxy/target_pool.h
@@ -89,7 +89,7 @@
   /// Waits for a connection that may serve the request.
   /// @param session Who asks; a connection that carries its state is preferred.
   boost::asio::awaitable<acquire_result> Acquire(request_entry request,
-                                                 session_id session);
+                                                 session_number session);
 
   /// Gives a connection back.
   /// @param reusable False closes it.
@@ -127,7 +127,7 @@
   struct waiter {
     explicit waiter(const boost::asio::any_io_executor& executor)
         : decided(executor) {}
-    session_id session = 0;
+    session_number session = 0;
     std::optional<acquire_result> outcome;
     async_event decided;
   };
@@ -146,7 +146,7 @@
   void Pump();
   void Assign(const assignment& assigned);
   [[nodiscard]] std::shared_ptr<target_connection> TakeIdle(
-      instance_index instance, session_id session);
+      instance_index instance, session_number session);
   void Decide(request_id id, acquire_result outcome);
   void ApplyBudgets();
   void CloseSurplus(instance_index instance);
--- a/src/sassafraswick/session/fwd.h
+++ b/src/sassafraswick/session/fwd.h
@@ -5,6 +5,7 @@
 
 struct statement;
 struct statement_result;
+class session_engine;
 class session_memory;
 struct connection_memory;
 
--- a/src/sassafraswick/session/session_memory.cc
+++ b/src/sassafraswick/session/session_memory.cc
@@ -1,71 +1,99 @@
 #include "sassafraswick/session/session_memory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sassafraswick {
-namespace {
-
-/// Changes kept for connections that hold an older version. A connection that
-/// is further behind is reset, which costs a few more statements.
-constexpr std::size_t kChangesKept = 16;
-
-}  // namespace
 
 bool session_memory::Apply(const statement& change) {
   switch (change.kind) {
     case statement_kind::kSet:
-      values_[change.name] = change.text;
-      break;
+      values_[change.name] = {change.text, ++version_};
+      return true;
     case statement_kind::kPrepare:
-      prepared_[change.name] = {change.prepares_write, change.text};
-      break;
+      prepared_[change.name] = {change.prepares, change.text, ++version_};
+      return true;
     case statement_kind::kDeallocate:
-      if (prepared_.erase(change.name) == 0) {
-        return false;
-      }
-      break;
+      return prepared_.erase(change.name) > 0;
     default:
       return false;
   }
-  ++version_;
-  changes_.push_back(change.text);
-  if (changes_.size() > kChangesKept) {
-    changes_.pop_front();
-  }
-  return true;
 }
 
-const bool* session_memory::FindPrepared(const std::string& name) const {
+const prepared_statement* session_memory::FindPrepared(
+    const std::string& name) const {
   const auto found = prepared_.find(name);
-  return found == prepared_.end() ? nullptr : &found->second.writes;
+  return found == prepared_.end() ? nullptr : &found->second;
 }
 
-memory_update session_memory::UpdateFor(
-    const connection_memory& connection) const {
+bool session_memory::Contradicts(const connection_memory& connection,
+                                 const memory_use& use) const {
+  const bool runs_another = std::any_of(
+      use.runs.begin(), use.runs.end(),
+      [this, &connection](const std::string& name) {
+        const prepared_statement* const known = FindPrepared(name);
+        const auto held = connection.prepared.find(name);
+        return known != nullptr && held != connection.prepared.end() &&
+               held->second != known->version;
+      });
+  // A name that the session deallocated elsewhere would be taken here.
+  const bool is_taken =
+      std::any_of(use.prepares.begin(), use.prepares.end(),
+                  [this, &connection](const std::string& name) {
+                    return FindPrepared(name) == nullptr &&
+                           connection.prepared.contains(name);
+                  });
+  return runs_another || is_taken;
+}
+
+memory_update session_memory::UpdateFor(const connection_memory& connection,
+                                        const memory_use& use) const {
   memory_update update;
-  const std::uint64_t missing = version_ - connection.version;
-  if (connection.owner == owner_ && missing <= changes_.size()) {
-    const std::size_t first = changes_.size() - missing;
-    for (std::size_t i = first; i < changes_.size(); ++i) {
-      update.texts.push_back(changes_[i]);
+  const bool is_own = connection.owner == owner_;
+  const bool start_over = !is_own || Contradicts(connection, use);
+  update.reset = start_over && connection.owner != 0;
+  std::vector<session_value> missing;
+  for (const std::pair<const std::string, session_value>& value : values_) {
+    if (start_over || value.second.version > connection.version) {
+      missing.push_back(value.second);
+    }
+  }
+  std::sort(missing.begin(), missing.end(),
+            [](const session_value& left, const session_value& right) {
+              return left.version < right.version;
+            });
+  for (session_value& value : missing) {
+    update.values.push_back(std::move(value.text));
+  }
+  for (const std::string& name : use.runs) {
+    const prepared_statement* const known = FindPrepared(name);
+    if (known != nullptr &&
+        (start_over || !connection.prepared.contains(name))) {
+      update.prepares.push_back(known->text);
     }
-    return update;
   }
-  update.reset = connection.owner != 0;
-  update.texts = Snapshot();
   return update;
 }
 
-std::vector<std::string> session_memory::Snapshot() const {
-  std::vector<std::string> texts;
-  for (const std::pair<const std::string, std::string>& value : values_) {
-    texts.push_back(value.second);
+void session_memory::RecordUpdate(connection_memory& connection,
+                                  const memory_update& update,
+                                  const memory_use& use) const {
+  if (update.reset) {
+    connection.prepared.clear();
+  }
+  connection.owner = owner_;
+  connection.version = version_;
+  for (const std::string& name : use.runs) {
+    RecordPrepared(connection, name);
   }
-  for (const std::pair<const std::string, prepared_statement>& entry :
-       prepared_) {
-    texts.push_back(entry.second.text);
+}
+
+void session_memory::RecordPrepared(connection_memory& connection,
+                                    const std::string& name) const {
+  const prepared_statement* const known = FindPrepared(name);
+  if (known != nullptr) {
+    connection.prepared[name] = known->version;
   }
-  return texts;
 }
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/session/session_memory.h
+++ b/src/sassafraswick/session/session_memory.h
@@ -2,8 +2,8 @@
 #define SASSAFRASWICK_SESSION_SESSION_MEMORY_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,7 +11,7 @@
 
 /// @file
 /// Values and prepared statements of a session, and what a pooled connection
-/// must be sent so that it holds the same.
+/// must be sent so that it holds what the next statement needs.
 
 namespace sassafraswick {
 
@@ -21,17 +21,37 @@
 /// Whose values and prepared statements a connection holds.
 struct connection_memory {
   session_number owner = 0;
+  /// Version of the session up to which the connection holds its values.
   std::uint64_t version = 0;
+  /// Version at which each prepared statement was prepared, by name.
+  std::map<std::string, std::uint64_t, std::less<>> prepared;
+};
 
-  friend bool operator==(const connection_memory&,
-                         const connection_memory&) = default;
+/// Names that the next statement needs.
+struct memory_use {
+  /// Prepared statements that it runs or describes.
+  std::set<std::string> runs;
+  /// Prepared statements that it prepares itself.
+  std::set<std::string> prepares;
 };
 
 /// Statements that bring a connection up to date.
 struct memory_update {
   /// Drop everything that the connection holds first.
   bool reset = false;
-  std::vector<std::string> texts;
+  /// Texts that set values, in the order in which they were set.
+  std::vector<std::string> values;
+  /// Texts that prepare statements.
+  std::vector<std::string> prepares;
+};
+
+/// A prepared statement of a session.
+struct prepared_statement {
+  statement_kind runs = statement_kind::kUnknown;
+  /// The statement that prepares it.
+  std::string text;
+  /// Version of the session that prepared it.
+  std::uint64_t version = 0;
 };
 
 /// What a session has set and prepared.
@@ -43,33 +63,37 @@
   /// @return False if the statement deallocates an unknown name.
   [[nodiscard]] bool Apply(const statement& change);
 
-  /// Finds out whether a prepared statement writes.
+  /// Finds a prepared statement.
   /// @return Null if no statement has that name.
-  [[nodiscard]] const bool* FindPrepared(const std::string& name) const;
+  [[nodiscard]] const prepared_statement* FindPrepared(
+      const std::string& name) const;
+
+  /// What a connection lacks for a statement.
+  [[nodiscard]] memory_update UpdateFor(const connection_memory& connection,
+                                        const memory_use& use) const;
 
-  /// What a connection lacks.
-  [[nodiscard]] memory_update UpdateFor(
-      const connection_memory& connection) const;
+  /// Notes that a connection was sent the update for a statement.
+  void RecordUpdate(connection_memory& connection, const memory_update& update,
+                    const memory_use& use) const;
 
-  /// What a connection holds once the update was applied.
-  [[nodiscard]] connection_memory Current() const noexcept {
-    return {owner_, version_};
-  }
+  /// Notes that a connection has prepared a statement of the session itself.
+  void RecordPrepared(connection_memory& connection,
+                      const std::string& name) const;
 
  private:
-  struct prepared_statement {
-    bool writes = false;
+  struct session_value {
     std::string text;
+    std::uint64_t version = 0;
   };
 
-  [[nodiscard]] std::vector<std::string> Snapshot() const;
+  /// Tells whether a connection holds something else under a name in use.
+  [[nodiscard]] bool Contradicts(const connection_memory& connection,
+                                 const memory_use& use) const;
 
   session_number owner_;
   std::uint64_t version_ = 0;
-  std::map<std::string, std::string> values_;
-  std::map<std::string, prepared_statement> prepared_;
-  /// Texts of the last changes; the newest led to `version_`.
-  std::deque<std::string> changes_;
+  std::map<std::string, session_value> values_;
+  std::map<std::string, prepared_statement, std::less<>> prepared_;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/session/statement.cc
+++ b/src/sassafraswick/session/statement.cc
@@ -30,6 +30,10 @@
       return "too_large";
     case failure_code::kMalformed:
       return "malformed";
+    case failure_code::kUnsupported:
+      return "unsupported";
+    case failure_code::kTransactionFailed:
+      return "transaction_failed";
     case failure_code::kAborted:
       return "aborted";
     case failure_code::kInDoubt:
--- a/src/sassafraswick/session/statement.h
+++ b/src/sassafraswick/session/statement.h
@@ -28,6 +28,13 @@
   /// Runs a prepared statement.
   kExecute,
   kDeallocate,
+  /// Nothing but blanks and comments.
+  kEmpty,
+  /// Sets or shows a parameter of this product.
+  kSetOwn,
+  kShowOwn,
+  /// Needs a connection of its own, which pooling cannot give.
+  kUnsupported,
   /// Not a statement of the protocol.
   kUnknown,
 };
@@ -39,8 +46,8 @@
   statement_kind kind = statement_kind::kUnknown;
   /// Name of the value or prepared statement, if the kind has one.
   std::string name;
-  /// For `kPrepare`: the prepared statement writes.
-  bool prepares_write = false;
+  /// For `kPrepare`: the kind of the prepared statement.
+  statement_kind prepares = statement_kind::kUnknown;
   /// The statement as it is sent to a target.
   std::string text;
 };
@@ -63,6 +70,10 @@
   kUnknownDatabase,
   kTooLarge,
   kMalformed,
+  /// The statement needs what pooled connections cannot give.
+  kUnsupported,
+  /// The transaction has failed and has to be ended first.
+  kTransactionFailed,
   /// The transaction was rolled back.
   kAborted,
   /// The outcome is unknown.
--- a/src/sassafraswick/wire/request_unit.cc
+++ b/src/sassafraswick/wire/request_unit.cc
@@ -1,5 +1,7 @@
 #include "sassafraswick/wire/request_unit.h"
 
+#include <utility>
+
 namespace sassafraswick {
 namespace {
 
@@ -10,30 +12,29 @@
 void AddStatement(request_unit& unit, const statement_class& added) {
   ++unit.statement_count;
   if (unit.statement_count == 1) {
-    unit.statement = added;
+    unit.leading = added;
     return;
   }
-  const bool unsupported =
-      unit.statement.kind == statement_kind::kUnsupported ||
-      added.kind == statement_kind::kUnsupported;
-  const bool reads = unit.statement.kind == statement_kind::kRead &&
+  const bool unsupported = unit.leading.kind == statement_kind::kUnsupported ||
+                           added.kind == statement_kind::kUnsupported;
+  const bool reads = unit.leading.kind == statement_kind::kRead &&
                      added.kind == statement_kind::kRead;
   if (unsupported) {
-    unit.statement =
-        added.kind == statement_kind::kUnsupported ? added : unit.statement;
+    unit.leading =
+        added.kind == statement_kind::kUnsupported ? added : unit.leading;
   } else if (!reads) {
-    unit.statement = {statement_kind::kWrite, "", ""};
+    unit.leading = {statement_kind::kWrite, "", ""};
   }
 }
 
 /// Adds the use of a statement prepared before this unit.
 void AddReference(request_unit& unit, const std::string& name,
-                  const prepared_map& known) {
+                  const session_memory& known) {
   const bool is_new =
-      !unit.prepared.contains(name) && unit.references.insert(name).second;
-  const auto found = known.find(name);
-  if (is_new && found != known.end()) {
-    AddStatement(unit, found->second.statement);
+      !unit.use.prepares.contains(name) && unit.use.runs.insert(name).second;
+  const prepared_statement* const found = known.FindPrepared(name);
+  if (is_new && found != nullptr) {
+    AddStatement(unit, {found->runs, "", ""});
   }
 }
 
@@ -45,16 +46,21 @@
   if (reader.Failed()) {
     return Malformed("Parse");
   }
-  const statement_class statement = ClassifyStatement(sql);
-  AddStatement(unit, statement);
-  unit.prepared[name] = {std::string(raw), statement};
-  unit.prepared_order.push_back(name);
+  const statement_class added = ClassifyStatement(sql);
+  AddStatement(unit, added);
+  statement prepared;
+  prepared.kind = statement_kind::kPrepare;
+  prepared.name = name;
+  prepared.prepares = added.kind;
+  prepared.text = raw;
+  unit.prepared.push_back(std::move(prepared));
+  unit.use.prepares.insert(name);
   ++unit.expected_completions;
   return false;
 }
 
 result<bool> AddNamed(request_unit& unit, const frame_view& frame,
-                      const prepared_map& known) {
+                      const session_memory& known) {
   body_reader reader(frame.body);
   if (frame.type == frontend::kBind) {
     static_cast<void>(reader.String());
@@ -65,7 +71,10 @@
     if (kind == "S" && frame.type == frontend::kDescribe) {
       AddReference(unit, name, known);
     } else if (kind == "S") {
-      unit.closed.push_back(name);
+      statement closed;
+      closed.kind = statement_kind::kDeallocate;
+      closed.name = name;
+      unit.closed.push_back(std::move(closed));
     }
     unit.describes = unit.describes || frame.type == frontend::kDescribe;
   }
@@ -96,7 +105,7 @@
 }  // namespace
 
 result<bool> AddFrame(request_unit& unit, const frame_view& frame,
-                      std::string_view raw, const prepared_map& known) {
+                      std::string_view raw, const session_memory& known) {
   unit.bytes.append(raw);
   switch (frame.type) {
     case frontend::kQuery:
--- a/src/sassafraswick/wire/request_unit.h
+++ b/src/sassafraswick/wire/request_unit.h
@@ -2,13 +2,12 @@
 #define SASSAFRASWICK_WIRE_REQUEST_UNIT_H_
 
 #include <cstdint>
-#include <map>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "sassafraswick/core/error.h"
+#include "sassafraswick/session/session_memory.h"
 #include "sassafraswick/wire/frame.h"
 #include "sassafraswick/wire/statement.h"
 
@@ -17,23 +16,12 @@
 
 namespace sassafraswick {
 
-/// A statement that a caller prepared, kept so that it can be prepared again
-/// on another connection.
-struct prepared_statement {
-  /// The whole Parse frame.
-  std::string frame;
-  statement_class statement;
-};
-
-/// Prepared statements by name; the unnamed one has an empty name.
-using prepared_map = std::map<std::string, prepared_statement, std::less<>>;
-
 /// A simple query, or the extended-protocol frames up to Sync or Flush.
 struct request_unit {
   /// All frames in order.
   std::string bytes;
   /// Strongest statement: anything but reads makes the unit a write.
-  statement_class statement{statement_kind::kEmpty, "", ""};
+  statement_class leading{statement_kind::kEmpty, "", ""};
   /// Statements in the unit.
   std::uint32_t statement_count = 0;
   /// True for a simple query.
@@ -44,14 +32,14 @@
   bool executes = false;
   /// Answers that complete the unit if it ends with Flush.
   std::uint32_t expected_completions = 0;
-  /// Prepared statements used but not prepared in the unit.
-  std::set<std::string> references;
-  /// Statements prepared in the unit.
-  prepared_map prepared;
-  /// Names of statements prepared in the unit, in order.
-  std::vector<std::string> prepared_order;
-  /// Prepared statements closed in the unit.
-  std::vector<std::string> closed;
+  /// Prepared statements used but not prepared in the unit, and those that it
+  /// prepares. The unnamed one has an empty name.
+  memory_use use;
+  /// Statements prepared in the unit, in order, each with its Parse frame as
+  /// text.
+  std::vector<statement> prepared;
+  /// Prepared statements closed in the unit, in order.
+  std::vector<statement> closed;
 };
 
 /// Adds one frame.
@@ -62,7 +50,7 @@
 /// that callers may not send.
 [[nodiscard]] result<bool> AddFrame(request_unit& unit, const frame_view& frame,
                                     std::string_view raw,
-                                    const prepared_map& known);
+                                    const session_memory& known);
 
 }  // namespace sassafraswick
 
--- a/src/sassafraswick/wire/statement.cc
+++ b/src/sassafraswick/wire/statement.cc
@@ -140,7 +140,7 @@
   }
   std::string value = TakeValue(rest);
   const bool for_proxy = name.starts_with(kProxyPrefix);
-  return {for_proxy ? statement_kind::kProxySet : statement_kind::kSet, name,
+  return {for_proxy ? statement_kind::kSetOwn : statement_kind::kSet, name,
           std::move(value)};
 }
 
@@ -187,14 +187,17 @@
   if (first == "show") {
     const std::string name = TakeWord(rest);
     const bool for_proxy = name.starts_with(kProxyPrefix);
-    return {for_proxy ? statement_kind::kProxyShow : statement_kind::kRead,
-            name, ""};
+    return {for_proxy ? statement_kind::kShowOwn : statement_kind::kRead, name,
+            ""};
   }
   if (first == "begin" || first == "start") {
     return {ClassifyBegin(lower_sql), "", ""};
   }
-  if (IsOneOf(first, {"commit", "end", "rollback", "abort"})) {
-    return {statement_kind::kEnd, "", ""};
+  if (IsOneOf(first, {"commit", "end"})) {
+    return {statement_kind::kCommit, "", ""};
+  }
+  if (IsOneOf(first, {"rollback", "abort"})) {
+    return {statement_kind::kRollback, "", ""};
   }
   if (IsOneOf(first, {"values", "table"})) {
     return {statement_kind::kRead, "", ""};
