--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -59,7 +59,8 @@
   state.stepped_down.reset();
   state.held.clear();
   state.chosen.clear();
-  state.replicas_grew_at = now;
+  state.awaited = log_point();
+  state.awaited_since = now;
 }
 
 /// Follows how far the replicas have come.
@@ -72,15 +73,26 @@
       furthest = instance.status->received;
     }
   }
-  const instance_health* const leader = FindInstance(group, primary);
-  const bool complete = leader != nullptr && leader->status.has_value() &&
-                        !IsBehind(furthest, leader->status->received);
-  if (complete || IsBehind(state.replicas_end, furthest)) {
-    state.replicas_end = furthest;
-    state.replicas_grew_at = now;
+  if (!IsBehind(furthest, state.awaited)) {
+    const instance_health* const leader = FindInstance(group, primary);
+    state.awaited = leader != nullptr && leader->status.has_value()
+                        ? leader->status->received
+                        : log_point();
+    state.awaited_since = now;
   }
 }
 
+/// Tells whether every replica that answers lacked the awaited entry when it
+/// was asked late enough. Older answers say nothing of it.
+bool HasStalled(const replacement_state& state, const group_health& group,
+                const std::string& primary, duration patience) {
+  return std::all_of(
+      group.begin(), group.end(), [&](const instance_health& instance) {
+        return instance.id == primary || !Answers(instance) ||
+               instance.asked_at - state.awaited_since >= patience;
+      });
+}
+
 bool IsRefused(const instance_health& primary,
                const replacement_settings& settings) {
   return primary.refused_since.has_value() &&
@@ -119,8 +131,26 @@
   }
   const duration patience =
       others > 1 ? settings.cut_off_after : settings.lone_cut_off_after;
-  const bool stalled = now - state.replicas_grew_at >= patience;
-  return stalled ? replacement_cause::kCutOff : replacement_cause::kNone;
+  return HasStalled(state, group, leader->id, patience)
+             ? replacement_cause::kCutOff
+             : replacement_cause::kNone;
+}
+
+/// Tells whether a replica that receives again could confirm writes of a
+/// primary that was replaced: it follows an older term than the leader's, and
+/// some instance may still lead that.
+bool MayServeOldPrimary(const group_health& group,
+                        const instance_health& leader,
+                        const instance_health& replica) {
+  if (replica.status->term == leader.status->term) {
+    return false;
+  }
+  return std::any_of(
+      group.begin(), group.end(),
+      [&leader, &replica](const instance_health& other) {
+        const bool is_third = other.id != leader.id && other.id != replica.id;
+        return is_third && (!other.status.has_value() || other.status->leads);
+      });
 }
 
 /// Orders for instances that an abandoned replacement left behind: replicas
@@ -140,7 +170,8 @@
     if (instance.status->leads) {
       actions.push_back({replacement_action_kind::kStepDown, instance.id,
                          leader->status->term});
-    } else if (instance.status->held_term != 0) {
+    } else if (instance.status->held_term != 0 &&
+               !MayServeOldPrimary(group, *leader, instance)) {
       actions.push_back({replacement_action_kind::kRelease, instance.id, 0});
     }
   }
@@ -161,7 +192,9 @@
   const bool hold_others = state.cause != replacement_cause::kLeaving ||
                            now - state.since >= settings.retry_after;
   for (const instance_health& instance : group) {
-    if (instance.id == state.primary) {
+    // An instance that leads, even an old term, cannot be held.
+    const bool leads = instance.status.has_value() && instance.status->leads;
+    if (instance.id == state.primary || leads) {
       actions.push_back(
           {replacement_action_kind::kStepDown, instance.id, state.term});
     } else if (hold_others && !state.held.contains(instance.id)) {
@@ -214,15 +247,33 @@
   return others > 0;
 }
 
+/// Drops holds that did not last: the instance was started again or released.
+void DropLostHolds(replacement_state& state, const group_health& group) {
+  for (const instance_health& instance : group) {
+    const auto held = state.held.find(instance.id);
+    const bool receives = held != state.held.end() && Answers(instance) &&
+                          instance.asked_at > held->second.since &&
+                          std::max(instance.status->held_term,
+                                   instance.status->term) < state.term;
+    if (receives) {
+      state.held.erase(held);
+    }
+  }
+}
+
 bool IsFenced(const replacement_state& state, const group_health& group) {
   return state.stepped_down.has_value() || AllOthersHeld(state, group);
 }
 
-/// Tells whether the primary turned out to be alive, so that it may go on.
+/// Tells whether the primary turned out to be alive, so that it may go on. A
+/// host that knew of none finds one that answers.
 bool HasRecovered(const replacement_state& state, const group_health& group) {
   const bool was_gone = state.cause == replacement_cause::kSilent ||
-                        state.cause == replacement_cause::kRefused;
-  const instance_health* const primary = FindInstance(group, state.primary);
+                        state.cause == replacement_cause::kRefused ||
+                        state.cause == replacement_cause::kOrphaned;
+  const instance_health* const primary =
+      state.primary.empty() ? FindLeader(group)
+                            : FindInstance(group, state.primary);
   return was_gone && !state.stepped_down.has_value() && primary != nullptr &&
          Answers(*primary) && primary->status->leads &&
          primary->asked_at > state.since;
@@ -257,7 +308,7 @@
       found.push_back(
           {instance.id, instance.status->received, instance.leaving});
     } else if (held != state.held.end()) {
-      found.push_back({instance.id, held->second, instance.leaving});
+      found.push_back({instance.id, held->second.received, instance.leaving});
     }
   }
   std::sort(found.begin(), found.end(), IsBetter);
@@ -287,6 +338,11 @@
 
 action_list Wait(replacement_state& state, const group_health& group,
                  const replacement_settings& settings, time_point now) {
+  DropLostHolds(state, group);
+  if (!IsFenced(state, group)) {
+    Enter(state, replacement_phase::kFencing, now);
+    return Fence(state, group, settings, now);
+  }
   if (now - state.fenced_at < kPermitWindow) {
     return {};
   }
@@ -354,12 +410,18 @@
   return nullptr;
 }
 
+bool MayBeCutOff(const replacement_state& state,
+                 const replacement_settings& settings, time_point now) {
+  return state.phase == replacement_phase::kWatching &&
+         now - state.awaited_since >= settings.cut_off_after;
+}
+
 std::vector<replacement_action> TickReplacement(
     replacement_state& state, const group_health& group,
     const replacement_settings& settings, time_point now) {
   if (!state.started_at.has_value()) {
     state.started_at = now;
-    state.replicas_grew_at = now;
+    state.awaited_since = now;
   }
   const bool fencing = state.phase == replacement_phase::kFencing ||
                        state.phase == replacement_phase::kWaiting;
@@ -389,12 +451,13 @@
   if (!fencing || action.term != state.term) {
     return;
   }
-  if (action.kind == replacement_action_kind::kStepDown && !status.leads) {
+  if (action.kind == replacement_action_kind::kStepDown &&
+      action.instance == state.primary && !status.leads) {
     state.stepped_down = status.received;
   }
   if (action.kind == replacement_action_kind::kHold &&
       status.held_term >= state.term) {
-    state.held[action.instance] = status.received;
+    state.held[action.instance] = {status.received, now};
   }
   if (state.phase == replacement_phase::kFencing && IsFenced(state, group)) {
     Enter(state, replacement_phase::kWaiting, now);
--- a/src/sassafraswick/failover/replacement.h
+++ b/src/sassafraswick/failover/replacement.h
@@ -57,8 +57,8 @@
   /// Silence after which a primary is replaced. A slot may be taken by one
   /// statement for 300 ms (the longest work on the users' sheets).
   duration silent_after = std::chrono::milliseconds(450);
-  /// Time without progress on any replica after which a primary that has
-  /// entries to send is taken for cut off from them.
+  /// Time after which a primary whose replicas still lack an entry is taken for
+  /// cut off from them.
   duration cut_off_after = std::chrono::milliseconds(900);
   /// The same if only one replica answers: the fault may be the replica's, and
   /// then its promotion helps nobody.
@@ -73,8 +73,11 @@
   /// Time that a leaving primary's successor gets to receive all entries.
   duration catch_up = std::chrono::milliseconds(1500);
   /// Time for which a new holder only watches, so that a promotion that its
-  /// predecessor asked for has shown its effect.
-  duration observation = std::chrono::milliseconds(1500);
+  /// predecessor asked for has shown its effect. The predecessor stopped a
+  /// quarter of its lease (750 ms) before the lease could end, or is stopping
+  /// and a fence with its permit window comes on top; a promotion takes some
+  /// 640 ms.
+  duration observation = std::chrono::milliseconds(500);
 };
 
 enum class replacement_phase : std::uint8_t {
@@ -99,6 +102,13 @@
 /// Name of a phase in logs.
 [[nodiscard]] std::string_view PhaseName(replacement_phase phase) noexcept;
 
+/// An instance that stopped receiving.
+struct instance_hold {
+  log_point received;
+  /// When its answer arrived.
+  time_point since;
+};
+
 /// Progress of one group's replacement.
 struct replacement_state {
   replacement_phase phase = replacement_phase::kWatching;
@@ -112,16 +122,17 @@
   std::string primary;
   /// Position of the primary that stepped down.
   std::optional<log_point> stepped_down;
-  /// Positions of instances that stopped receiving.
-  std::map<std::string, log_point> held;
+  /// Instances that stopped receiving.
+  std::map<std::string, instance_hold> held;
   /// From then on the primary acknowledged nothing more.
   time_point fenced_at;
   std::string chosen;
   /// Last time actions were sent in this phase.
   time_point acted_at;
-  /// Furthest position of a replica, and when it last grew.
-  log_point replicas_end;
-  time_point replicas_grew_at;
+  /// Entry of the primary that replicas have yet to receive, and when it was
+  /// first seen there.
+  log_point awaited;
+  time_point awaited_since;
 };
 
 enum class replacement_action_kind : std::uint8_t {
@@ -144,6 +155,12 @@
     replacement_state& state, const group_health& group,
     const replacement_settings& settings, time_point now);
 
+/// Tells whether replicas should be asked at once whether they still receive:
+/// their last answers lack an entry that the primary has had for long.
+[[nodiscard]] bool MayBeCutOff(const replacement_state& state,
+                               const replacement_settings& settings,
+                               time_point now);
+
 /// Feeds an instance's answer to `kStepDown` or `kHold`.
 void RecordFenced(replacement_state& state, const group_health& group,
                   const replacement_action& action,
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -80,6 +80,7 @@
   void AskDue(const group_pointer& group, watched_group& watched,
               time_point now) {
     const bool busy = watched.state.phase != replacement_phase::kWatching ||
+                      MayBeCutOff(watched.state, settings_, now) ||
                       group->View().primary.empty();
     for (const slot_pointer& slot : group->Slots()) {
       const bool is_primary = slot->record.id == group->View().primary;
