Let reads wait for a replica that is about to catch up

Change: the position in each answer of a replica tells how far it is behind (consistency/replica_progress); the expected wait counts as cost when a target is chosen, and a read rests for that time instead of being refused. A replica that refused once is asked once more. Read and Begin share one loop now.

--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -72,37 +72,16 @@
 
   /// Runs a read outside a transaction, on another instance if need be.
   boost::asio::awaitable<statement_result> Read(statement query) {
-    std::vector<std::string> tried;
-    statement_result answer = Refuse("no instance is ready");
-    while (true) {
-      const read_plan<Codec> plan = PlanRead(*group_, scope_, tried);
-      if (plan.slot == nullptr) {
-        const bool changed = co_await WaitForGroup(plan.awaits_proof);
-        if (changed) {
-          continue;
-        }
-        co_return Final(answer);
-      }
-      const link_lease<Codec> lease = co_await group_->Acquire(
-          plan.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
-      NoteLease(lease);
-      if (lease.link == nullptr) {
-        answer = Refuse("no connection to an instance is free");
-      } else {
-        answer = co_await ReadOn(query, plan, lease);
-        if (answer.failure == failure_code::kNone || !MayRepeat(answer)) {
-          co_return answer;
-        }
-      }
-      NoteRetry(query, plan, answer);
-      const bool last = std::find(tried.begin(), tried.end(),
-                                  plan.slot->record.id) != tried.end() ||
-                        monotonic_clock::now() >= scope_.Deadline();
-      if (last) {
-        co_return Final(answer);
-      }
-      tried.push_back(plan.slot->record.id);
-    }
+    const auto plan = [this](const std::vector<std::string>& tried) {
+      return PlanRead(*group_, scope_, tried);
+    };
+    const auto run = [this, &query](const read_plan<Codec>& where,
+                                    const link_lease<Codec>& lease) {
+      return ReadOn(query, where, lease);
+    };
+    const statement_result answer =
+        co_await Offer(query.id, scope_.Deadline(), plan, run);
+    co_return answer;
   }
 
   /// Runs a write outside a transaction.
@@ -145,47 +124,23 @@
   boost::asio::awaitable<statement_result> Begin(
       statement begin, std::optional<running_transaction<Codec>>& transaction) {
     const bool read_only = begin.kind == statement_kind::kBeginReadOnly;
-    std::vector<std::string> tried;
-    statement_result answer = Refuse("no instance is ready");
-    while (true) {
-      read_plan<Codec> plan;
-      if (read_only) {
-        plan = PlanRead(*group_, scope_, tried);
-      } else {
-        plan.term = group_->View().term;
-        plan.after = PositionForRead(group_->View(), scope_);
-        plan.needs_permit = !plan.after.has_value();
-        plan.slot = AvailablePrimary(*group_);
-      }
-      if (plan.slot == nullptr) {
-        const bool changed = co_await WaitForGroup(plan.awaits_proof);
-        if (changed) {
-          continue;
-        }
-        co_return Final(answer);
-      }
-      const link_lease<Codec> lease = co_await group_->Acquire(
-          plan.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
-      NoteLease(lease);
-      if (lease.link == nullptr) {
-        answer = Refuse("no connection to an instance is free");
-      } else {
-        answer = co_await BeginOn(begin, plan, lease);
-        if (answer.failure == failure_code::kNone) {
-          transaction = running_transaction<Codec>{lease, group_->View().term,
-                                                   plan.needs_permit};
-          co_return answer;
-        }
-      }
-      NoteRetry(begin, plan, answer);
-      const bool last = std::find(tried.begin(), tried.end(),
-                                  plan.slot->record.id) != tried.end() ||
-                        monotonic_clock::now() >= scope_.OfferLimit();
-      if (last) {
-        co_return Final(answer);
-      }
-      tried.push_back(plan.slot->record.id);
+    const auto plan = [this, read_only](const std::vector<std::string>& tried) {
+      return read_only ? PlanRead(*group_, scope_, tried) : PlanTransaction();
+    };
+    running_transaction<Codec> begun;
+    const auto run = [this, &begin, &begun](const read_plan<Codec>& where,
+                                            const link_lease<Codec>& lease) {
+      begun.lease = lease;
+      begun.needs_permit = where.needs_permit;
+      return BeginOn(begin, where, lease);
+    };
+    const statement_result answer =
+        co_await Offer(begin.id, scope_.OfferLimit(), plan, run);
+    if (answer.failure == failure_code::kNone) {
+      begun.term = group_->View().term;
+      transaction = begun;
     }
+    co_return answer;
   }
 
   /// Runs a statement, or the commit, of a transaction.
@@ -240,6 +195,67 @@
   [[nodiscard]] const std::string& LastTarget() const { return last_target_; }
 
  private:
+  /// Offers an operation to one instance after another until one runs it.
+  /// @param limit Latest moment for another try.
+  /// @param plan Chooses an instance, given those that were tried.
+  /// @param run Runs the operation over a connection and gives that back.
+  template <typename Plan, typename Run>
+  boost::asio::awaitable<statement_result> Offer(std::string request,
+                                                 time_point limit, Plan plan,
+                                                 Run run) {
+    std::vector<std::string> tried;
+    std::vector<std::string> lagged;
+    statement_result answer = Refuse("no instance is ready");
+    while (true) {
+      const read_plan<Codec> where = plan(tried);
+      if (where.slot == nullptr) {
+        const bool changed = co_await WaitForGroup(where.awaits_proof);
+        if (changed) {
+          continue;
+        }
+        co_return Final(answer);
+      }
+      if (where.wait > duration::zero()) {
+        co_await Sleep(where.wait);
+      }
+      const link_lease<Codec> lease = co_await group_->Acquire(
+          where.slot, scope_.organisation, scope_.session, scope_.OfferLimit());
+      NoteLease(lease);
+      if (lease.link == nullptr) {
+        answer = Refuse("no connection to an instance is free");
+      } else {
+        answer = co_await run(where, lease);
+        if (answer.failure == failure_code::kNone || !MayRepeat(answer)) {
+          co_return answer;
+        }
+      }
+      NoteRetry(request, where, answer);
+      const std::string& id = where.slot->record.id;
+      if (Contains(tried, id) || monotonic_clock::now() >= limit) {
+        co_return Final(answer);
+      }
+      // Its answer tells when it will have caught up, so it is asked once more.
+      const bool may_catch_up =
+          answer.failure == failure_code::kLagging && !Contains(lagged, id);
+      (may_catch_up ? lagged : tried).push_back(id);
+    }
+  }
+
+  static bool Contains(const std::vector<std::string>& ids,
+                       const std::string& id) {
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+  }
+
+  /// Where a transaction that may write begins.
+  [[nodiscard]] read_plan<Codec> PlanTransaction() const {
+    read_plan<Codec> where;
+    where.term = group_->View().term;
+    where.after = PositionForRead(group_->View(), scope_);
+    where.needs_permit = !where.after.has_value();
+    where.slot = AvailablePrimary(*group_);
+    return where;
+  }
+
   /// Term that the instance was in when it answered. An instance that leads
   /// this term later led it then.
   static term_number TermOf(const statement_result& answer,
@@ -343,11 +359,8 @@
       co_return answer;
     }
     group_->Observe(*lease.slot, answer, sent_at);
-    if (answer.failure == failure_code::kLagging) {
-      lease.slot->lagging_until = monotonic_clock::now() + kLaggingTime;
-    }
     if (answer.failure == failure_code::kBusy) {
-      lease.slot->avoid_until = monotonic_clock::now() + kLaggingTime;
+      lease.slot->avoid_until = monotonic_clock::now() + kBusyRest;
     }
     if (answer.failure != failure_code::kNone) {
       co_return answer;
@@ -404,9 +417,6 @@
       co_return answer;
     }
     group_->Observe(*lease.slot, answer, sent_at);
-    if (answer.failure == failure_code::kLagging) {
-      lease.slot->lagging_until = monotonic_clock::now() + kLaggingTime;
-    }
     if (answer.failure != failure_code::kNone) {
       group_->Release(lease, answer.state == transaction_state::kIdle);
     } else if (begin.kind == statement_kind::kBegin) {
@@ -430,11 +440,11 @@
     }
   }
 
-  void NoteRetry(const statement& query, const read_plan<Codec>& plan,
+  void NoteRetry(const std::string& request, const read_plan<Codec>& plan,
                  const statement_result& answer) {
     ++gateway_.counters.retries;
     Log(log_level::kInfo, "not_run_here",
-        {{"request", query.id},
+        {{"request", request},
          {"pool", scope_.route.pool},
          {"target", plan.slot->record.id},
          {"reason", std::string(FailureName(answer.failure))},
--- a/src/sassafraswick/gateway/read_plan.h
+++ b/src/sassafraswick/gateway/read_plan.h
@@ -23,8 +23,8 @@
 inline constexpr duration kReadPatience = std::chrono::milliseconds(150);
 /// The same as a multiple of the instance's usual latency.
 inline constexpr int kReadPatienceFactor = 8;
-/// Time for which an instance that lagged is left out of reads.
-inline constexpr duration kLaggingTime = std::chrono::milliseconds(100);
+/// Time for which an instance that had no slot is left out of reads.
+inline constexpr duration kBusyRest = std::chrono::milliseconds(100);
 /// Part of a route's age that is left for running a read.
 inline constexpr duration kAgeMargin = std::chrono::milliseconds(20);
 
@@ -53,6 +53,8 @@
   std::shared_ptr<target_slot<Codec>> slot;
   /// Position that the instance must show.
   std::optional<log_point> after;
+  /// Time until it should show that.
+  duration wait = duration::zero();
   /// The answer counts only with a permit.
   bool needs_permit = false;
   /// The group's term when the plan was made.
@@ -91,8 +93,11 @@
   plan.term = group.View().term;
   plan.after = PositionForRead(group.View(), scope);
   if (plan.after.has_value()) {
-    plan.slot = group.PickReader(scope.organisation, tried);
-    if (plan.slot != nullptr) {
+    const typename target_group<Codec>::reader reader = group.PickReader(
+        scope.organisation, *plan.after, scope.OfferLimit(), tried);
+    if (reader.slot != nullptr) {
+      plan.slot = reader.slot;
+      plan.wait = reader.wait;
       return plan;
     }
     plan.after.reset();
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -93,10 +93,20 @@
     }
   }
 
+  /// An instance for a read.
+  struct reader {
+    slot_pointer slot;
+    /// Time until it should show the read's position.
+    duration wait = duration::zero();
+  };
+
   /// Picks an instance for a read among those that may serve it.
+  /// @param wanted Position that the instance must show.
+  /// @param limit Latest moment at which it may begin.
   /// @param tried Identifiers to leave out.
-  [[nodiscard]] slot_pointer PickReader(const std::string& organisation,
-                                        const std::vector<std::string>& tried) {
+  [[nodiscard]] reader PickReader(const std::string& organisation,
+                                  log_point wanted, time_point limit,
+                                  const std::vector<std::string>& tried) {
     const time_point now = monotonic_clock::now();
     std::vector<slot_pointer> usable;
     std::vector<target_option> options;
@@ -108,9 +118,15 @@
       }
       usable.push_back(slot);
       options.push_back(Option(*slot, organisation, now));
+      target_option& option = options.back();
+      if (!option.is_primary) {
+        option.wait = ExpectedWait(slot->progress, view_, wanted, now);
+      }
+      option.avoid = option.avoid || now + option.wait >= limit;
     }
     const std::optional<std::size_t> chosen = ChooseTarget(options, random_());
-    return chosen.has_value() ? usable[*chosen] : nullptr;
+    return chosen.has_value() ? reader{usable[*chosen], options[*chosen].wait}
+                              : reader();
   }
 
   /// The instance that leads, or while that is not known, the last one that
@@ -186,6 +202,7 @@
       NoteChange(RecordFollower(view_, slot.record.id, view_.term));
     }
     RecordPosition(view_, slot.record.id, *answer.position, asked_at);
+    RecordProgress(slot.progress, view_, *answer.position, slot.answered_at);
   }
 
   /// Notes a write that was acknowledged by the primary.
@@ -411,8 +428,7 @@
                     [&organisation](const link_pointer& link) {
                       return link->Organisation() == organisation;
                     });
-    option.avoid = now < slot.avoid_until || now < slot.lagging_until ||
-                   slot.IsSuspect(now);
+    option.avoid = now < slot.avoid_until || slot.IsSuspect(now);
     return option;
   }
 
--- a/src/sassafraswick/gateway/target_slot.h
+++ b/src/sassafraswick/gateway/target_slot.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "sassafraswick/config/catalog.h"
+#include "sassafraswick/consistency/replica_progress.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/gateway/target_link.h"
 #include "sassafraswick/limits/connection_share.h"
@@ -56,8 +57,8 @@
   time_point avoid_until;
   /// The instance had no room for a connection.
   time_point full_until;
-  /// Lagged behind a read's position.
-  time_point lagging_until;
+  /// How far it was behind when it answered last.
+  replica_progress progress;
   duration latency = duration::zero();
   /// When any answer of the instance arrived last.
   time_point answered_at;
--- a/src/sassafraswick/routing/choose_target.cc
+++ b/src/sassafraswick/routing/choose_target.cc
@@ -27,6 +27,7 @@
   if (!option.has_connection) {
     cost += kConnectCost;
   }
+  cost += ToMilliseconds(option.wait);
   if (option.avoid) {
     cost += kAvoidCost;
   }
--- a/src/sassafraswick/routing/choose_target.h
+++ b/src/sassafraswick/routing/choose_target.h
@@ -25,7 +25,9 @@
   bool is_primary = false;
   /// A connection of the organisation rests ready.
   bool has_connection = false;
-  /// Failed, was full or lagged moments ago.
+  /// Time until it can serve the request at all.
+  duration wait = duration::zero();
+  /// Failed or was full moments ago.
   bool avoid = false;
 };
 
--- /dev/null
+++ b/test/sassafraswick/consistency/replica_progress_test.cc
@@ -0,0 +1,65 @@
+#include "sassafraswick/consistency/replica_progress.h"
+
+#include <catch2/catch.hpp>
+
+namespace sassafraswick {
+namespace {
+
+using std::chrono::milliseconds;
+
+time_point At(int milliseconds_since) {
+  return time_point(std::chrono::hours(1)) + milliseconds(milliseconds_since);
+}
+
+/// The primary wrote an entry each 100 ms: entry 10 at 1,000 ms and so on.
+primary_view Writing(int until) {
+  primary_view view;
+  RecordPrimary(view, "a", 1);
+  for (int now = 0; now <= until; now += 100) {
+    const log_position entry = static_cast<log_position>(now / 100);
+    RecordPosition(view, "a", {1, entry}, At(now));
+  }
+  return view;
+}
+
+TEST_CASE("a replica that shows the position serves at once",
+          "[replica_progress]") {
+  const primary_view view = Writing(3000);
+  replica_progress progress;
+  CHECK(ExpectedWait(progress, view, {1, 30}, At(3010)) == duration::zero());
+  RecordProgress(progress, view, {1, 20}, At(3010));
+  CHECK(ExpectedWait(progress, view, {1, 20}, At(3010)) == duration::zero());
+  CHECK(ExpectedWait(progress, view, {1, 12}, At(3010)) == duration::zero());
+}
+
+TEST_CASE("a replica that is behind serves once it has caught up",
+          "[replica_progress]") {
+  const primary_view view = Writing(3000);
+  replica_progress progress;
+  // Entry 21 stands since 2,100 ms and was not shown at 3,000: 900 ms behind.
+  RecordProgress(progress, view, {1, 20}, At(3000));
+  CHECK(progress.lag == milliseconds(900));
+  CHECK(ExpectedWait(progress, view, {1, 25}, At(3000)) == milliseconds(400));
+  CHECK(ExpectedWait(progress, view, {1, 25}, At(3300)) == milliseconds(100));
+  CHECK(ExpectedWait(progress, view, {1, 21}, At(3100)) == kLeastWait);
+}
+
+TEST_CASE("old answers say nothing", "[replica_progress]") {
+  const primary_view view = Writing(3000);
+  replica_progress progress;
+  RecordProgress(progress, view, {1, 20}, At(3000));
+  CHECK(ExpectedWait(progress, view, {1, 30}, At(3000) + kProgressLife) ==
+        duration::zero());
+}
+
+TEST_CASE("a replica of an older term is behind", "[replica_progress]") {
+  primary_view view = Writing(3000);
+  RecordPrimary(view, "b", 2);
+  RecordPosition(view, "b", {2, 31}, At(3200));
+  replica_progress progress;
+  RecordProgress(progress, view, {1, 40}, At(3210));
+  CHECK(ExpectedWait(progress, view, {2, 31}, At(3210)) > duration::zero());
+}
+
+}  // namespace
+}  // namespace sassafraswick
--- a/test/sassafraswick/routing/choose_target_test.cc
+++ b/test/sassafraswick/routing/choose_target_test.cc
@@ -41,6 +41,17 @@
   CHECK(ChooseTarget({primary, Option(25)}, 3) == 1U);
 }
 
+TEST_CASE("waiting for a replica is weighed against the primary's load",
+          "[choose_target]") {
+  target_option primary = Option(20);
+  primary.is_primary = true;
+  target_option behind = Option(20);
+  behind.wait = std::chrono::milliseconds(60);
+  CHECK(ChooseTarget({primary, behind}, 3) == 0U);
+  primary.latency = std::chrono::milliseconds(120);
+  CHECK(ChooseTarget({primary, behind}, 3) == 1U);
+}
+
 TEST_CASE("an instance to avoid is taken only if all are", "[choose_target]") {
   target_option avoided = Option(1);
   avoided.avoid = true;
