Close links between hosts that went silent

Cause: open connections may go dark without a reset; peer links had no time-out of their own, so a bank behind one was passed over and tried again over the same link for ever. Change: ZeroMQ heartbeats each 2 s and TCP_MAXRT of 2 s. Test: gateway_tests [peer] with a relay that passes nothing on old connections; it failed before (nothing received in 8 s).

--- a/src/sassafraswick/peer/peer_link.cc
+++ b/src/sassafraswick/peer/peer_link.cc
@@ -23,6 +23,13 @@
 /// The library's descriptor is edge-triggered: look again at least this often.
 constexpr duration kRecheck = std::chrono::milliseconds(50);
 
+/// Time between two heartbeats, and for their answer, on links that may go
+/// silent without a reset. A bank that does not answer is passed over within
+/// 250 ms, so this only bounds how long its link stays useless.
+constexpr std::chrono::milliseconds kHeartbeat(2000);
+/// Time after which a link is closed if what was sent is not acknowledged.
+constexpr std::chrono::milliseconds kUnacknowledgedLimit(2000);
+
 const unsigned char* Unsigned(std::string_view bytes) noexcept {
   return reinterpret_cast<const unsigned char*>(bytes.data());
 }
@@ -60,6 +67,14 @@
   }
 }
 
+void SetTimeouts(zmq::socket_t& socket) {
+  const int heartbeat = static_cast<int>(kHeartbeat.count());
+  socket.set(zmq::sockopt::heartbeat_ivl, heartbeat);
+  socket.set(zmq::sockopt::heartbeat_timeout, heartbeat);
+  socket.set(zmq::sockopt::tcp_maxrt,
+             static_cast<int>(kUnacknowledgedLimit.count()));
+}
+
 }  // namespace
 
 message_authenticator::message_authenticator(std::string_view secret) {
@@ -98,6 +113,7 @@
   router_.set(zmq::sockopt::maxmsgsize, kMaxMessageSize);
   router_.set(zmq::sockopt::sndhwm, kQueueLimit);
   router_.set(zmq::sockopt::rcvhwm, kQueueLimit);
+  SetTimeouts(router_);
   try {
     router_.bind(Address(identity_.listen));
   } catch (const zmq::error_t& failure) {
@@ -167,6 +183,7 @@
     zmq::socket_t socket(sockets_, zmq::socket_type::dealer);
     socket.set(zmq::sockopt::linger, 0);
     socket.set(zmq::sockopt::sndhwm, kQueueLimit);
+    SetTimeouts(socket);
     socket.connect(Address(to));
     found = outgoing_.emplace(to, outgoing{std::move(socket), {}}).first;
   }
--- /dev/null
+++ b/test/integration/peer_test.cc
@@ -0,0 +1,116 @@
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "sassafraswick/net/async_event.h"
+#include "sassafraswick/net/tcp.h"
+#include "sassafraswick/peer/peer_link.h"
+#include "test/support/process.h"
+
+/// @file
+/// Links between hosts over a relay whose connections go silent.
+
+namespace sassafraswick {
+namespace {
+
+namespace asio = boost::asio;
+
+endpoint Loopback(std::uint16_t port) {
+  return ParseEndpoint("127.0.0.1:" + std::to_string(port)).value();
+}
+
+/// Forwards connections. Those that are open when it is silenced pass nothing
+/// any more and stay open.
+class relay {
+ public:
+  relay(asio::io_context& context, endpoint listen, endpoint target)
+      : context_(context), target_(target) {
+    acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(
+        Listen(context.get_executor(), listen).value());
+    asio::co_spawn(context_, Accept(), asio::detached);
+  }
+
+  void SilenceOpen() { ++generation_; }
+
+ private:
+  using shared_socket = std::shared_ptr<stream_socket>;
+
+  asio::awaitable<void> Accept() {
+    while (true) {
+      const shared_socket from = std::make_shared<stream_socket>(
+          co_await acceptor_->async_accept(asio::use_awaitable));
+      result<stream_socket> connected =
+          co_await Connect(target_, std::chrono::seconds(1));
+      if (!connected) {
+        continue;
+      }
+      const shared_socket to =
+          std::make_shared<stream_socket>(std::move(connected.value()));
+      asio::co_spawn(context_, Pump(from, to, generation_), asio::detached);
+      asio::co_spawn(context_, Pump(to, from, generation_), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Pump(shared_socket from, shared_socket to,
+                             int generation) {
+    std::array<char, 4096> bytes{};
+    boost::system::error_code failure;
+    while (!failure) {
+      const std::size_t got = co_await from->async_read_some(
+          asio::buffer(bytes),
+          asio::redirect_error(asio::use_awaitable, failure));
+      if (generation == generation_ && !failure) {
+        co_await asio::async_write(
+            *to, asio::buffer(bytes, got),
+            asio::redirect_error(asio::use_awaitable, failure));
+      }
+    }
+    boost::system::error_code ignored;
+    to->close(ignored);
+  }
+
+  asio::io_context& context_;
+  endpoint target_;
+  std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
+  int generation_ = 0;
+};
+
+TEST_CASE("a link that goes silent without a reset is opened anew",
+          "[gateway][peer]") {
+  asio::io_context context;
+  const endpoint near = Loopback(test_support::FreePort());
+  const endpoint far = Loopback(test_support::FreePort());
+  const endpoint between = Loopback(test_support::FreePort());
+  peer_link sender(context, {"near", 1, near}, "secret");
+  peer_link receiver(context, {"far", 1, far}, "secret");
+  relay passing(context, between, far);
+  int received = 0;
+  REQUIRE(sender.Start([](const message::envelope&, const std::string&) {}));
+  REQUIRE(receiver.Start([&received](const message::envelope&,
+                                     const std::string&) { ++received; }));
+  const auto send_until_received = [&] {
+    const int before = received;
+    // Heartbeats of 2 s and their time-out, and as much again.
+    const time_point end = monotonic_clock::now() + std::chrono::seconds(8);
+    while (received == before && monotonic_clock::now() < end) {
+      message::envelope envelope;
+      envelope.mutable_configuration_request();
+      sender.Send(between, envelope);
+      context.run_for(std::chrono::milliseconds(100));
+    }
+    return received > before;
+  };
+  REQUIRE(send_until_received());
+  context.run_for(std::chrono::milliseconds(200));
+  passing.SilenceOpen();
+  CHECK(send_until_received());
+}
+
+}  // namespace
+}  // namespace sassafraswick
