Soak gateways under seeded faults, and test that reads wait for a proof

The stand-in shows entries late at replicas, lets an old primary go on for a second, and starts stopped instances again.

Traced with the logs of seed 122: the stand-in hid the last 20 ms of a primary that had just stepped down, which it had shown before.

--- a/test/integration/gateway_test.cc
+++ b/test/integration/gateway_test.cc
@@ -229,6 +229,41 @@
   CHECK(platform.Store().Value("sassafraswick/host/gateway-0").empty());
 }
 
+TEST_CASE("reads of stated age wait for a proof and spare the primary",
+          "[gateway][proof]") {
+  standin_platform platform(1);
+  REQUIRE(platform.WaitReady());
+  line_client writer(platform.CallerPort(0));
+  writer.Start("counter", "key-one");
+  REQUIRE(RunUntilDone(writer, "WRITE frame oak"));
+  // What the write proved is older now than the route's reads may be.
+  Pause(milliseconds(2500));
+  constexpr int kReaders = 12;
+  std::vector<std::thread> readers;
+  std::vector<std::string> answers(kReaders);
+  readers.reserve(kReaders);
+  for (int i = 0; i < kReaders; ++i) {
+    readers.emplace_back([&platform, &answers, i] {
+      line_client client(platform.CallerPort(0));
+      client.Start("status", "key-one");
+      answers.at(static_cast<std::size_t>(i)) = client.Run("READ frame");
+    });
+  }
+  for (std::thread& reader : readers) {
+    reader.join();
+  }
+  for (const std::string& answer : answers) {
+    CHECK(answer.starts_with("ROW oak"));
+  }
+  // A read that asks for no position has to run on the primary.
+  std::uint64_t without_position = 0;
+  platform.Group().With(platform.Group().PrimaryIndex(),
+                        [&without_position](group_instance& each) {
+                          without_position = each.without_position;
+                        });
+  CHECK(without_position == 0);
+}
+
 // Hunt: mdb-pedidos mix --seed 804218710746. SIGHUP ended the process.
 TEST_CASE("SIGHUP reads the settings again and ends nothing",
           "[gateway][hangup]") {
--- /dev/null
+++ b/test/platform/line_workload.h
@@ -0,0 +1,62 @@
+#ifndef TEST_PLATFORM_LINE_WORKLOAD_H_
+#define TEST_PLATFORM_LINE_WORKLOAD_H_
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "test/platform/standin_platform.h"
+#include "test/support/history.h"
+
+/// @file
+/// Callers that write and read through all gateways and record what they see.
+/// Each owns one item and writes 1, 2, 3, ... into it, either alone or twice in
+/// one transaction.
+
+namespace test_platform {
+
+class line_workload {
+ public:
+  line_workload(const standin_platform& platform, std::size_t gateways,
+                std::size_t callers, std::uint64_t seed);
+  line_workload(const line_workload&) = delete;
+  line_workload& operator=(const line_workload&) = delete;
+  ~line_workload() { Stop(); }
+
+  void Start();
+  /// Stops the callers and waits for them.
+  void Stop();
+  /// Takes what was recorded. The final state is to be added by the caller.
+  [[nodiscard]] test_support::history Take() { return recorder_.Take(); }
+  [[nodiscard]] std::uint64_t FailedReads() const { return failed_reads_; }
+
+ private:
+  struct caller;
+
+  void Run(std::size_t index);
+  void Write(caller& self);
+  void Read(caller& self);
+  /// Opens a session, at another gateway each time.
+  bool Connect(caller& self);
+
+  const standin_platform& platform_;
+  std::size_t gateways_;
+  std::size_t callers_;
+  std::uint64_t seed_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<std::uint64_t> failed_reads_{0};
+  std::vector<std::thread> threads_;
+  test_support::recorder recorder_;
+};
+
+/// Item of a caller, and the second one of its transactions.
+[[nodiscard]] std::string ItemOf(std::uint64_t caller, bool second);
+
+/// Number of a caller's write, over all callers.
+[[nodiscard]] std::uint64_t RowOf(std::uint64_t caller, std::uint64_t value);
+
+}  // namespace test_platform
+
+#endif  // TEST_PLATFORM_LINE_WORKLOAD_H_
--- a/test/platform/standin_group.cc
+++ b/test/platform/standin_group.cc
@@ -8,6 +8,8 @@
 namespace test_platform {
 namespace {
 
+using sassafraswick::monotonic_clock;
+
 std::string TakeWord(std::string& text) {
   const std::size_t end = std::min(text.find(' '), text.size());
   std::string word = text.substr(0, end);
@@ -19,8 +21,9 @@
 
 }  // namespace
 
-standin_group::standin_group(std::string name, std::size_t instances)
-    : name_(std::move(name)), instances_(instances) {
+standin_group::standin_group(std::string name, std::size_t instances,
+                             std::chrono::milliseconds replica_lag)
+    : name_(std::move(name)), replica_lag_(replica_lag), instances_(instances) {
   for (std::size_t i = 0; i < instances; ++i) {
     instances_[i].id = name_ + "-" + std::to_string(i);
   }
@@ -32,6 +35,7 @@
                                   const std::string& line) {
   std::unique_lock<std::mutex> lock(mutex_);
   group_instance& instance = instances_.at(index);
+  JoinIfDue(instance);
   if (instance.dark) {
     return {};
   }
@@ -68,7 +72,48 @@
                             : connection.in_transaction ? "T"
                                                         : "I";
   return Line("READY " + state + " " + std::to_string(instance.term) + "." +
-              std::to_string(instance.log.size()));
+              std::to_string(Shown(instance)));
+}
+
+std::size_t standin_group::Shown(const group_instance& instance) const {
+  const sassafraswick::time_point now = monotonic_clock::now();
+  std::size_t shown = instance.log.size();
+  while (!instance.primary && shown > instance.shown_as_primary &&
+         now < instance.log[shown - 1].at + replica_lag_) {
+    --shown;
+  }
+  return shown;
+}
+
+void standin_group::Join(group_instance& instance) {
+  for (const group_instance& leader : instances_) {
+    if (leader.primary && leader.term > instance.term) {
+      instance.primary = false;
+      instance.held_term = 0;
+      instance.term = leader.term;
+      instance.log = leader.log;
+      instance.shown_as_primary =
+          std::min(instance.shown_as_primary, instance.log.size());
+    }
+  }
+}
+
+void standin_group::JoinIfDue(group_instance& instance) {
+  if (instance.yields_at.has_value() &&
+      monotonic_clock::now() >= *instance.yields_at) {
+    instance.yields_at.reset();
+    Join(instance);
+    changed_.notify_all();
+  }
+}
+
+void standin_group::Restart(std::size_t index) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  group_instance& instance = instances_.at(index);
+  instance.running = true;
+  instance.held_term = 0;
+  Join(instance);
+  changed_.notify_all();
 }
 
 std::string standin_group::Fail(const group_instance& instance,
@@ -99,8 +144,9 @@
                                 line_connection& connection,
                                 const std::string& item) {
   std::string value = "none";
-  for (const log_entry& entry : instance.log) {
-    value = entry.item == item ? entry.data : value;
+  const std::size_t shown = Shown(instance);
+  for (std::size_t i = 0; i < shown; ++i) {
+    value = instance.log[i].item == item ? instance.log[i].data : value;
   }
   for (const log_entry& entry : connection.pending) {
     value = entry.item == item ? entry.data : value;
@@ -126,13 +172,15 @@
   while (!stopped_ && instances_.at(index).primary &&
          std::none_of(instances_.begin(), instances_.end(), receives)) {
     changed_.wait_for(lock, std::chrono::milliseconds(20));
+    JoinIfDue(instances_.at(index));
   }
   group_instance& primary = instances_.at(index);
   if (stopped_ || !primary.primary || !primary.running) {
     return false;
   }
   for (const log_entry& entry : entries) {
-    primary.log.push_back({primary.term, entry.item, entry.data});
+    primary.log.push_back(
+        {primary.term, entry.item, entry.data, monotonic_clock::now()});
   }
   for (group_instance& other : instances_) {
     if (receives(other)) {
@@ -169,10 +217,12 @@
     std::string position = TakeWord(rest);
     const std::uint64_t number =
         std::stoull(position.substr(position.find('.') + 1));
-    if (number > instance.log.size()) {
+    if (number > Shown(instance)) {
       return Fail(instance, connection, "LAGGING");
     }
     word = TakeWord(rest);
+  } else if (word == "READ") {
+    ++instance.without_position;
   }
   if (word == "STATUS") {
     return Status(instance, connection);
@@ -186,7 +236,12 @@
     return Status(instance, connection);
   }
   if (word == "STEPDOWN") {
-    instance.primary = instance.primary && instance.term >= std::stoull(rest);
+    const bool yields = instance.primary && instance.term < std::stoull(rest);
+    if (yields) {
+      instance.primary = false;
+      instance.shown_as_primary = instance.log.size();
+      Join(instance);
+    }
     changed_.notify_all();
     return Status(instance, connection);
   }
@@ -274,14 +329,17 @@
     term = std::max(term, each.term);
   }
   for (group_instance& each : instances_) {
-    each.held_term = 0;
-    each.primary = each.primary && !each.running;
-    if (each.running) {
+    if (each.running && each.primary) {
+      constexpr std::chrono::milliseconds kHearsAfter(1000);
+      each.yields_at = monotonic_clock::now() + kHearsAfter;
+    } else if (each.running) {
+      each.held_term = 0;
       each.term = term + 1;
       each.log = chosen->log;
     }
   }
   chosen->primary = true;
+  chosen->yields_at.reset();
   changed_.notify_all();
   return true;
 }
@@ -306,6 +364,11 @@
   return value;
 }
 
+std::vector<log_entry> standin_group::Log(std::size_t index) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return instances_.at(index).log;
+}
+
 std::vector<std::string> standin_group::Organisations() {
   const std::lock_guard<std::mutex> lock(mutex_);
   return organisations_;
--- a/test/platform/standin_group.h
+++ b/test/platform/standin_group.h
@@ -1,13 +1,17 @@
 #ifndef TEST_PLATFORM_STANDIN_GROUP_H_
 #define TEST_PLATFORM_STANDIN_GROUP_H_
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "sassafraswick/core/time.h"
+
 /// @file
 /// Stand-in for a database group of the users: instances with terms and logs
 /// that speak the line protocol. Writes need one replica that receives.
@@ -19,6 +23,8 @@
   std::uint64_t term = 0;
   std::string item;
   std::string data;
+  /// When it was committed; replicas show it a lag later.
+  sassafraswick::time_point at;
 };
 
 struct group_instance {
@@ -31,8 +37,14 @@
   bool dark = false;
   std::uint64_t term = 1;
   std::uint64_t held_term = 0;
+  /// When a primary that was replaced hears of it.
+  std::optional<sassafraswick::time_point> yields_at;
   std::vector<log_entry> log;
+  /// Entries that it showed as primary: it goes on to show them.
+  std::size_t shown_as_primary = 0;
   std::uint64_t statements = 0;
+  /// Statements that asked for no position of its log.
+  std::uint64_t without_position = 0;
 };
 
 /// State of one caller's connection to an instance.
@@ -52,7 +64,9 @@
 /// A group; thread-safe.
 class standin_group {
  public:
-  standin_group(std::string name, std::size_t instances);
+  /// @param replica_lag Time after which replicas show what they received.
+  standin_group(std::string name, std::size_t instances,
+                std::chrono::milliseconds replica_lag);
 
   /// Answers one line.
   /// @return Lines to send; empty sends nothing and keeps the caller waiting.
@@ -60,10 +74,14 @@
                                    line_connection& connection,
                                    const std::string& line);
 
-  /// Lets an instance lead the next term with what it received.
+  /// Lets an instance lead the next term with what it received. The old primary
+  /// goes on for a second unless it is told to step down.
   /// @return False if it is not running or unknown.
   bool Promote(const std::string& id);
 
+  /// Starts a stopped instance with its log.
+  void Restart(std::size_t index);
+
   /// Changes an instance under the lock and wakes waiting commits.
   template <typename Change>
   void With(std::size_t index, Change change) {
@@ -77,6 +95,8 @@
   [[nodiscard]] const std::string& Name() const { return name_; }
   /// Last write of an item in an instance's log; empty if there is none.
   [[nodiscard]] std::string Stored(std::size_t index, const std::string& item);
+  /// An instance's whole log.
+  [[nodiscard]] std::vector<log_entry> Log(std::size_t index);
   /// Organisations that connections to the group were opened for.
   [[nodiscard]] std::vector<std::string> Organisations();
   void Stop();
@@ -88,6 +108,11 @@
                   line_connection& connection, const std::string& text);
   std::string Ready(const group_instance& instance,
                     const line_connection& connection) const;
+  /// Entries that readers of an instance see.
+  [[nodiscard]] std::size_t Shown(const group_instance& instance) const;
+  /// Makes an instance follow the newest primary.
+  void Join(group_instance& instance);
+  void JoinIfDue(group_instance& instance);
   std::string Fail(const group_instance& instance, line_connection& connection,
                    const std::string& code);
   std::string Done(group_instance& instance, const line_connection& connection,
@@ -102,6 +127,7 @@
               const std::vector<log_entry>& entries);
 
   std::string name_;
+  std::chrono::milliseconds replica_lag_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<group_instance> instances_;
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -70,6 +70,15 @@
   return descriptor;
 }
 
+std::string BuildPath(const std::string& program) {
+  const char* const build = std::getenv("SASSAFRASWICK_BUILD");
+  return std::string(build == nullptr ? "build" : build) + "/" + program;
+}
+
+std::string SettingsPath(const std::string& directory, std::size_t gateway) {
+  return directory + "/gateway" + std::to_string(gateway) + ".ini";
+}
+
 /// One HTTP request as far as the stand-in looks at it.
 struct http_request {
   std::string method;
@@ -101,8 +110,8 @@
 
 }  // namespace
 
-standin_platform::standin_platform(std::size_t gateways)
-    : group_(kPoolName, 3) {
+standin_platform::standin_platform(const standin_options& options)
+    : options_(options), group_(kPoolName, 3, options.replica_lag) {
   std::array<char, 32> name{"/tmp/sassafraswick-XXXXXX"};
   directory_ = mkdtemp(name.data());
   http_ = Listen();
@@ -110,14 +119,22 @@
   open_lines_.resize(group_.Size());
   for (std::size_t i = 0; i < group_.Size(); ++i) {
     instances_.push_back(Listen());
-    Register(i, false);
+    addresses_.push_back(
+        Link("target-" + std::to_string(i), instances_.back().port));
+    Register(i);
   }
   for (std::size_t i = 0; i < group_.Size(); ++i) {
-    threads_.emplace_back([this, i] { Accept(instances_[i], i, true); });
+    threads_.emplace_back(
+        [this, i, served = instances_[i]] { Accept(served, i, true); });
   }
   Configure(1, "\"key-one\",\"key-two\"");
-  for (std::size_t i = 0; i < gateways; ++i) {
-    StartGateway(i);
+  for (std::size_t i = 0; i < options.gateways; ++i) {
+    WriteSettings(i);
+  }
+  StartFaultProxy();
+  gateways_.resize(options.gateways);
+  for (std::size_t i = 0; i < options.gateways; ++i) {
+    RestartGateway(i);
   }
 }
 
@@ -146,13 +163,17 @@
     }
     joined.join();
   }
-  std::filesystem::remove_all(directory_);
+  if (!keeps_directory_) {
+    std::filesystem::remove_all(directory_);
+  }
 }
 
-served_port standin_platform::Listen() {
+served_port standin_platform::Listen(std::uint16_t port) {
   served_port served;
   served.listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const sockaddr_in wanted = Loopback(0);
+  const int on = 1;
+  setsockopt(served.listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const sockaddr_in wanted = Loopback(port);
   static_cast<void>(bind(served.listener,
                          reinterpret_cast<const sockaddr*>(&wanted),
                          sizeof(wanted)));
@@ -164,11 +185,13 @@
   return served;
 }
 
-void standin_platform::Register(std::size_t index, bool draining) {
+void standin_platform::Register(std::size_t index) {
   const bool primary = group_.PrimaryIndex() == index;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const bool draining = draining_.contains(index);
   const std::string id = group_.Name() + "-" + std::to_string(index);
   const json::object entry = {{"service", group_.Name()},
-                              {"address", Address(instances_.at(index).port)},
+                              {"address", Address(addresses_.at(index))},
                               {"zone", "zone-" + std::to_string(index)},
                               {"slots", 3},
                               {"state", draining ? "draining" : "ready"},
@@ -201,6 +224,7 @@
                                 {"api_keys", json::parse("[" + keys + "]")},
                                 {"rate_per_s", 1000},
                                 {"burst", 1000}}}}};
+  configured_version_ = version;
   store_.Put("op/config", json::serialize(document));
 }
 
@@ -248,7 +272,7 @@
           json::parse(request.body).as_object().at("id").as_string());
       reply.status = group_.Promote(id) ? 200 : 409;
       for (std::size_t i = 0; i < group_.Size(); ++i) {
-        Register(i, false);
+        Register(i);
       }
     } else {
       reply = store_.Handle(request.method, request.target, request.body);
@@ -280,26 +304,55 @@
   }
 }
 
-void standin_platform::StartGateway(std::size_t index) {
+std::uint16_t standin_platform::Link(const std::string& name,
+                                     std::uint16_t port) {
+  if (!options_.with_faults) {
+    return port;
+  }
+  const std::uint16_t listen = test_support::FreePort();
+  link_arguments_.push_back("--link");
+  link_arguments_.push_back(name + "=" + Address(listen) + "=" + Address(port));
+  return listen;
+}
+
+void standin_platform::StartFaultProxy() {
+  if (!options_.with_faults) {
+    return;
+  }
+  control_port_ = test_support::FreePort();
+  std::vector<std::string> arguments{BuildPath("standin/fault_proxy"),
+                                     "--control", Address(control_port_)};
+  arguments.insert(arguments.end(), link_arguments_.begin(),
+                   link_arguments_.end());
+  fault_proxy_ =
+      test_support::child_process(arguments, directory_ + "/faults.log");
+  static_cast<void>(test_support::WaitForPort(control_port_, kPatience));
+}
+
+void standin_platform::Fault(const std::string& line) const {
+  test_support::SendFault(control_port_, line);
+}
+
+void standin_platform::WriteSettings(std::size_t index) {
   callers_.push_back(test_support::FreePort());
   probes_.push_back(test_support::FreePort());
-  const std::string path =
-      directory_ + "/gateway" + std::to_string(index) + ".ini";
-  std::ofstream settings(path);
+  const std::uint16_t store =
+      Link("store-" + std::to_string(index), http_.port);
+  std::ofstream settings(SettingsPath(directory_, index));
   settings << "[host]\nname = gateway-" << index
            << "\navailability_zone = zone-0\n[listen]\ncallers = "
            << Address(callers_.back())
            << "\nprobe = " << Address(probes_.back())
            << "\npeers = " << Address(test_support::FreePort())
-           << "\n[platform]\nstore = " << Address(http_.port)
-           << "\npromotions = " << Address(http_.port)
+           << "\n[platform]\nstore = " << Address(store)
+           << "\npromotions = " << Address(store)
            << "\n[stop]\ngrace = 4s\n[log]\nlevel = info\n";
-  settings.close();
-  const char* const build = std::getenv("SASSAFRASWICK_BUILD");
-  const std::string program = std::string(build == nullptr ? "build" : build) +
-                              "/sassafraswick_gateway";
-  gateways_.emplace_back(
-      std::vector<std::string>{program, "--settings", path},
+}
+
+void standin_platform::RestartGateway(std::size_t index) {
+  gateways_.at(index) = test_support::child_process(
+      {BuildPath("sassafraswick_gateway"), "--settings",
+       SettingsPath(directory_, index)},
       directory_ + "/gateway" + std::to_string(index) + ".log");
 }
 
@@ -334,6 +387,26 @@
   }
 }
 
+void standin_platform::Restart(std::size_t index) {
+  group_.Restart(index);
+  const served_port served = Listen(instances_.at(index).port);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  instances_.at(index) = served;
+  threads_.emplace_back([this, index, served] { Accept(served, index, true); });
+}
+
+void standin_platform::SetDraining(std::size_t index, bool draining) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (draining) {
+      draining_.insert(index);
+    } else {
+      draining_.erase(index);
+    }
+  }
+  Register(index);
+}
+
 std::string standin_platform::GatewayLog(std::size_t gateway) const {
   std::ostringstream text;
   text << std::ifstream(directory_ + "/gateway" + std::to_string(gateway) +
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -2,6 +2,7 @@
 #define TEST_PLATFORM_STANDIN_PLATFORM_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -26,10 +27,21 @@
   std::uint16_t port = 0;
 };
 
+/// What to start.
+struct standin_options {
+  std::size_t gateways = 1;
+  /// Puts a fault proxy before each instance (`target-I`) and before the store
+  /// for each gateway (`store-G`).
+  bool with_faults = false;
+  /// Time after which replicas show what they received.
+  std::chrono::milliseconds replica_lag{0};
+};
+
 class standin_platform {
  public:
-  /// @param gateways Gateways to start.
-  explicit standin_platform(std::size_t gateways);
+  explicit standin_platform(const standin_options& options);
+  explicit standin_platform(std::size_t gateways)
+      : standin_platform(standin_options{gateways}) {}
   standin_platform(const standin_platform&) = delete;
   standin_platform& operator=(const standin_platform&) = delete;
   ~standin_platform();
@@ -42,8 +54,24 @@
   /// Publishes a configuration with these keys of organisation `gallery`.
   void Configure(std::uint64_t version, const std::string& keys);
 
+  [[nodiscard]] std::uint64_t ConfiguredVersion() const {
+    return configured_version_;
+  }
+
   /// Stops an instance: its port refuses connections.
   void Crash(std::size_t index);
+  /// Starts a stopped instance at the same port.
+  void Restart(std::size_t index);
+  /// Has an instance say that it is about to stop, or not any more.
+  void SetDraining(std::size_t index, bool draining);
+
+  /// Starts a gateway again, with the same settings.
+  void RestartGateway(std::size_t index);
+  /// Sends a line to the fault proxy.
+  void Fault(const std::string& line) const;
+  /// Keeps settings and logs for whoever traces the run.
+  void KeepDirectory() { keeps_directory_ = true; }
+  [[nodiscard]] const std::string& Directory() const { return directory_; }
 
   [[nodiscard]] standin_store& Store() { return store_; }
   [[nodiscard]] standin_group& Group() { return group_; }
@@ -56,18 +84,30 @@
   [[nodiscard]] std::string GatewayLog(std::size_t gateway) const;
 
  private:
-  void Register(std::size_t index, bool draining);
+  void Register(std::size_t index);
   void ServeHttp(int descriptor);
   void ServeLines(std::size_t index, int descriptor);
   void Accept(const served_port& served, std::size_t index, bool lines);
-  void StartGateway(std::size_t index);
-  served_port Listen();
+  void WriteSettings(std::size_t index);
+  void StartFaultProxy();
+  /// Port at which something is reached: the fault proxy's if there is one.
+  [[nodiscard]] std::uint16_t Link(const std::string& name, std::uint16_t port);
+  served_port Listen(std::uint16_t port = 0);
 
+  standin_options options_;
   std::string directory_;
+  bool keeps_directory_ = false;
+  std::atomic<std::uint64_t> configured_version_{0};
+  std::vector<std::string> link_arguments_;
+  std::uint16_t control_port_ = 0;
+  test_support::child_process fault_proxy_;
   standin_store store_;
   standin_group group_;
   served_port http_;
   std::vector<served_port> instances_;
+  /// Where gateways reach each instance.
+  std::vector<std::uint16_t> addresses_;
+  std::set<std::size_t> draining_;
   std::vector<std::uint16_t> callers_;
   std::vector<std::uint16_t> probes_;
   std::vector<test_support::child_process> gateways_;
--- a/test/support/history.cc
+++ b/test/support/history.cc
@@ -40,16 +40,6 @@
   return 0;
 }
 
-void CheckReads(const history& recorded, const writes_by_key& grouped,
-                verdict_counts& counts) {
-  for (const read_record& read : recorded.reads) {
-    const auto writes = grouped.find(read.key);
-    if (writes != grouped.end() &&
-        read.value < SmallestAllowed(read, writes->second)) {
-      ++counts.stale_reads;
-    }
-  }
-}
 
 std::uint64_t RowCount(const history& recorded, std::uint64_t row_id) {
   const auto found = recorded.final_rows.find(row_id);
@@ -111,10 +101,23 @@
 
 }  // namespace
 
+std::vector<read_record> FindStaleReads(const history& recorded) {
+  std::vector<read_record> stale;
+  const writes_by_key grouped = GroupByKey(recorded);
+  for (const read_record& read : recorded.reads) {
+    const auto writes = grouped.find(read.key);
+    if (writes != grouped.end() &&
+        read.value < SmallestAllowed(read, writes->second)) {
+      stale.push_back(read);
+    }
+  }
+  return stale;
+}
+
 verdict_counts CheckHistory(const history& recorded) {
   verdict_counts counts;
   const writes_by_key grouped = GroupByKey(recorded);
-  CheckReads(recorded, grouped, counts);
+  counts.stale_reads = FindStaleReads(recorded).size();
   CheckRows(recorded, counts);
   CheckFinalValues(recorded, grouped, counts);
   CheckTerms(recorded, counts);
--- a/test/support/history.h
+++ b/test/support/history.h
@@ -92,6 +92,9 @@
   }
 };
 
+/// Reads that showed less than they had to.
+[[nodiscard]] std::vector<read_record> FindStaleReads(const history& recorded);
+
 /// Checks a history.
 [[nodiscard]] verdict_counts CheckHistory(const history& recorded);
 
