Let reads reach replicas that were never measured

Cause: gateway_measures replicas: replicas served none of the reads. On loopback the primary answers within a millisecond; an instance that was not measured was assumed to take 20 ms, and opening a connection always cost 10, so no replica was ever tried. Change: one that was not measured counts as fast as the fastest that was; opening counts as long as it took last, 10 ms at most (what it was on the users' sites). Test: choose_target_test, failed before.

--- a/src/sassafraswick/gateway/link_pool.h
+++ b/src/sassafraswick/gateway/link_pool.h
@@ -18,6 +18,11 @@
 
 namespace sassafraswick {
 
+/// Most that opening a connection counts when an instance is chosen. A
+/// handshake takes 12 ms of a slot on the users' sites, and serves later
+/// statements too.
+inline constexpr duration kMostConnectTime = std::chrono::milliseconds(10);
+
 /// Hears what connections show of an instance.
 template <session_codec Codec>
 struct link_observer {
@@ -131,6 +136,9 @@
     Release(lease, at_rest);
   }
 
+  /// Time that the last opening took, as far as it counts.
+  [[nodiscard]] duration OpeningTime() const noexcept { return opening_time_; }
+
  private:
   static std::uint32_t Held(const target_slot<Codec>& slot) {
     return static_cast<std::uint32_t>(slot.idle.size()) + slot.busy +
@@ -251,6 +259,9 @@
            {"reason", std::string(FailureName(greeting.failure))}});
       co_return lease;
     }
+    opening_time_ =
+        std::min(kMostConnectTime, std::chrono::duration_cast<duration>(
+                                       monotonic_clock::now() - asked_at));
     observer_.answered(*slot, greeting, asked_at);
     ++slot->busy;
     lease.link = std::move(link);
@@ -278,6 +289,7 @@
   link_observer<Codec> observer_;
   connection_share budget_;
   std::uint32_t hosts_ = 1;
+  duration opening_time_ = kMostConnectTime;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -381,6 +381,7 @@
                     [&organisation](const link_pointer& link) {
                       return link->Organisation() == organisation;
                     });
+    option.connect_time = links_.OpeningTime();
     option.avoid = now < slot.avoid_until || slot.IsSuspect(now);
     return option;
   }
--- a/src/sassafraswick/routing/choose_target.cc
+++ b/src/sassafraswick/routing/choose_target.cc
@@ -1,23 +1,34 @@
 #include "sassafraswick/routing/choose_target.h"
 
+#include <algorithm>
+
 namespace sassafraswick {
 namespace {
 
 /// The primary alone can run writes: reads count this much more there.
 constexpr double kPrimaryWeight = 1.6;
-/// Price of opening a connection, in milliseconds: a handshake takes 12 ms of
-/// a slot and 14 ms of the caller's time on the users' sites.
-constexpr double kConnectCost = 10.0;
-/// Latency assumed of an instance that was not measured yet.
+/// Latency assumed if no instance was measured yet, in milliseconds.
 constexpr double kUnknownLatency = 20.0;
 /// Keeps an avoided option behind every other.
 constexpr double kAvoidCost = 1e6;
 /// Costs that differ by less than a part of this size count as equal.
 constexpr double kJitter = 0.1;
 
-double Cost(const target_option& option, std::uint64_t random) {
+/// Latency of the fastest instance that was measured, in milliseconds. One that
+/// was not is taken to be as fast, so that it gets measured.
+double FastestLatency(const std::vector<target_option>& options) {
+  std::optional<duration> fastest;
+  for (const target_option& option : options) {
+    if (option.latency > duration::zero()) {
+      fastest = std::min(fastest.value_or(option.latency), option.latency);
+    }
+  }
+  return fastest.has_value() ? ToMilliseconds(*fastest) : kUnknownLatency;
+}
+
+double Cost(const target_option& option, double fastest, std::uint64_t random) {
   const double measured = ToMilliseconds(option.latency);
-  const double latency = measured > 0.0 ? measured : kUnknownLatency;
+  const double latency = measured > 0.0 ? measured : fastest;
   const double load =
       1.0 + static_cast<double>(option.in_flight) / option.slots;
   double cost = latency * load;
@@ -25,7 +36,7 @@
     cost *= kPrimaryWeight;
   }
   if (!option.has_connection) {
-    cost += kConnectCost;
+    cost += ToMilliseconds(option.connect_time);
   }
   cost += ToMilliseconds(option.wait);
   if (option.avoid) {
@@ -50,8 +61,9 @@
     const std::vector<target_option>& options, std::uint64_t random) {
   std::optional<std::size_t> best;
   double best_cost = 0.0;
+  const double fastest = FastestLatency(options);
   for (std::size_t i = 0; i < options.size(); ++i) {
-    const double cost = Cost(options[i], Mix(random, i));
+    const double cost = Cost(options[i], fastest, Mix(random, i));
     if (!best.has_value() || cost < best_cost) {
       best = i;
       best_cost = cost;
--- a/src/sassafraswick/routing/choose_target.h
+++ b/src/sassafraswick/routing/choose_target.h
@@ -25,6 +25,8 @@
   bool is_primary = false;
   /// A connection of the organisation rests ready.
   bool has_connection = false;
+  /// Time for opening one.
+  duration connect_time = duration::zero();
   /// Time until it can serve the request at all.
   duration wait = duration::zero();
   /// Failed or was full moments ago.
--- a/test/benchmark/gateway_measures.cc
+++ b/test/benchmark/gateway_measures.cc
@@ -322,38 +322,78 @@
   return 0;
 }
 
-/// Share of an organisation's operations that were served while another sends
-/// some times its usual. The first organisation sends 90% of its rate.
-std::pair<double, double> ServeBeside(double times) {
+/// Rate of the organisations that are measured, in operations a second.
+constexpr std::int64_t kRate = 40;
+
+/// What was served of an organisation, of the one that sends too much, and what
+/// a bucket of a gateway's part of the rate would have served of the first.
+struct shares_served {
+  double own = 0.0;
+  double other = 0.0;
+  double split_rate = 0.0;
+};
+
+/// Share that a bucket of rate / n at one gateway would have admitted.
+double ShareOfSplitRate(const std::vector<load_record>& records) {
+  const double rate = static_cast<double>(kRate) / kGateways;
+  double level = rate;
+  double admitted = 0;
+  double asked = 0;
+  std::vector<time_point> starts;
+  for (const load_record& each : records) {
+    if (each.stream == 0) {
+      starts.push_back(each.start);
+    }
+  }
+  std::sort(starts.begin(), starts.end());
+  for (std::size_t i = 0; i < starts.size(); ++i) {
+    const double elapsed =
+        i == 0 ? 0.0 : Milliseconds(starts[i] - starts[i - 1]) / 1000;
+    level = std::min(rate, level + rate * elapsed);
+    asked += 1;
+    if (level >= 1.0) {
+      level -= 1.0;
+      admitted += 1;
+    }
+  }
+  return asked > 0 ? admitted / asked : 0.0;
+}
+
+/// An organisation sends 90% of its rate through one gateway, another one some
+/// times as much through all.
+shares_served ServeBeside(double times) {
   standin_options options;
   options.gateways = kGateways;
-  options.limited_rate = 40;
+  options.limited_rate = kRate;
   standin_platform platform(options);
   if (!platform.WaitReady()) {
-    return {0, 0};
+    return {};
   }
-  const std::chrono::microseconds usual(1'000'000 * 10 / (40 * 9));
+  const std::chrono::microseconds usual(1'000'000 * 10 / (kRate * 9));
+  const std::chrono::microseconds pressed(
+      static_cast<std::int64_t>(static_cast<double>(usual.count()) / times));
   open_load load(platform, kGateways,
-                 {{"status", "key-three", false, usual},
-                  {"status", "key-four", false,
-                   std::chrono::microseconds(static_cast<std::int64_t>(
-                       static_cast<double>(usual.count()) / times))}});
+                 {{"status", "key-three", false, usual, 0},
+                  {"status", "key-four", false, pressed}});
   load.Start();
   Pause(milliseconds(12'000));
   load.Stop();
   const std::vector<load_record> records = load.Records();
   const time_point from = records.front().start + std::chrono::seconds(2);
-  return {ShareServed(records, 0, from, monotonic_clock::now()),
-          ShareServed(records, 1, from, monotonic_clock::now())};
+  const time_point until = monotonic_clock::now();
+  return {ShareServed(records, 0, from, until),
+          ShareServed(records, 1, from, until), ShareOfSplitRate(records)};
 }
 
 int MeasureOrganisations() {
   for (const double times : {1.0, 7.0, 10.0}) {
-    const std::pair<double, double> served = ServeBeside(times);
+    const shares_served served = ServeBeside(times);
     std::printf(
-        "beside one that sends %.0f times its usual: served %.2f%% of an "
-        "organisation at 90%% of its rate, %.1f%% of the other\n",
-        times, 100 * served.first, 100 * served.second);
+        "beside one that sends %.0f times as much: served %.2f%% of an "
+        "organisation at 90%% of its rate through one gateway, %.1f%% of the "
+        "other; buckets of rate / %zu would admit %.1f%% of the first\n",
+        times, 100 * served.own, 100 * served.other, kGateways,
+        100 * served.split_rate);
     std::fflush(stdout);
   }
   return 0;
--- a/test/platform/open_load.cc
+++ b/test/platform/open_load.cc
@@ -52,7 +52,8 @@
   record.stream = stream;
   record.start = monotonic_clock::now();
   const std::string item = "load" + std::to_string(stream);
-  line_client client(platform_.CallerPort((number + stream) % gateways_));
+  line_client client(platform_.CallerPort(
+      what.gateway.value_or((number + stream) % gateways_)));
   if (client.Start(what.database, what.key).starts_with("READY")) {
     const std::string answer =
         what.writes ? client.Run("WRITE " + item + " " + std::to_string(number))
--- a/test/platform/open_load.h
+++ b/test/platform/open_load.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,6 +27,8 @@
   bool writes = false;
   /// Time between two operations.
   std::chrono::microseconds interval{25'000};
+  /// Gateway that takes all of them; otherwise all take turns.
+  std::optional<std::size_t> gateway;
 };
 
 /// One operation that was tried.
--- a/test/sassafraswick/routing/choose_target_test.cc
+++ b/test/sassafraswick/routing/choose_target_test.cc
@@ -52,6 +52,20 @@
   CHECK(ChooseTarget({primary, behind}, 3) == 1U);
 }
 
+// gateway_measures replicas: where the primary answers within a millisecond,
+// replicas were never measured, and so never chosen.
+TEST_CASE("an instance that was not measured counts as the fastest",
+          "[choose_target]") {
+  target_option primary = Option(1);
+  primary.is_primary = true;
+  target_option unmeasured = Option(0);
+  CHECK(ChooseTarget({primary, unmeasured}, 3) == 1U);
+  unmeasured.has_connection = false;
+  unmeasured.connect_time = std::chrono::microseconds(200);
+  CHECK(ChooseTarget({primary, unmeasured}, 3) == 1U);
+  CHECK(ChooseTarget({Option(0), Option(0)}, 3).has_value());
+}
+
 TEST_CASE("an instance to avoid is taken only if all are", "[choose_target]") {
   target_option avoided = Option(1);
   avoided.avoid = true;
