Gather proofs at the hosts that keep tokens

A host talked to 37 banks and to a home for every group, more than the 64 links that peer_link keeps, so links were closed and opened in turn. Fleets below 16 hosts are not touched.

--- a/src/sassafraswick/gateway/rate_limiter.cc
+++ b/src/sassafraswick/gateway/rate_limiter.cc
@@ -51,7 +51,7 @@
   }
   std::vector<std::string>& order = banks_of_[organisation];
   if (order.empty()) {
-    order = RendezvousOrder(organisation, BankHosts(ranked_));
+    order = RendezvousOrder(organisation, HubHosts(ranked_));
   }
   for (const std::string& host : order) {
     const auto contact = contacts_.find(host);
--- a/src/sassafraswick/limits/token_exchange.cc
+++ b/src/sassafraswick/limits/token_exchange.cc
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-
-#include "sassafraswick/routing/rendezvous.h"
-
 namespace sassafraswick {
 namespace {
 
@@ -60,15 +57,6 @@
 
 }  // namespace
 
-std::vector<std::string> BankHosts(const std::vector<std::string>& hosts) {
-  std::vector<std::string> banks = RendezvousOrder("token banks", hosts);
-  const std::size_t count = std::max(kLeastBanks, hosts.size() / kHostsPerBank);
-  if (banks.size() > count) {
-    banks.resize(count);
-  }
-  return banks;
-}
-
 void RefillAccount(token_account& account, const rate_limit& limit,
                    std::uint32_t hosts, time_point now) {
   if (account.refilled_at == time_point()) {
--- a/src/sassafraswick/limits/token_exchange.h
+++ b/src/sassafraswick/limits/token_exchange.h
@@ -2,8 +2,6 @@
 #define SASSAFRASWICK_LIMITS_TOKEN_EXCHANGE_H_
 
 #include <cstdint>
-#include <string>
-#include <vector>
 
 #include "sassafraswick/core/time.h"
 #include "sassafraswick/limits/token_grant.h"
@@ -34,15 +32,6 @@
 /// Time between a host's regular exchanges with a bank.
 inline constexpr duration kExchangeInterval = std::chrono::milliseconds(100);
 
-/// Least number of hosts that are banks, and hosts for each of them in larger
-/// fleets: the more banks, the more messages carry a single organisation.
-inline constexpr std::size_t kLeastBanks = 8;
-inline constexpr std::size_t kHostsPerBank = 8;
-
-/// The hosts among which banks are chosen.
-[[nodiscard]] std::vector<std::string> BankHosts(
-    const std::vector<std::string>& hosts);
-
 /// One organisation's tokens at one host.
 struct token_account {
   double level = 0.0;
--- a/src/sassafraswick/routing/rendezvous.cc
+++ b/src/sassafraswick/routing/rendezvous.cc
@@ -21,4 +21,13 @@
   return hosts;
 }
 
+std::vector<std::string> HubHosts(const std::vector<std::string>& hosts) {
+  std::vector<std::string> hubs = RendezvousOrder("hubs", hosts);
+  const std::size_t count = std::max(kLeastHubs, hosts.size() / kHostsPerHub);
+  if (hubs.size() > count) {
+    hubs.resize(count);
+  }
+  return hubs;
+}
+
 }  // namespace sassafraswick
--- a/src/sassafraswick/routing/rendezvous.h
+++ b/src/sassafraswick/routing/rendezvous.h
@@ -22,6 +22,17 @@
 [[nodiscard]] std::vector<std::string> RendezvousOrder(
     std::string_view name, std::vector<std::string> hosts);
 
+/// Least number of hubs, and hosts for each hub in larger fleets. With more
+/// hubs a message carries less, and a host keeps links to more hosts than
+/// `peer_link` holds open (64).
+inline constexpr std::size_t kLeastHubs = 8;
+inline constexpr std::size_t kHostsPerHub = 8;
+
+/// The hosts that keep tokens and gather proofs for all others; in a small
+/// fleet every host.
+[[nodiscard]] std::vector<std::string> HubHosts(
+    const std::vector<std::string>& hosts);
+
 }  // namespace sassafraswick
 
 #endif  // SASSAFRASWICK_ROUTING_RENDEZVOUS_H_
--- a/test/sassafraswick/limits/token_exchange_test.cc
+++ b/test/sassafraswick/limits/token_exchange_test.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
-#include <string>
 #include <vector>
 
 namespace sassafraswick {
@@ -164,27 +163,5 @@
   CHECK(bank.level == 10.0);
 }
 
-TEST_CASE("large fleets have few banks, and small ones all hosts",
-          "[token_exchange]") {
-  std::vector<std::string> hosts;
-  for (int i = 0; i < 7; ++i) {
-    hosts.push_back("host" + std::to_string(i));
-  }
-  CHECK(BankHosts(hosts).size() == 7);
-  for (int i = 7; i < 87; ++i) {
-    hosts.push_back("host" + std::to_string(i));
-  }
-  const std::vector<std::string> banks = BankHosts(hosts);
-  CHECK(banks.size() == 10);
-  // A host that is no bank may go without moving any.
-  const auto other = std::find_if(
-      hosts.begin(), hosts.end(), [&banks](const std::string& host) {
-        return std::find(banks.begin(), banks.end(), host) == banks.end();
-      });
-  REQUIRE(other != hosts.end());
-  hosts.erase(other);
-  CHECK(BankHosts(hosts) == banks);
-}
-
 }  // namespace
 }  // namespace sassafraswick
--- /dev/null
+++ b/test/sassafraswick/routing/rendezvous_test.cc
@@ -0,0 +1,32 @@
+#include "sassafraswick/routing/rendezvous.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace sassafraswick {
+namespace {
+
+TEST_CASE("large fleets have few hubs, in small ones all hosts are",
+          "[rendezvous]") {
+  std::vector<std::string> hosts;
+  for (int i = 0; i < 7; ++i) {
+    hosts.push_back("host" + std::to_string(i));
+  }
+  CHECK(HubHosts(hosts).size() == 7);
+  for (int i = 7; i < 87; ++i) {
+    hosts.push_back("host" + std::to_string(i));
+  }
+  const std::vector<std::string> hubs = HubHosts(hosts);
+  CHECK(hubs.size() == 10);
+  // A host that is no hub may go without moving any.
+  const auto other = std::find_if(
+      hosts.begin(), hosts.end(), [&hubs](const std::string& host) {
+        return std::find(hubs.begin(), hubs.end(), host) == hubs.end();
+      });
+  REQUIRE(other != hosts.end());
+  hosts.erase(other);
+  CHECK(HubHosts(hosts) == hubs);
+}
+
+}  // namespace
+}  // namespace sassafraswick
