--- a/test/integration/gateway_test.cc
+++ b/test/integration/gateway_test.cc
@@ -1,7 +1,10 @@
 #include <signal.h>
+#include <sys/wait.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <random>
@@ -273,6 +276,43 @@
   CHECK(client.Run("WRITE frame ash").starts_with("COMPLETE"));
 }
 
+/// Runs the operators' tool.
+/// @param exit_code Set to its exit code.
+std::string RunTool(const std::string& arguments, int& exit_code) {
+  const std::string command =
+      BuildPath("sassafraswickctl") + " " + arguments + " 2>&1";
+  FILE* const output = popen(command.c_str(), "r");
+  std::string text;
+  std::array<char, 512> chunk{};
+  while (fgets(chunk.data(), chunk.size(), output) != nullptr) {
+    text += chunk.data();
+  }
+  exit_code = WEXITSTATUS(pclose(output));
+  return text;
+}
+
+TEST_CASE("the operators' tool shows what a gateway says of itself",
+          "[gateway][tool]") {
+  standin_platform platform(1);
+  REQUIRE(platform.WaitReady());
+  const std::string probe =
+      "127.0.0.1:" + std::to_string(platform.ProbePort(0));
+  int exit_code = -1;
+  CHECK(RunTool("gateway dump " + probe, exit_code).find("orders-db") !=
+        std::string::npos);
+  CHECK(exit_code == 0);
+  CHECK_FALSE(RunTool("gateway metrics " + probe, exit_code).empty());
+  CHECK(exit_code == 0);
+  RunTool("gateway ready " + probe, exit_code);
+  CHECK(exit_code == 0);
+  RunTool("gateway secrets " + probe, exit_code);
+  CHECK(exit_code != 0);
+  platform.Gateway(0).Kill();
+  CHECK(RunTool("gateway dump " + probe, exit_code).find(probe) !=
+        std::string::npos);
+  CHECK(exit_code == 3);
+}
+
 TEST_CASE("input that is no protocol ends only its own session",
           "[gateway][malformed]") {
   standin_platform platform(1);
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -71,11 +71,6 @@
   return descriptor;
 }
 
-std::string BuildPath(const std::string& program) {
-  const char* const build = std::getenv("SASSAFRASWICK_BUILD");
-  return std::string(build == nullptr ? "build" : build) + "/" + program;
-}
-
 std::string SettingsPath(const std::string& directory, std::size_t gateway) {
   return directory + "/gateway" + std::to_string(gateway) + ".ini";
 }
@@ -111,6 +106,11 @@
 
 }  // namespace
 
+std::string BuildPath(const std::string& program) {
+  const char* const build = std::getenv("SASSAFRASWICK_BUILD");
+  return std::string(build == nullptr ? "build" : build) + "/" + program;
+}
+
 standin_platform::standin_platform(const standin_options& options)
     : options_(options), group_(kPoolName, 3, options.replica_lag) {
   std::array<char, 32> name{"/tmp/sassafraswick-XXXXXX"};
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -86,6 +86,9 @@
   [[nodiscard]] std::uint16_t CallerPort(std::size_t gateway) const {
     return callers_.at(gateway);
   }
+  [[nodiscard]] std::uint16_t ProbePort(std::size_t gateway) const {
+    return probes_.at(gateway);
+  }
   [[nodiscard]] std::string GatewayLog(std::size_t gateway) const;
 
  private:
@@ -124,6 +127,9 @@
   std::atomic<bool> stopped_{false};
 };
 
+/// Path of a program of this build.
+[[nodiscard]] std::string BuildPath(const std::string& program);
+
 /// A caller that speaks lines.
 class line_client {
  public:
