--- a/test/support/history.cc
+++ b/test/support/history.cc
@@ -40,7 +40,6 @@
   return 0;
 }
 
-
 std::uint64_t RowCount(const history& recorded, std::uint64_t row_id) {
   const auto found = recorded.final_rows.find(row_id);
   return found == recorded.final_rows.end() ? 0 : found->second;
