--- a/test/benchmark/gateway_measures.cc
+++ b/test/benchmark/gateway_measures.cc
@@ -29,7 +29,6 @@
 using std::chrono::milliseconds;
 using test_platform::group_instance;
 using test_platform::load_record;
-using test_platform::load_stream;
 using test_platform::open_load;
 using test_platform::standin_options;
 using test_platform::standin_platform;
@@ -369,7 +368,7 @@
   if (!platform.WaitReady()) {
     return {};
   }
-  const std::chrono::microseconds usual(1'000'000 * 10 / (kRate * 9));
+  const std::chrono::microseconds usual(std::int64_t{10'000'000} / (kRate * 9));
   const std::chrono::microseconds pressed(
       static_cast<std::int64_t>(static_cast<double>(usual.count()) / times));
   open_load load(platform, kGateways,
--- a/test/benchmark/plot.cc
+++ b/test/benchmark/plot.cc
@@ -72,7 +72,7 @@
     cairo_line_to(context, x, kTop + kPlotHeight + 5);
     cairo_stroke(context);
     Write(context, x - 10, kTop + kPlotHeight + 20,
-          std::to_string(static_cast<long>(mark)));
+          std::to_string(std::lround(mark)));
   }
   constexpr int kQuarter = 25;
   for (int percent = 0; percent <= 100; percent += kQuarter) {
--- a/test/integration/peer_test.cc
+++ b/test/integration/peer_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <utility>
 
 #include "sassafraswick/net/async_event.h"
 #include "sassafraswick/net/tcp.h"
@@ -29,8 +30,8 @@
 /// any more and stay open.
 class relay {
  public:
-  relay(asio::io_context& context, endpoint listen, endpoint target)
-      : context_(context), target_(target) {
+  relay(asio::io_context& context, const endpoint& listen, endpoint target)
+      : context_(context), target_(std::move(target)) {
     acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(
         Listen(context.get_executor(), listen).value());
     asio::co_spawn(context_, Accept(), asio::detached);
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -216,10 +216,11 @@
                                    {"rate_per_s", 1000},
                                    {"burst", 1000}}};
   if (options_.limited_rate > 0) {
-    for (const auto& [name, key] : {std::pair("joinery", "key-three"),
-                                    std::pair("glazier", "key-four")}) {
-      tenants.push_back(json::object{{"name", name},
-                                     {"api_keys", json::array{key}},
+    constexpr std::array<std::pair<const char*, const char*>, 2> kLimited{
+        {{"joinery", "key-three"}, {"glazier", "key-four"}}};
+    for (const std::pair<const char*, const char*>& each : kLimited) {
+      tenants.push_back(json::object{{"name", each.first},
+                                     {"api_keys", json::array{each.second}},
                                      {"rate_per_s", options_.limited_rate},
                                      {"burst", options_.limited_rate}});
     }
--- a/test/sassafraswick/failover/promotion_model.cc
+++ b/test/sassafraswick/failover/promotion_model.cc
@@ -485,7 +485,7 @@
     return health;
   }
 
-  void Act(host& at, replacement_action action) {
+  void Act(host& at, const replacement_action& action) {
     if (action.kind == replacement_action_kind::kPromote) {
       Promote(at, action);
       return;
@@ -732,7 +732,7 @@
         return;
       }
       const std::uint64_t number = last_number_ + 1;
-      Write(to, [this, &at, &to, id, number, asked_at](log_point end) {
+      Write(to, [this, &at, id, number, asked_at](log_point end) {
         if (dark_.contains(id) || IsCut(at.name, id)) {
           return;
         }
--- a/test/sassafraswick/gateway/read_plan_test.cc
+++ b/test/sassafraswick/gateway/read_plan_test.cc
@@ -14,7 +14,7 @@
 /// A group of three whose primary only claims to lead: nothing is proved.
 std::shared_ptr<group> Unproved(boost::asio::io_context& context,
                                 gateway_counters& counters) {
-  const std::shared_ptr<group> made =
+  std::shared_ptr<group> made =
       std::make_shared<group>(context, "orders", counters);
   for (const char* const id : {"a", "b", "c"}) {
     target_record record;
--- a/test/sassafraswick/routing/rendezvous_test.cc
+++ b/test/sassafraswick/routing/rendezvous_test.cc
@@ -8,7 +8,9 @@
 
 TEST_CASE("large fleets have few hubs, in small ones all hosts are",
           "[rendezvous]") {
+  constexpr std::size_t kFleet = 87;
   std::vector<std::string> hosts;
+  hosts.reserve(kFleet);
   for (int i = 0; i < 7; ++i) {
     hosts.push_back("host" + std::to_string(i));
   }
