Use one token bucket for everything that a process paces itself

Cause: log_budget, open_pace, the benchmark's plain_bucket and the split rate of gateway_measures each refilled and took tokens in the same lines; quantiles stood twice in the benchmarks.

--- a/src/sassafraswick/core/log_budget.h
+++ b/src/sassafraswick/core/log_budget.h
@@ -1,11 +1,10 @@
 #ifndef SASSAFRASWICK_CORE_LOG_BUDGET_H_
 #define SASSAFRASWICK_CORE_LOG_BUDGET_H_
 
-#include <algorithm>
-#include <chrono>
 #include <cstdint>
 #include <optional>
 
+#include "sassafraswick/core/pace.h"
 #include "sassafraswick/core/time.h"
 
 /// @file
@@ -18,30 +17,24 @@
 inline constexpr double kLogRate = 50.0;
 inline constexpr double kLogBurst = 200.0;
 
-/// Token bucket of one event's lines.
+/// Paces one event's lines and counts those left out.
 class log_budget {
  public:
   /// Asks to write a line.
   /// @return Lines left out since the last one written, or nothing if this
   /// line is to be left out.
   [[nodiscard]] std::optional<std::uint64_t> TryWrite(time_point now) {
-    const double elapsed =
-        std::chrono::duration<double>(now - refilled_at_).count();
-    tokens_ = std::min(kLogBurst, tokens_ + kLogRate * elapsed);
-    refilled_at_ = now;
-    if (tokens_ < 1.0) {
+    if (!TryTake(pace_, kLogRate, kLogBurst, now)) {
       ++left_out_;
       return std::nullopt;
     }
-    tokens_ -= 1.0;
     const std::uint64_t left_out = left_out_;
     left_out_ = 0;
     return left_out;
   }
 
  private:
-  double tokens_ = kLogBurst;
-  time_point refilled_at_;
+  pace pace_{kLogBurst};
   std::uint64_t left_out_ = 0;
 };
 
--- a/src/sassafraswick/limits/connection_share.h
+++ b/src/sassafraswick/limits/connection_share.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 
+#include "sassafraswick/core/pace.h"
 #include "sassafraswick/core/time.h"
 
 /// @file
@@ -54,28 +55,19 @@
 
 /// Paces one host's openings of connections to one instance.
 struct open_pace {
-  double tokens = kOpenBurst;
-  time_point refilled_at;
+  pace openings{kOpenBurst};
 };
 
 /// Takes leave to open a connection.
 /// @param slots Statements that the instance runs at a time.
 /// @return False if the host has opened too many lately.
-[[nodiscard]] inline bool TryOpen(open_pace& pace, std::uint32_t slots,
+[[nodiscard]] inline bool TryOpen(open_pace& paced, std::uint32_t slots,
                                   std::uint32_t hosts, time_point now) {
   const double handshake =
       std::chrono::duration<double>(kHandshakeTime).count();
   const double rate =
       kHandshakePart * slots / handshake / std::max<std::uint32_t>(hosts, 1);
-  const double elapsed =
-      std::chrono::duration<double>(now - pace.refilled_at).count();
-  pace.tokens = std::min(kOpenBurst, pace.tokens + rate * elapsed);
-  pace.refilled_at = now;
-  if (pace.tokens < 1.0) {
-    return false;
-  }
-  pace.tokens -= 1.0;
-  return true;
+  return TryTake(paced.openings, rate, kOpenBurst, now);
 }
 
 }  // namespace sassafraswick
--- a/test/benchmark/gateway_measures.cc
+++ b/test/benchmark/gateway_measures.cc
@@ -12,7 +12,9 @@
 #include <map>
 #include <sstream>
 
+#include "sassafraswick/core/pace.h"
 #include "test/benchmark/plot.h"
+#include "test/benchmark/quantile.h"
 #include "test/platform/open_load.h"
 #include "test/platform/standin_platform.h"
 
@@ -24,6 +26,7 @@
 namespace {
 
 using benchmark::plotted_series;
+using benchmark::Quantile;
 using sassafraswick::monotonic_clock;
 using sassafraswick::time_point;
 using std::chrono::milliseconds;
@@ -225,15 +228,6 @@
   return lines;
 }
 
-double Quantile(std::vector<double> values, double part) {
-  if (values.empty()) {
-    return 0.0;
-  }
-  std::sort(values.begin(), values.end());
-  const std::size_t last = values.size() - 1;
-  return values[static_cast<std::size_t>(part * static_cast<double>(last))];
-}
-
 std::vector<double> Split(const std::string& line) {
   std::vector<double> values;
   std::istringstream text(line);
@@ -267,6 +261,7 @@
     std::printf("%s: %zu of %zu losses measured\n", way.name, lines.size(),
                 count);
     for (std::size_t i = 0; i < columns.size(); ++i) {
+      std::sort(columns[i].begin(), columns[i].end());
       std::printf("  %-15s least %8.2f  median %8.2f  p90 %8.2f  most %8.2f\n",
                   kColumns.at(i), Quantile(columns[i], 0),
                   Quantile(columns[i], 0.5), Quantile(columns[i], 0.9),
@@ -335,7 +330,7 @@
 /// Share that a bucket of rate / n at one gateway would have admitted.
 double ShareOfSplitRate(const std::vector<load_record>& records) {
   const double rate = static_cast<double>(kRate) / kGateways;
-  double level = rate;
+  sassafraswick::pace bucket;
   double admitted = 0;
   double asked = 0;
   std::vector<time_point> starts;
@@ -345,15 +340,9 @@
     }
   }
   std::sort(starts.begin(), starts.end());
-  for (std::size_t i = 0; i < starts.size(); ++i) {
-    const double elapsed =
-        i == 0 ? 0.0 : Milliseconds(starts[i] - starts[i - 1]) / 1000;
-    level = std::min(rate, level + rate * elapsed);
+  for (const time_point start : starts) {
     asked += 1;
-    if (level >= 1.0) {
-      level -= 1.0;
-      admitted += 1;
-    }
+    admitted += TryTake(bucket, rate, rate, start) ? 1 : 0;
   }
   return asked > 0 ? admitted / asked : 0.0;
 }
--- /dev/null
+++ b/test/benchmark/quantile.h
@@ -0,0 +1,24 @@
+#ifndef TEST_BENCHMARK_QUANTILE_H_
+#define TEST_BENCHMARK_QUANTILE_H_
+
+#include <cstddef>
+#include <vector>
+
+/// @file
+/// Order statistics of measured values.
+
+namespace benchmark {
+
+/// The value below which a part of the sorted values lies; zero of none.
+[[nodiscard]] inline double Quantile(const std::vector<double>& sorted,
+                                     double part) {
+  if (sorted.empty()) {
+    return 0.0;
+  }
+  const double at = part * static_cast<double>(sorted.size() - 1);
+  return sorted[static_cast<std::size_t>(at)];
+}
+
+}  // namespace benchmark
+
+#endif  // TEST_BENCHMARK_QUANTILE_H_
--- a/test/benchmark/report.cc
+++ b/test/benchmark/report.cc
@@ -5,6 +5,9 @@
 #include <cstdio>
 #include <map>
 
+#include "sassafraswick/core/pace.h"
+#include "test/benchmark/quantile.h"
+
 namespace benchmark {
 namespace {
 
@@ -12,44 +15,20 @@
   return std::chrono::duration<double>(span).count();
 }
 
-double Quantile(std::vector<double>& sorted, double probability) {
-  if (sorted.empty()) {
-    return 0;
-  }
-  const double at = probability * static_cast<double>(sorted.size() - 1);
-  return sorted[static_cast<std::size_t>(at)];
-}
-
-/// A plain token bucket.
-struct plain_bucket {
-  double level = 0;
-  time_point at;
-
-  bool Take(double rate, double burst, time_point now) {
-    level = std::min(burst, level + rate * Seconds(now - at));
-    at = now;
-    if (level < 1) {
-      return false;
-    }
-    level -= 1;
-    return true;
-  }
-};
-
 /// Replays arrivals through buckets of rate/n on each host.
 std::map<std::size_t, std::uint64_t> EvenSplitRefusals(
     const std::vector<offered_statement>& statements,
     const scenario_limit& limit, std::size_t proxies) {
   const double hosts = static_cast<double>(proxies);
-  std::map<std::pair<std::size_t, std::size_t>, plain_bucket> buckets;
+  std::map<std::pair<std::size_t, std::size_t>, sassafraswick::pace> buckets;
   std::map<std::size_t, std::uint64_t> refused;
   for (const offered_statement& each : statements) {
     const bool is_new = !buckets.contains({each.organisation, each.proxy});
-    plain_bucket& bucket = buckets[{each.organisation, each.proxy}];
+    sassafraswick::pace& bucket = buckets[{each.organisation, each.proxy}];
     if (is_new) {
       bucket = {limit.burst / hosts, each.due};
     }
-    if (!bucket.Take(limit.rate / hosts, limit.burst / hosts, each.due)) {
+    if (!TryTake(bucket, limit.rate / hosts, limit.burst / hosts, each.due)) {
       ++refused[each.organisation];
     }
   }
