Rank hubs in one place

Cause: the limiter and the proof exchange each kept ranks until the hosts changed. Both worked the hubs out again for every name, and the limiter compared all host names once for each organisation and tick: 86 times 10 a second at 86 organisations. Change: hub_ranking keeps hosts, hubs and ranks; hosts are compared once a tick.

--- a/src/sassafraswick/gateway/proof_exchange.h
+++ b/src/sassafraswick/gateway/proof_exchange.h
@@ -34,7 +34,8 @@
     if (hosts.size() < kGatheringFleet) {
       return false;
     }
-    const std::string home = FindHome(pool, hosts);
+    ranking_.SetHosts(hosts);
+    const std::string& home = ranking_.Rank(pool).front();
     if (home == host_) {
       return false;
     }
@@ -96,20 +97,6 @@
   }
 
  private:
-  /// The host that gathers a group's proofs.
-  const std::string& FindHome(const std::string& pool,
-                              const std::vector<std::string>& hosts) {
-    if (ranked_ != hosts) {
-      ranked_ = hosts;
-      homes_.clear();
-    }
-    std::string& home = homes_[pool];
-    if (home.empty()) {
-      home = RendezvousOrder(pool, HubHosts(hosts)).front();
-    }
-    return home;
-  }
-
   /// Fleet from which on one host gathers each group's proofs. Below, a host
   /// sees a commit of its own in most permit windows.
   static constexpr std::size_t kGatheringFleet = 16;
@@ -125,9 +112,8 @@
   sender send_;
   std::map<std::string, question> exchanges_;
   std::uint64_t last_stamp_ = 0;
-  /// Home of each group, for the hosts in `ranked_`.
-  std::vector<std::string> ranked_;
-  std::map<std::string, std::string> homes_;
+  /// The first hub for a group gathers its proofs.
+  hub_ranking ranking_;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/rate_limiter.cc
+++ b/src/sassafraswick/gateway/rate_limiter.cc
@@ -45,15 +45,7 @@
 
 std::string rate_limiter::FindBank(const std::string& organisation,
                                    time_point now) {
-  if (ranked_ != environment_.hosts()) {
-    ranked_ = environment_.hosts();
-    banks_of_.clear();
-  }
-  std::vector<std::string>& order = banks_of_[organisation];
-  if (order.empty()) {
-    order = RendezvousOrder(organisation, HubHosts(ranked_));
-  }
-  for (const std::string& host : order) {
+  for (const std::string& host : ranking_.Rank(organisation)) {
     const auto contact = contacts_.find(host);
     const bool silent = contact != contacts_.end() &&
                         contact->second.unanswered &&
@@ -133,6 +125,7 @@
     return;
   }
   last = now;
+  ranking_.SetHosts(environment_.hosts());
   std::map<std::string, message::token_transfer> transfers;
   AddEntry(transfers, found->second, accounts_[organisation], now);
   SendTransfers(std::move(transfers), now);
@@ -143,6 +136,7 @@
   if (tables == nullptr) {
     return;
   }
+  ranking_.SetHosts(environment_.hosts());
   std::map<std::string, message::token_transfer> transfers;
   for (const std::pair<const std::string, catalog_organisation>& entry :
        tables->organisations) {
--- a/src/sassafraswick/gateway/rate_limiter.h
+++ b/src/sassafraswick/gateway/rate_limiter.h
@@ -11,6 +11,7 @@
 #include "sassafraswick/limits/token_exchange.h"
 #include "sassafraswick/net/async_event.h"
 #include "sassafraswick/peer/message.pb.h"
+#include "sassafraswick/routing/rendezvous.h"
 
 /// @file
 /// Admits operations within their organisations' limits, by exchanging tokens
@@ -86,9 +87,8 @@
   std::map<std::string, token_bank> banks_;
   std::map<std::string, bank_contact> contacts_;
   std::map<std::string, time_point> urgent_at_;
-  /// Banks of each organisation, best first, for the hosts in `ranked_`.
-  std::vector<std::string> ranked_;
-  std::map<std::string, std::vector<std::string>> banks_of_;
+  /// Banks of each organisation.
+  hub_ranking ranking_;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/routing/fwd.h
+++ b/src/sassafraswick/routing/fwd.h
@@ -8,6 +8,7 @@
 struct dispatch_settings;
 struct dispatch_table;
 struct attempt;
+class hub_ranking;
 class retry_budget;
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/routing/rendezvous.cc
+++ b/src/sassafraswick/routing/rendezvous.cc
@@ -30,4 +30,20 @@
   return hubs;
 }
 
+void hub_ranking::SetHosts(const std::vector<std::string>& hosts) {
+  if (hosts_ != hosts) {
+    hosts_ = hosts;
+    hubs_ = HubHosts(hosts);
+    ranks_.clear();
+  }
+}
+
+const std::vector<std::string>& hub_ranking::Rank(const std::string& name) {
+  std::vector<std::string>& rank = ranks_[name];
+  if (rank.empty()) {
+    rank = RendezvousOrder(name, hubs_);
+  }
+  return rank;
+}
+
 }  // namespace sassafraswick
--- a/src/sassafraswick/routing/rendezvous.h
+++ b/src/sassafraswick/routing/rendezvous.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,21 @@
 [[nodiscard]] std::vector<std::string> HubHosts(
     const std::vector<std::string>& hosts);
 
+/// Ranks hubs for names, and keeps the ranks until the hosts change.
+class hub_ranking {
+ public:
+  /// Takes over the hosts of the fleet.
+  void SetHosts(const std::vector<std::string>& hosts);
+
+  /// Hubs for a name, best first.
+  [[nodiscard]] const std::vector<std::string>& Rank(const std::string& name);
+
+ private:
+  std::vector<std::string> hosts_;
+  std::vector<std::string> hubs_;
+  std::map<std::string, std::vector<std::string>> ranks_;
+};
+
 }  // namespace sassafraswick
 
 #endif  // SASSAFRASWICK_ROUTING_RENDEZVOUS_H_
