Let the operators' tool use the gateway's HTTP client

Cause: sassafraswickctl had written a call over HTTP again, with its own time-outs and error texts; platform/http_client knew nothing of the platform. The status of an answer is still 1, silence still 3.

--- a/app/sassafraswickctl.cc
+++ b/app/sassafraswickctl.cc
@@ -4,23 +4,15 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <iostream>
 #include <optional>
 
+#include "app/gateway_pages.h"
 #include "sassafraswick/config/ini.h"
 #include "sassafraswick/config/settings.h"
-#include "sassafraswick/net/tcp.h"
 #include "sassafraswick/peer/peer_link.h"
 #include "sassafraswick/store/configuration_store.h"
 
@@ -298,62 +290,6 @@
   return outcome;
 }
 
-/// Fetches a page from a gateway's probe address.
-asio::awaitable<result<std::string>> FetchPage(sassafraswick::endpoint gateway,
-                                               std::string path) {
-  namespace http = boost::beast::http;
-  result<sassafraswick::stream_socket> socket =
-      co_await sassafraswick::Connect(gateway, kHostLimit);
-  if (!socket) {
-    co_return socket.error();
-  }
-  boost::beast::tcp_stream stream(std::move(socket.value()));
-  stream.expires_after(kHostLimit);
-  http::request<http::empty_body> request(http::verb::get, path, 11);
-  request.set(http::field::host, FormatEndpoint(gateway));
-  boost::system::error_code failure;
-  co_await http::async_write(
-      stream, request, asio::redirect_error(asio::use_awaitable, failure));
-  boost::beast::flat_buffer buffer;
-  http::response<http::string_body> response;
-  if (!failure) {
-    co_await http::async_read(
-        stream, buffer, response,
-        asio::redirect_error(asio::use_awaitable, failure));
-  }
-  if (failure) {
-    co_return sassafraswick::MakeError(
-        error_kind::kUnavailable, "gateway at " + FormatEndpoint(gateway) +
-                                      " did not answer: " + failure.message());
-  }
-  if (response.result() != http::status::ok) {
-    co_return sassafraswick::MakeError(
-        error_kind::kConflict, "gateway at " + FormatEndpoint(gateway) +
-                                   " answered " + path + " with status " +
-                                   std::to_string(response.result_int()));
-  }
-  co_return response.body();
-}
-
-/// Prints what a gateway says of itself.
-result<void> AskGateway(const std::string& address, const std::string& page) {
-  BOOST_OUTCOME_TRY(sassafraswick::endpoint gateway,
-                    sassafraswick::ParseEndpoint(address));
-  asio::io_context context(1);
-  result<std::string> fetched =
-      sassafraswick::MakeError(error_kind::kTimeout, "gateway: no answer");
-  asio::co_spawn(
-      context,
-      [&fetched, &gateway, &page]() -> asio::awaitable<void> {
-        fetched = co_await FetchPage(gateway, "/" + page);
-      },
-      asio::detached);
-  context.run();
-  BOOST_OUTCOME_TRY(std::string text, std::move(fetched));
-  std::cout << text << "\n";
-  return boost::outcome_v2::success();
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -403,7 +339,8 @@
   gateway->add_option("address", request.address, "IP:PORT")->required();
   CLI11_PARSE(app, argc, argv);
   if (gateway->parsed()) {
-    const result<void> shown = AskGateway(request.address, page);
+    const result<void> shown =
+        sassafraswick::ShowGatewayPage(request.address, page, kHostLimit);
     if (!shown) {
       std::cerr << shown.error().message << "\n";
       return ExitCode(shown.error());
--- a/src/sassafraswick/net/fwd.h
+++ b/src/sassafraswick/net/fwd.h
@@ -4,6 +4,7 @@
 namespace sassafraswick {
 
 class async_event;
+class http_client;
 
 }  // namespace sassafraswick
 
--- a/platform/http_client.cc
+++ b/src/sassafraswick/net/http_client.cc
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "sassafraswick/net/http_client.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -6,7 +6,7 @@
 
 #include "sassafraswick/net/tcp.h"
 
-namespace sassafraswick::platform {
+namespace sassafraswick {
 namespace {
 
 namespace asio = boost::asio;
@@ -15,8 +15,6 @@
 constexpr int kHttpVersion = 11;
 /// A page of the store holds about 1 MB, a third more in Base64.
 constexpr std::uint64_t kMaxAnswer = 4'194'304;
-/// Time for opening a connection.
-constexpr duration kConnectLimit = std::chrono::milliseconds(800);
 
 http::request<http::string_body> MakeRequest(const endpoint& address,
                                              const http_call& call) {
@@ -36,14 +34,14 @@
 
 }  // namespace
 
-asio::awaitable<boost::system::error_code> http_client::Open(duration limit) {
+asio::awaitable<boost::system::error_code> http_client::Open() {
   boost::system::error_code failure;
   if (stream_.has_value()) {
     co_return failure;
   }
   buffer_.clear();
   stream_.emplace(executor_);
-  stream_->expires_after(limit);
+  stream_->expires_after(connect_limit_);
   co_await stream_->async_connect(
       ToTcp(address_), asio::redirect_error(asio::use_awaitable, failure));
   if (!failure) {
@@ -55,7 +53,7 @@
 }
 
 asio::awaitable<result<http_answer>> http_client::Call(http_call call) {
-  boost::system::error_code failure = co_await Open(kConnectLimit);
+  boost::system::error_code failure = co_await Open();
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxAnswer);
   if (!failure) {
@@ -87,4 +85,4 @@
   co_return answer;
 }
 
-}  // namespace sassafraswick::platform
+}  // namespace sassafraswick
--- a/platform/http_client.h
+++ b/src/sassafraswick/net/http_client.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_HTTP_CLIENT_H_
-#define PLATFORM_HTTP_CLIENT_H_
+#ifndef SASSAFRASWICK_NET_HTTP_CLIENT_H_
+#define SASSAFRASWICK_NET_HTTP_CLIENT_H_
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -17,7 +17,10 @@
 /// @file
 /// Calls over one kept HTTP/1.1 connection.
 
-namespace sassafraswick::platform {
+namespace sassafraswick {
+
+/// Usual time for opening a connection.
+inline constexpr duration kHttpConnectLimit = std::chrono::milliseconds(800);
 
 struct http_header {
   std::string name;
@@ -43,21 +46,26 @@
 /// one on which an answer was lost returns nothing further.
 class http_client {
  public:
-  http_client(boost::asio::any_io_executor executor, endpoint address)
-      : executor_(std::move(executor)), address_(std::move(address)) {}
+  /// @param connect_limit Time for opening a connection.
+  http_client(boost::asio::any_io_executor executor, endpoint address,
+              duration connect_limit = kHttpConnectLimit)
+      : executor_(std::move(executor)),
+        address_(std::move(address)),
+        connect_limit_(connect_limit) {}
 
   /// @return The answer, or `error_kind::kUnavailable` if none came.
   boost::asio::awaitable<result<http_answer>> Call(http_call call);
 
  private:
-  boost::asio::awaitable<boost::system::error_code> Open(duration limit);
+  boost::asio::awaitable<boost::system::error_code> Open();
 
   boost::asio::any_io_executor executor_;
   endpoint address_;
+  duration connect_limit_;
   std::optional<boost::beast::tcp_stream> stream_;
   boost::beast::flat_buffer buffer_;
 };
 
-}  // namespace sassafraswick::platform
+}  // namespace sassafraswick
 
-#endif  // PLATFORM_HTTP_CLIENT_H_
+#endif  // SASSAFRASWICK_NET_HTTP_CLIENT_H_
