Check settings of both daemons with one loader

Cause: platform/settings.cc looked values up and worded errors again, beside the checked loader of config/settings.cc. Change: the loader is config/setting_map; a file that another party fills in may hold more than is known, as the gateway's could before, and its unknown level still means info. The words follow the gateway's test: sassafraswickd and sassafraswickctl now say '[host] id is missing' where they said 'host.id: is missing'. No check changed. An empty text of the gateway's is now called empty, not missing.

--- /dev/null
+++ b/src/sassafraswick/config/setting_map.cc
@@ -0,0 +1,92 @@
+#include "sassafraswick/config/setting_map.h"
+
+#include <utility>
+#include <vector>
+
+#include "sassafraswick/config/ini.h"
+
+namespace sassafraswick {
+namespace {
+
+/// @param name Section and key, joined by a dot.
+error BadSetting(const std::string& path, const std::string& name,
+                 const std::string& reason) {
+  const std::size_t dot = name.find('.');
+  std::string text = path;
+  text += ": [" + name.substr(0, dot) + "] " + name.substr(dot + 1);
+  text += reason.starts_with("is ") ? " " : ": ";
+  text += reason;
+  return MakeError(error_kind::kInvalidSetting, std::move(text));
+}
+
+}  // namespace
+
+setting TextSetting(std::string& out, bool required) {
+  return {required, [&out](const std::string& value) -> result<void> {
+            if (value.empty()) {
+              return MakeError(error_kind::kInvalidSetting, "is empty");
+            }
+            out = value;
+            return boost::outcome_v2::success();
+          }};
+}
+
+setting EndpointSetting(endpoint& out) {
+  return {true, [&out](const std::string& value) -> result<void> {
+            BOOST_OUTCOME_TRY(out, ParseEndpoint(value));
+            return boost::outcome_v2::success();
+          }};
+}
+
+setting DurationSetting(duration& out) {
+  return {true, [&out](const std::string& value) -> result<void> {
+            BOOST_OUTCOME_TRY(out, ParseDuration(value));
+            return boost::outcome_v2::success();
+          }};
+}
+
+setting LevelSetting(log_level& out) {
+  return {false, [&out](const std::string& value) -> result<void> {
+            if (value != "debug" && value != "info" && value != "warning" &&
+                value != "error") {
+              return MakeError(
+                  error_kind::kInvalidSetting,
+                  "'" + value + "' is not debug, info, warning or error");
+            }
+            out = ParseLogLevel(value);
+            return boost::outcome_v2::success();
+          }};
+}
+
+result<void> LoadSettings(const std::string& path, const setting_map& known,
+                          unknown_settings unknown) {
+  BOOST_OUTCOME_TRY(std::string text, ReadFile(path));
+  BOOST_OUTCOME_TRY(std::vector<ini_section> sections, ParseIni(text, path));
+  setting_map missing = known;
+  for (const ini_section& section : sections) {
+    for (const ini_entry& entry : section.entries) {
+      std::string name = section.name;
+      name += "." + entry.key;
+      const auto found = known.find(name);
+      if (found == known.end()) {
+        if (unknown == unknown_settings::kPassedOver) {
+          continue;
+        }
+        return BadSetting(path, name, "is not a known setting");
+      }
+      const result<void> stored = found->second.store(entry.value);
+      if (!stored) {
+        return BadSetting(path, name, stored.error().message);
+      }
+      missing.erase(name);
+    }
+  }
+  for (const std::pair<const std::string, setting>& entry : missing) {
+    if (entry.second.required) {
+      return BadSetting(path, entry.first, "is missing");
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+}  // namespace sassafraswick
