Send statements in one place, and drop what nothing reads

Cause: reads, writes, begins and statements inside a transaction each built the batch, sent it and took over what the answer showed. Two loops asked an instance and dropped the status. The caller's connection wrote bytes as net/tcp does. catalog_route.priority, operation_scope.sync_replicas, operation_runner::Scope and fleet_agent::Lease were read by nobody. Change: SendOn, AskInBackground and WriteAll; the dead members are gone. The time-out of peer links no longer bears the name of net/tcp's.

--- a/src/sassafraswick/config/catalog.h
+++ b/src/sassafraswick/config/catalog.h
@@ -37,8 +37,6 @@
   duration statement_timeout = std::chrono::seconds(1);
   /// Time within which a whole operation is worth most.
   duration target_latency = std::chrono::milliseconds(200);
-  /// Zero is the highest.
-  std::uint32_t priority = 1;
   /// Needs no key.
   bool open = false;
 };
--- a/src/sassafraswick/gateway/caller_connection.h
+++ b/src/sassafraswick/gateway/caller_connection.h
@@ -5,7 +5,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -58,12 +57,8 @@
   /// Sends bytes.
   /// @return False if the connection ended.
   boost::asio::awaitable<bool> Send(std::string bytes) {
-    namespace asio = boost::asio;
-    boost::system::error_code failure;
-    co_await asio::async_write(
-        socket_, asio::buffer(bytes),
-        asio::redirect_error(asio::use_awaitable, failure));
-    co_return !failure;
+    const result<void> written = co_await WriteAll(socket_, bytes);
+    co_return written.has_value();
   }
 
   void Close() {
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -94,9 +94,7 @@
         continue;
       }
       asked_at = now;
-      boost::asio::co_spawn(
-          gateway_.context, [group, slot] { return AskOnce(group, slot); },
-          boost::asio::detached);
+      group->AskInBackground(slot);
     }
   }
 
@@ -106,12 +104,6 @@
             slot.health.status->held_term != 0);
   }
 
-  static boost::asio::awaitable<void> AskOnce(group_pointer group,
-                                              slot_pointer slot) {
-    const std::optional<instance_status> ignored = co_await group->Ask(slot);
-    static_cast<void>(ignored);
-  }
-
   void LogPhase(const target_group<codec>& group,
                 const replacement_state& state, replacement_phase before) {
     if (state.phase == before) {
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -5,12 +5,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <utility>
 
 #include "sassafraswick/core/log.h"
+#include "sassafraswick/gateway/gateway_platform.h"
 #include "sassafraswick/gateway/gateway_state.h"
 #include "sassafraswick/gateway/proof_exchange.h"
 #include "sassafraswick/gateway/registry.h"
@@ -36,26 +36,6 @@
 /// when a fleet starts. Instances that leave serve on for 7 s and more.
 inline constexpr duration kChangePause = std::chrono::milliseconds(8);
 inline constexpr duration kChangePauseLimit = std::chrono::milliseconds(800);
-/// What a platform offers, besides the codec.
-template <typename Platform>
-concept gateway_platform = session_codec<typename Platform::codec> &&
-    shared_store<typename Platform::store> &&
-    requires(Platform platform, std::string text, std::int64_t token,
-             boost::asio::any_io_executor executor) {
-  {
-    platform.MakeStore(executor)
-    } -> std::same_as<std::unique_ptr<typename Platform::store>>;
-  {
-    Platform::DecodeCatalog(text)
-    } -> std::same_as<result<std::shared_ptr<const catalog>>>;
-  { Platform::DecodeTarget(text, text) } -> std::same_as<result<target_record>>;
-  { Platform::kConfigurationKey } -> std::convertible_to<std::string_view>;
-  { Platform::kTargetsPrefix } -> std::convertible_to<std::string_view>;
-  /// Has an instance promoted; false if it is not running.
-  {
-    platform.Promote(executor, text, text, text, token)
-    } -> std::same_as<boost::asio::awaitable<result<bool>>>;
-};
 
 template <gateway_platform Platform>
 class fleet_agent {
@@ -171,7 +151,6 @@
 
   [[nodiscard]] const host_registry& Registry() const { return registry_; }
   [[nodiscard]] const std::string& Host() const { return host_; }
-  [[nodiscard]] const lease_clock& Lease() const { return lease_; }
   [[nodiscard]] bool HasTargets() const { return targets_.IsLoaded(); }
 
  private:
--- /dev/null
+++ b/src/sassafraswick/gateway/gateway_platform.h
@@ -0,0 +1,45 @@
+#ifndef SASSAFRASWICK_GATEWAY_GATEWAY_PLATFORM_H_
+#define SASSAFRASWICK_GATEWAY_GATEWAY_PLATFORM_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <concepts>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "sassafraswick/config/catalog.h"
+#include "sassafraswick/core/error.h"
+#include "sassafraswick/gateway/shared_store.h"
+#include "sassafraswick/session/codec.h"
+
+/// @file
+/// What a gateway needs of the platform that it runs on.
+
+namespace sassafraswick {
+
+/// What a platform offers, besides the codec.
+template <typename Platform>
+concept gateway_platform = session_codec<typename Platform::codec> &&
+    shared_store<typename Platform::store> &&
+    requires(Platform platform, std::string text, std::int64_t token,
+             boost::asio::any_io_executor executor) {
+  {
+    platform.MakeStore(executor)
+    } -> std::same_as<std::unique_ptr<typename Platform::store>>;
+  {
+    Platform::DecodeCatalog(text)
+    } -> std::same_as<result<std::shared_ptr<const catalog>>>;
+  { Platform::DecodeTarget(text, text) } -> std::same_as<result<target_record>>;
+  { Platform::kConfigurationKey } -> std::convertible_to<std::string_view>;
+  { Platform::kTargetsPrefix } -> std::convertible_to<std::string_view>;
+  /// Has an instance promoted; false if it is not running.
+  {
+    platform.Promote(executor, text, text, text, token)
+    } -> std::same_as<boost::asio::awaitable<result<bool>>>;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_GATEWAY_GATEWAY_PLATFORM_H_
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -11,6 +11,7 @@
 
 #include "sassafraswick/gateway/gateway_state.h"
 #include "sassafraswick/gateway/read_plan.h"
+#include "sassafraswick/gateway/statement_batch.h"
 #include "sassafraswick/session/session_engine.h"
 
 /// @file
@@ -28,37 +29,6 @@
   bool needs_permit = false;
 };
 
-/// Joins what a connection lacks for a statement with the statement.
-/// @param after Position that the target must show.
-/// @param count Set to the number of answers to expect.
-template <session_codec Codec>
-[[nodiscard]] std::string BuildBatch(const session_memory& memory,
-                                     target_link<Codec>& link,
-                                     const statement& query,
-                                     const std::optional<log_point>& after,
-                                     std::size_t& count) {
-  memory_use use;
-  if (query.kind == statement_kind::kExecute) {
-    use.runs.insert(query.name);
-  }
-  const memory_update update = memory.UpdateFor(link.memory, use);
-  std::string bytes;
-  count = 1;
-  if (update.reset) {
-    bytes += Codec::FormatControl(control_statement::kReset, 0);
-    ++count;
-  }
-  for (const std::vector<std::string>* const texts :
-       {&update.values, &update.prepares}) {
-    for (const std::string& text : *texts) {
-      bytes += Codec::FormatUpdate(text);
-      ++count;
-    }
-  }
-  memory.RecordUpdate(link.memory, update, use);
-  return bytes + Codec::FormatStatement(query.id, query.text, after);
-}
-
 /// Runs statements of one operation.
 template <session_codec Codec>
 class operation_runner {
@@ -146,31 +116,25 @@
   /// Runs a statement, or the commit, of a transaction.
   boost::asio::awaitable<statement_result> RunInside(
       statement query, bool writes, running_transaction<Codec>& transaction) {
-    const time_point sent_at = monotonic_clock::now();
-    std::size_t count = 0;
-    const std::string bytes = BuildBatch<Codec>(
-        engine_.Memory(), *transaction.lease.link, query, std::nullopt, count);
     const bool commits = query.kind == statement_kind::kCommit;
     if (writes) {
       engine_.NoteWrite();
     }
     const bool is_write = commits ? engine_.Wrote() : writes;
-    const exchange_outcome outcome = co_await transaction.lease.link->Exchange(
-        bytes, count, scope_.route.statement_timeout);
-    statement_result answer = TakeAnswer(outcome, count);
+    const sent_statement sent = co_await SendOn(
+        query, std::nullopt, transaction.lease, scope_.route.statement_timeout);
+    statement_result answer = sent.answer;
     target_slot<Codec>& slot = *transaction.lease.slot;
     if (answer.failure == failure_code::kNoAnswer) {
-      group_->ObserveSilence(slot, sent_at);
       answer.failure = engine_.OutcomeOfLoss(commits);
       answer.detail = answer.failure == failure_code::kInDoubt
                           ? "no answer to the commit from the target"
                           : "no answer from the target; rolled back";
       co_return answer;
     }
-    group_->Observe(slot, answer, sent_at);
-    Count(is_write, slot, sent_at);
+    Count(is_write, slot, sent.sent_at);
     if (answer.failure == failure_code::kNone && commits && is_write) {
-      group_->ObserveCommit(slot, answer, sent_at);
+      group_->ObserveCommit(slot, answer, sent.sent_at);
     }
     const bool reads = !commits && !writes;
     if (answer.failure == failure_code::kNone && reads &&
@@ -188,7 +152,6 @@
   [[nodiscard]] const std::shared_ptr<target_group<Codec>>& Group() const {
     return group_;
   }
-  [[nodiscard]] const operation_scope& Scope() const { return scope_; }
   /// Time spent on waiting for connections.
   [[nodiscard]] duration Waited() const { return waited_; }
   /// Instance that was tried last; empty if none was.
@@ -338,37 +301,58 @@
     return std::max(std::min(usual, left), duration(1));
   }
 
+  /// A target's answer, and when the statement was sent.
+  struct sent_statement {
+    statement_result answer;
+    time_point sent_at;
+  };
+
+  /// Sends a statement and takes over what its answer shows of the target.
+  /// @param after Position that the target must show.
+  /// @param limit Time after which the connection is given up.
+  boost::asio::awaitable<sent_statement> SendOn(statement query,
+                                                std::optional<log_point> after,
+                                                link_lease<Codec> lease,
+                                                duration limit) {
+    sent_statement sent;
+    sent.sent_at = monotonic_clock::now();
+    std::size_t count = 0;
+    const std::string bytes =
+        BuildBatch<Codec>(engine_.Memory(), *lease.link, query, after, count);
+    const exchange_outcome outcome =
+        co_await lease.link->Exchange(bytes, count, limit);
+    sent.answer = TakeAnswer(outcome, count);
+    if (sent.answer.failure == failure_code::kNoAnswer) {
+      group_->ObserveSilence(*lease.slot, sent.sent_at);
+    } else {
+      group_->Observe(*lease.slot, sent.answer, sent.sent_at);
+    }
+    co_return sent;
+  }
+
   boost::asio::awaitable<statement_result> ReadOn(statement query,
                                                   read_plan<Codec> plan,
                                                   link_lease<Codec> lease) {
-    const time_point sent_at = monotonic_clock::now();
-    std::size_t count = 0;
-    const std::string bytes = BuildBatch<Codec>(engine_.Memory(), *lease.link,
-                                                query, plan.after, count);
-    const bool permitted_now =
-        IsPermitted(group_->View(), lease.slot->record.id, plan.term, sent_at);
+    target_slot<Codec>& slot = *lease.slot;
+    const bool permitted_now = IsPermitted(group_->View(), slot.record.id,
+                                           plan.term, monotonic_clock::now());
     if (plan.needs_permit && !permitted_now) {
       group_->Prove();
     }
-    const exchange_outcome outcome =
-        co_await lease.link->Exchange(bytes, count, ReadLimit(*lease.slot));
-    statement_result answer = TakeAnswer(outcome, count);
+    const sent_statement sent =
+        co_await SendOn(query, plan.after, lease, ReadLimit(slot));
+    const statement_result& answer = sent.answer;
     group_->Release(lease, answer.failure != failure_code::kNoAnswer);
-    if (answer.failure == failure_code::kNoAnswer) {
-      group_->ObserveSilence(*lease.slot, sent_at);
-      co_return answer;
-    }
-    group_->Observe(*lease.slot, answer, sent_at);
     if (answer.failure == failure_code::kBusy) {
-      lease.slot->avoid_until = monotonic_clock::now() + kBusyRest;
+      slot.avoid_until = monotonic_clock::now() + kBusyRest;
     }
     if (answer.failure != failure_code::kNone) {
       co_return answer;
     }
-    Count(false, *lease.slot, sent_at);
+    Count(false, slot, sent.sent_at);
     if (plan.needs_permit) {
       const bool permitted = co_await group_->AwaitPermit(
-          lease.slot->record.id, TermOf(answer, plan.term), scope_.Deadline());
+          slot.record.id, TermOf(answer, plan.term), scope_.Deadline());
       if (!permitted) {
         co_return Refuse("the primary may have been replaced");
       }
@@ -378,25 +362,17 @@
 
   boost::asio::awaitable<statement_result> WriteOn(statement query,
                                                    link_lease<Codec> lease) {
-    const time_point sent_at = monotonic_clock::now();
-    std::size_t count = 0;
-    const std::string bytes = BuildBatch<Codec>(engine_.Memory(), *lease.link,
-                                                query, std::nullopt, count);
-    const duration left =
-        std::chrono::duration_cast<duration>(scope_.Deadline() - sent_at);
-    const exchange_outcome outcome =
-        co_await lease.link->Exchange(bytes, count, left);
-    statement_result answer = TakeAnswer(outcome, count);
+    const duration left = std::chrono::duration_cast<duration>(
+        scope_.Deadline() - monotonic_clock::now());
+    const sent_statement sent =
+        co_await SendOn(query, std::nullopt, lease, left);
+    statement_result answer = sent.answer;
     group_->Release(lease, answer.failure != failure_code::kNoAnswer);
     if (answer.failure == failure_code::kNoAnswer) {
-      group_->ObserveSilence(*lease.slot, sent_at);
       answer.failure = failure_code::kInDoubt;
-      co_return answer;
-    }
-    group_->Observe(*lease.slot, answer, sent_at);
-    if (answer.failure == failure_code::kNone) {
-      group_->ObserveCommit(*lease.slot, answer, sent_at);
-      Count(true, *lease.slot, sent_at);
+    } else if (answer.failure == failure_code::kNone) {
+      group_->ObserveCommit(*lease.slot, answer, sent.sent_at);
+      Count(true, *lease.slot, sent.sent_at);
     }
     co_return answer;
   }
@@ -404,21 +380,13 @@
   boost::asio::awaitable<statement_result> BeginOn(statement begin,
                                                    read_plan<Codec> plan,
                                                    link_lease<Codec> lease) {
-    const time_point sent_at = monotonic_clock::now();
-    std::size_t count = 0;
-    const std::string bytes = BuildBatch<Codec>(engine_.Memory(), *lease.link,
-                                                begin, plan.after, count);
-    const exchange_outcome outcome =
-        co_await lease.link->Exchange(bytes, count, kReadPatience);
-    statement_result answer = TakeAnswer(outcome, count);
-    if (answer.failure == failure_code::kNoAnswer) {
-      group_->Release(lease, false);
-      group_->ObserveSilence(*lease.slot, sent_at);
-      co_return answer;
-    }
-    group_->Observe(*lease.slot, answer, sent_at);
+    const sent_statement sent =
+        co_await SendOn(begin, plan.after, lease, kReadPatience);
+    const statement_result& answer = sent.answer;
     if (answer.failure != failure_code::kNone) {
-      group_->Release(lease, answer.state == transaction_state::kIdle);
+      const bool at_rest = answer.failure != failure_code::kNoAnswer &&
+                           answer.state == transaction_state::kIdle;
+      group_->Release(lease, at_rest);
     } else if (begin.kind == statement_kind::kBegin) {
       group_->ObserveLeader(*lease.slot, answer);
     }
--- a/src/sassafraswick/gateway/read_plan.h
+++ b/src/sassafraswick/gateway/read_plan.h
@@ -33,7 +33,6 @@
   session_number session = 0;
   catalog_route route;
   std::string organisation;
-  std::uint32_t sync_replicas = 0;
   time_point arrived_at;
   std::optional<session_floor> floor;
 
--- a/src/sassafraswick/gateway/target_directory.h
+++ b/src/sassafraswick/gateway/target_directory.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "sassafraswick/core/log.h"
+#include "sassafraswick/gateway/gateway_platform.h"
 #include "sassafraswick/gateway/gateway_state.h"
 #include "sassafraswick/gateway/shared_store.h"
 #include "sassafraswick/net/async_event.h"
@@ -21,7 +22,7 @@
 inline constexpr duration kUnlistDelay = std::chrono::milliseconds(2500);
 
 /// Follows the entries and hands targets to their groups.
-template <typename Platform>
+template <gateway_platform Platform>
 class target_directory {
  public:
   using codec = typename Platform::codec;
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -311,6 +311,15 @@
     return Control(slot, control_statement::kStatus, 0);
   }
 
+  /// Asks an instance for its status and takes over what it answers.
+  void AskInBackground(const slot_pointer& slot) {
+    boost::asio::co_spawn(
+        context_,
+        [self = this->shared_from_this(),
+         slot]() -> boost::asio::awaitable<void> { co_await self->Ask(slot); },
+        boost::asio::detached);
+  }
+
   /// Sends a control statement; all answer with the instance's status.
   boost::asio::awaitable<std::optional<instance_status>> Control(
       slot_pointer slot, control_statement what, term_number term) {
@@ -449,15 +458,9 @@
         asked.assign(1, claiming);
       }
       for (const slot_pointer& slot : asked) {
-        if (!slot->listed) {
-          continue;
+        if (slot->listed) {
+          AskInBackground(slot);
         }
-        boost::asio::co_spawn(
-            context_,
-            [self = this->shared_from_this(), slot] {
-              return self->AskAndDrop(slot);
-            },
-            boost::asio::detached);
       }
       co_await changed_.Wait(kAgain);
       if (!view_.primary.empty()) {
@@ -468,11 +471,6 @@
     resolving_ = false;
   }
 
-  boost::asio::awaitable<void> AskAndDrop(slot_pointer slot) {
-    const std::optional<instance_status> ignored = co_await Ask(slot);
-    static_cast<void>(ignored);
-  }
-
   boost::asio::awaitable<void> AskProof() {
     if (proof_source_ && proof_source_(name_)) {
       co_await changed_.Wait(kPeerProofLimit);
--- a/src/sassafraswick/peer/peer_link.cc
+++ b/src/sassafraswick/peer/peer_link.cc
@@ -28,7 +28,7 @@
 /// 250 ms, so this only bounds how long its link stays useless.
 constexpr std::chrono::milliseconds kHeartbeat(2000);
 /// Time after which a link is closed if what was sent is not acknowledged.
-constexpr std::chrono::milliseconds kUnacknowledgedLimit(2000);
+constexpr std::chrono::milliseconds kPeerUnacknowledged(2000);
 
 const unsigned char* Unsigned(std::string_view bytes) noexcept {
   return reinterpret_cast<const unsigned char*>(bytes.data());
@@ -72,7 +72,7 @@
   socket.set(zmq::sockopt::heartbeat_ivl, heartbeat);
   socket.set(zmq::sockopt::heartbeat_timeout, heartbeat);
   socket.set(zmq::sockopt::tcp_maxrt,
-             static_cast<int>(kUnacknowledgedLimit.count()));
+             static_cast<int>(kPeerUnacknowledged.count()));
 }
 
 }  // namespace
