Share what tests start and call

Cause: the stand-in of the users' platform connected, built paths and made addresses as process.cc and fleet.cc did, and two tests ran a command with the same loop; three replacement tests began the same fence. Change: BuildPath, RunCommand, LoopbackAddress and ConnectTo stand in test/support/process, FenceSilent in replacement_test with its check.

--- a/test/integration/gateway_test.cc
+++ b/test/integration/gateway_test.cc
@@ -1,10 +1,7 @@
 #include <signal.h>
-#include <sys/wait.h>
 
-#include <array>
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <random>
@@ -279,16 +276,8 @@
 /// Runs the operators' tool.
 /// @param exit_code Set to its exit code.
 std::string RunTool(const std::string& arguments, int& exit_code) {
-  const std::string command =
-      BuildPath("sassafraswickctl") + " " + arguments + " 2>&1";
-  FILE* const output = popen(command.c_str(), "r");
-  std::string text;
-  std::array<char, 512> chunk{};
-  while (fgets(chunk.data(), chunk.size(), output) != nullptr) {
-    text += chunk.data();
-  }
-  exit_code = WEXITSTATUS(pclose(output));
-  return text;
+  return test_support::RunCommand(
+      test_support::BuildPath("sassafraswickctl") + " " + arguments, exit_code);
 }
 
 TEST_CASE("the operators' tool shows what a gateway says of itself",
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -18,19 +18,12 @@
 namespace {
 
 namespace json = boost::json;
+using test_support::BuildPath;
 using test_support::Pause;
 
 constexpr std::chrono::milliseconds kPatience(15'000);
 constexpr const char* kPoolName = "orders-db";
 
-sockaddr_in Loopback(std::uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
 std::string Address(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
@@ -58,16 +51,11 @@
   }
 }
 
-int ConnectTo(std::uint16_t port) {
-  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+/// Connects to a loopback port. Answers are given up after ten seconds.
+int ConnectPatiently(std::uint16_t port) {
+  const int descriptor = test_support::ConnectTo(port);
   const timeval patience{10, 0};
   setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
-  const sockaddr_in address = Loopback(port);
-  if (connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
-              sizeof(address)) != 0) {
-    close(descriptor);
-    return -1;
-  }
   return descriptor;
 }
 
@@ -106,11 +94,6 @@
 
 }  // namespace
 
-std::string BuildPath(const std::string& program) {
-  const char* const build = std::getenv("SASSAFRASWICK_BUILD");
-  return std::string(build == nullptr ? "build" : build) + "/" + program;
-}
-
 standin_platform::standin_platform(const standin_options& options)
     : options_(options), group_(kPoolName, 3, options.replica_lag) {
   std::array<char, 32> name{"/tmp/sassafraswick-XXXXXX"};
@@ -174,7 +157,7 @@
   served.listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(served.listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  const sockaddr_in wanted = Loopback(port);
+  const sockaddr_in wanted = test_support::LoopbackAddress(port);
   static_cast<void>(bind(served.listener,
                          reinterpret_cast<const sockaddr*>(&wanted),
                          sizeof(wanted)));
@@ -377,7 +360,7 @@
 }
 
 bool standin_platform::IsReady(std::size_t gateway) const {
-  const int descriptor = ConnectTo(probes_.at(gateway));
+  const int descriptor = ConnectPatiently(probes_.at(gateway));
   if (descriptor < 0) {
     return false;
   }
@@ -435,7 +418,8 @@
   return text.str();
 }
 
-line_client::line_client(std::uint16_t port) : descriptor_(ConnectTo(port)) {}
+line_client::line_client(std::uint16_t port)
+    : descriptor_(ConnectPatiently(port)) {}
 
 line_client::~line_client() { close(descriptor_); }
 
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -127,9 +127,6 @@
   std::atomic<bool> stopped_{false};
 };
 
-/// Path of a program of this build.
-[[nodiscard]] std::string BuildPath(const std::string& program);
-
 /// A caller that speaks lines.
 class line_client {
  public:
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -46,6 +46,14 @@
       });
 }
 
+/// The healthy group after its primary fell silent and its fence began.
+group_health FenceSilent(replacement_state& state) {
+  group_health group = Healthy(2000);
+  group[0].silent_since = At(2000);
+  CHECK_FALSE(TickReplacement(state, group, kSettings, At(2460)).empty());
+  return group;
+}
+
 /// Feeds a replica's answer to a hold.
 void Hold(replacement_state& state, group_health& group, std::size_t index,
           log_position received, int now) {
@@ -100,9 +108,7 @@
 TEST_CASE("a primary that answers again before its end goes on",
           "[replacement]") {
   replacement_state state = Watching();
-  group_health group = Healthy(2000);
-  group[0].silent_since = At(2000);
-  CHECK_FALSE(TickReplacement(state, group, kSettings, At(2460)).empty());
+  group_health group = FenceSilent(state);
   Hold(state, group, 1, 10, 2465);
   Hold(state, group, 2, 10, 2465);
   group[0] = Instance("a", true, 10, At(2600));
@@ -212,9 +218,7 @@
 TEST_CASE("a promotion that somebody else carried out ends the own one",
           "[replacement]") {
   replacement_state state = Watching();
-  group_health group = Healthy(2000);
-  group[0].silent_since = At(2000);
-  CHECK_FALSE(TickReplacement(state, group, kSettings, At(2460)).empty());
+  group_health group = FenceSilent(state);
   group[1].status = instance_status{2, true, {2, 12}, 0};
   const std::vector<replacement_action> actions =
       TickReplacement(state, group, kSettings, At(2500));
@@ -288,9 +292,7 @@
 
 TEST_CASE("a replica that receives again breaks the fence", "[replacement]") {
   replacement_state state = Watching();
-  group_health group = Healthy(2000);
-  group[0].silent_since = At(2000);
-  CHECK_FALSE(TickReplacement(state, group, kSettings, At(2460)).empty());
+  group_health group = FenceSilent(state);
   Hold(state, group, 1, 11, 2465);
   Hold(state, group, 2, 12, 2470);
   CHECK(state.phase == replacement_phase::kWaiting);
--- a/test/support/fleet.cc
+++ b/test/support/fleet.cc
@@ -16,12 +16,6 @@
 constexpr milliseconds kStartLimit(20'000);
 constexpr const char* kSecret = "secret-of-the-test-fleet";
 
-std::string BuildPath(const std::string& program) {
-  const char* const directory = getenv("SASSAFRASWICK_BUILD");
-  return std::string(directory == nullptr ? "build" : directory) + "/" +
-         program;
-}
-
 std::string Loopback(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
@@ -204,18 +198,10 @@
   for (const std::string& argument : arguments) {
     command += " '" + argument + "'";
   }
-  command += " 2>&1";
-  FILE* const pipe = popen(command.c_str(), "r");
-  std::string output;
-  std::array<char, 4096> buffer{};
-  std::size_t size = fread(buffer.data(), 1, buffer.size(), pipe);
-  while (size > 0) {
-    output.append(buffer.data(), size);
-    size = fread(buffer.data(), 1, buffer.size(), pipe);
-  }
-  const int status = pclose(pipe);
+  int status = 0;
+  std::string output = RunCommand(command, status);
   if (exit_code != nullptr) {
-    *exit_code = WEXITSTATUS(status);
+    *exit_code = status;
   }
   return output;
 }
--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -10,6 +10,8 @@
 #include <unistd.h>
 
 #include <array>
+#include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -18,25 +20,6 @@
 namespace test_support {
 namespace {
 
-sockaddr_in Loopback(std::uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
-int ConnectTo(std::uint16_t port) {
-  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const sockaddr_in address = Loopback(port);
-  if (connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
-              sizeof(address)) != 0) {
-    close(descriptor);
-    return -1;
-  }
-  return descriptor;
-}
-
 /// Ports are handed out in blocks, below the range that outgoing connections
 /// draw from.
 constexpr int kFirstPort = 10'000;
@@ -46,7 +29,7 @@
 /// @return A socket bound to a loopback port, or -1 if it is taken.
 int BindPort(int port) {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const sockaddr_in address = Loopback(static_cast<std::uint16_t>(port));
+  const sockaddr_in address = LoopbackAddress(static_cast<std::uint16_t>(port));
   const int bound = bind(
       descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   if (bound != 0) {
@@ -71,6 +54,44 @@
 
 }  // namespace
 
+std::string BuildPath(const std::string& program) {
+  const char* const directory = std::getenv("SASSAFRASWICK_BUILD");
+  return std::string(directory == nullptr ? "build" : directory) + "/" +
+         program;
+}
+
+std::string RunCommand(const std::string& command, int& exit_code) {
+  FILE* const pipe = popen((command + " 2>&1").c_str(), "r");
+  std::string output;
+  std::array<char, 4096> buffer{};
+  std::size_t size = fread(buffer.data(), 1, buffer.size(), pipe);
+  while (size > 0) {
+    output.append(buffer.data(), size);
+    size = fread(buffer.data(), 1, buffer.size(), pipe);
+  }
+  exit_code = WEXITSTATUS(pclose(pipe));
+  return output;
+}
+
+sockaddr_in LoopbackAddress(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+int ConnectTo(std::uint16_t port) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = LoopbackAddress(port);
+  if (connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) != 0) {
+    close(descriptor);
+    return -1;
+  }
+  return descriptor;
+}
+
 child_process::child_process(const std::vector<std::string>& arguments,
                              const std::string& log_path) {
   std::vector<char*> raw;
--- a/test/support/process.h
+++ b/test/support/process.h
@@ -1,6 +1,7 @@
 #ifndef TEST_SUPPORT_PROCESS_H_
 #define TEST_SUPPORT_PROCESS_H_
 
+#include <netinet/in.h>
 #include <sys/types.h>
 
 #include <cstdint>
@@ -41,6 +42,22 @@
   pid_t id_ = 0;
 };
 
+/// Path of a program of this build.
+[[nodiscard]] std::string BuildPath(const std::string& program);
+
+/// Runs a shell command.
+/// @param exit_code Set to its exit code.
+/// @return What it wrote to standard output and standard error.
+[[nodiscard]] std::string RunCommand(const std::string& command,
+                                     int& exit_code);
+
+/// A loopback port as sockets want it.
+[[nodiscard]] sockaddr_in LoopbackAddress(std::uint16_t port);
+
+/// Connects to a loopback port.
+/// @return The socket, or -1.
+[[nodiscard]] int ConnectTo(std::uint16_t port);
+
 /// Returns a port that nobody listens on.
 [[nodiscard]] std::uint16_t FreePort();
 
