Answer peers over the link that asked, and hand idle shares of rates over at once

A host keeps 64 links open and opened one of its own for each answer, so a hub that answered 295 hosts closed the oldest link with what it had still to send: withdrawn tokens and proofs were lost, and hosts asked the instances themselves, all of them at the start (primaries turned them away for being over their cap). Besides, every host deposited a fraction of a token for each of 190 organisations every few 100 ms. Change: one ROUTER socket listens and connects, answers take the route of their question. A host keeps accounts only for organisations that call it and tells each bank in one message how long it left all other shares unused (limits/idle_share); hosts / 16 hubs. Hubs that owe an answer are passed over until heard, and probed (fleet/hub_contacts). Who leads is asked of the gathering host first. Tests: a host answers more hosts than it keeps links open (fails on the old link: no answer comes back at all); idle_share_test, hub_contacts_test. rendezvous_test takes 165 hosts in place of 87, as there are hosts / 16 hubs now.

--- /dev/null
+++ b/src/sassafraswick/fleet/fwd.h
@@ -0,0 +1,12 @@
+#ifndef SASSAFRASWICK_FLEET_FWD_H_
+#define SASSAFRASWICK_FLEET_FWD_H_
+
+namespace sassafraswick {
+
+class hub_contacts;
+class news_log;
+struct news_reading;
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_FLEET_FWD_H_
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -97,25 +98,36 @@
     link_.Send(found->second, std::move(envelope));
   }
 
+  /// Answers a message over the connection by which it came.
+  void Answer(const std::string& route, message::envelope envelope) {
+    envelope.set_configuration_version(Version());
+    link_.Reply(route, std::move(envelope));
+  }
+
   /// Handles a message of a peer.
-  void Handle(const message::envelope& received) {
-    NoteVersion(received);
+  void Handle(const message::envelope& received, const std::string& route) {
+    gateway_.contacts.NoteHeard(received.host());
+    NoteVersion(received, route);
     if (received.has_token_transfer()) {
-      gateway_.limiter.HandleTransfer(received.host(),
-                                      received.token_transfer());
+      const std::optional<message::token_answer> answer =
+          gateway_.limiter.HandleTransfer(received.token_transfer());
+      if (answer.has_value()) {
+        message::envelope envelope;
+        *envelope.mutable_token_answer() = *answer;
+        Answer(route, std::move(envelope));
+      }
     } else if (received.has_token_answer()) {
-      gateway_.limiter.HandleAnswer(received.host(), received.token_answer());
+      gateway_.limiter.HandleAnswer(received.token_answer());
     } else if (received.has_view_question()) {
-      Spawn(
-          [this, from = received.host(), question = received.view_question()] {
-            return proofs_.Answer(from, question);
-          });
+      Spawn([this, route, question = received.view_question()] {
+        return AnswerView(route, question);
+      });
     } else if (received.has_view_answer()) {
       proofs_.Take(received.view_answer());
     } else if (received.has_configuration_request()) {
       message::envelope envelope;
       envelope.mutable_configuration_record()->set_record(record_);
-      SendTo(received.host(), std::move(envelope));
+      Answer(route, std::move(envelope));
     } else if (received.has_configuration_record()) {
       InstallRecord(received.configuration_record().record(), "peer");
     }
@@ -260,8 +272,20 @@
          {"source", std::string(source)}});
   }
 
+  boost::asio::awaitable<void> AnswerView(std::string route,
+                                          message::view_question question) {
+    std::optional<message::view_answer> answer =
+        co_await proofs_.Answer(question);
+    if (answer.has_value()) {
+      message::envelope envelope;
+      *envelope.mutable_view_answer() = std::move(*answer);
+      Answer(route, std::move(envelope));
+    }
+  }
+
   /// Asks a peer for its configuration if it is newer.
-  void NoteVersion(const message::envelope& received) {
+  void NoteVersion(const message::envelope& received,
+                   const std::string& route) {
     const time_point now = monotonic_clock::now();
     constexpr duration kAskAgain = std::chrono::milliseconds(300);
     if (received.configuration_version() <= Version() ||
@@ -271,7 +295,7 @@
     asked_version_at_ = now;
     message::envelope envelope;
     envelope.mutable_configuration_request();
-    SendTo(received.host(), std::move(envelope));
+    Answer(route, std::move(envelope));
   }
 
   void TakeRegistry(const store_page& page) {
@@ -291,6 +315,7 @@
     if (!registry_.hosts.contains(host_)) {
       AddSelf();
     }
+    gateway_.contacts.Retain(registry_.names);
     const std::uint32_t count = SharingHosts(registry_, monotonic_clock::now());
     if (count != gateway_.host_count && gateway_.tables != nullptr) {
       gateway_.SetHostCount(count);
--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -57,9 +57,10 @@
   [[nodiscard]] result<void> Start() {
     BOOST_OUTCOME_TRY(boost::asio::ip::tcp::acceptor acceptor,
                       Listen(context_.get_executor(), settings_.callers));
-    BOOST_OUTCOME_TRY(
-        link_.Start([this](const message::envelope& received,
-                           const std::string&) { fleet_.Handle(received); }));
+    BOOST_OUTCOME_TRY(link_.Start(
+        [this](const message::envelope& received, const std::string& route) {
+          fleet_.Handle(received, route);
+        }));
     fleet_.Start();
     Spawn([this, listening = std::make_shared<boost::asio::ip::tcp::acceptor>(
                      std::move(acceptor))] { return Accept(listening); });
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "sassafraswick/config/catalog.h"
+#include "sassafraswick/fleet/hub_contacts.h"
 #include "sassafraswick/gateway/counters.h"
 #include "sassafraswick/gateway/rate_limiter.h"
 #include "sassafraswick/gateway/target_group.h"
@@ -22,9 +23,12 @@
 template <session_codec Codec>
 struct gateway_state {
   gateway_state(boost::asio::io_context& io, rate_environment rates)
-      : context(io), limiter(io.get_executor(), std::move(rates)) {}
+      : context(io),
+        limiter(io.get_executor(), WithContacts(std::move(rates))) {}
 
   boost::asio::io_context& context;
+  /// Which hubs of the fleet answer; the limiter refers to it.
+  hub_contacts contacts;
   std::shared_ptr<const catalog> tables;
   std::map<std::string, std::shared_ptr<target_group<Codec>>, std::less<>>
       groups;
@@ -40,6 +44,11 @@
   /// Time by which a stopping host ends transactions.
   duration drain_transactions = std::chrono::seconds(3);
 
+  rate_environment WithContacts(rate_environment rates) {
+    rates.contacts = &contacts;
+    return rates;
+  }
+
   [[nodiscard]] std::shared_ptr<target_group<Codec>> FindGroup(
       const std::string& pool) const {
     const auto found = groups.find(pool);
--- a/src/sassafraswick/gateway/proof_exchange.h
+++ b/src/sassafraswick/gateway/proof_exchange.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,14 +35,17 @@
     if (hosts.size() < kGatheringFleet) {
       return false;
     }
+    const time_point now = monotonic_clock::now();
     ranking_.SetHosts(hosts);
-    const std::string& home = ranking_.Rank(pool).front();
-    if (home == host_) {
+    const std::string home =
+        gateway_.contacts.FirstAnswering(ranking_.Rank(pool), now);
+    if (home.empty() || home == host_) {
       return false;
     }
     question& asked = exchanges_[pool];
     asked.stamp = ++last_stamp_;
-    asked.sent_at = monotonic_clock::now();
+    asked.sent_at = now;
+    gateway_.contacts.NoteAsked(home, now);
     message::envelope envelope;
     envelope.mutable_view_question()->set_pool(pool);
     envelope.mutable_view_question()->set_stamp(asked.stamp);
@@ -50,19 +54,18 @@
   }
 
   /// Answers another host's question once a proof is young enough.
-  boost::asio::awaitable<void> Answer(std::string from,
-                                      message::view_question wanted) {
+  boost::asio::awaitable<std::optional<message::view_answer>> Answer(
+      message::view_question wanted) {
     const std::shared_ptr<target_group<Codec>> group =
         gateway_.FindGroup(wanted.pool());
     if (group == nullptr) {
-      co_return;
+      co_return std::nullopt;
     }
     const std::optional<view_report> report = co_await group->Gather();
     if (!report.has_value()) {
-      co_return;
+      co_return std::nullopt;
     }
-    message::envelope envelope;
-    message::view_answer& answer = *envelope.mutable_view_answer();
+    message::view_answer answer;
     answer.set_pool(wanted.pool());
     answer.set_stamp(wanted.stamp());
     answer.set_term(report->term);
@@ -72,7 +75,7 @@
     answer.set_position(report->position);
     answer.set_position_age_us(
         static_cast<std::uint64_t>(report->position_age.count()));
-    send_(from, std::move(envelope));
+    co_return answer;
   }
 
   /// Takes over the answer to the newest question.
--- a/src/sassafraswick/gateway/rate_limiter.cc
+++ b/src/sassafraswick/gateway/rate_limiter.cc
@@ -3,15 +3,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "sassafraswick/core/log.h"
 #include "sassafraswick/routing/rendezvous.h"
 
 namespace sassafraswick {
 namespace {
 
-/// Time after which a bank that has not answered is passed over.
-constexpr duration kBankLimit = std::chrono::milliseconds(250);
-/// Time after which a silent bank is tried again.
-constexpr duration kBankRetry = std::chrono::milliseconds(1000);
 /// Shortest time between two questions for waiting requests.
 constexpr duration kUrgentInterval = std::chrono::milliseconds(15);
 /// Time for which a bank that gave nothing is taken for empty.
@@ -21,11 +18,14 @@
 /// shares them: the largest fleet that the design is made for.
 constexpr std::uint32_t kUnknownHosts = 1200;
 
-/// Tells whether a transfer wants an answer; deposits alone do not.
-bool WantsTokens(const message::token_transfer& transfer) {
-  return std::any_of(
-      transfer.entries().begin(), transfer.entries().end(),
-      [](const message::token_entry& entry) { return entry.wanted() > 0.0; });
+/// Tells whether a transfer wants an answer: deposits alone do not, probes and
+/// idle shares do, since they show whether the bank lives.
+bool WantsAnswer(const message::token_transfer& transfer) {
+  return transfer.entries().empty() || transfer.has_idle() ||
+         std::any_of(transfer.entries().begin(), transfer.entries().end(),
+                     [](const message::token_entry& entry) {
+                       return entry.wanted() > 0.0;
+                     });
 }
 
 rate_limit LimitOf(const catalog_organisation& organisation) {
@@ -43,25 +43,28 @@
   return sharing == 0 ? kUnknownHosts : sharing;
 }
 
-std::string rate_limiter::FindBank(const std::string& organisation,
-                                   time_point now) {
-  for (const std::string& host : ranking_.Rank(organisation)) {
-    const auto contact = contacts_.find(host);
-    const bool silent = contact != contacts_.end() &&
-                        contact->second.unanswered &&
-                        now - contact->second.asked_at > kBankLimit &&
-                        now - contact->second.asked_at < kBankRetry;
-    if (!silent) {
-      return host;
-    }
+std::string rate_limiter::FindBank(std::uint32_t shard, time_point now) {
+  const std::string answering = environment_.contacts->FirstAnswering(
+      ranking_.Rank("shard/" + std::to_string(shard)), now);
+  return answering.empty() ? environment_.host : answering;
+}
+
+token_account& rate_limiter::Account(const std::string& organisation,
+                                     time_point now) {
+  if (idle_since_ == time_point()) {
+    idle_since_ = now - kStartCredit;
+  }
+  const auto inserted = accounts_.try_emplace(organisation);
+  if (inserted.second) {
+    inserted.first->second.refilled_at = idle_since_;
   }
-  return environment_.host;
+  return inserted.first->second;
 }
 
 boost::asio::awaitable<rate_verdict> rate_limiter::Admit(
     catalog_organisation organisation, duration patience) {
   const time_point limit = monotonic_clock::now() + patience;
-  token_account& account = accounts_[organisation.name];
+  token_account& account = Account(organisation.name, monotonic_clock::now());
   RecordDemand(account, monotonic_clock::now());
   rate_verdict verdict;
   bool waiting = false;
@@ -94,24 +97,23 @@
 }
 
 void rate_limiter::Refund(const std::string& organisation) {
-  RefundToken(accounts_[organisation]);
+  RefundToken(Account(organisation, monotonic_clock::now()));
 }
 
-void rate_limiter::AddEntry(
-    std::map<std::string, message::token_transfer>& transfers,
-    const catalog_organisation& organisation, token_account& account,
-    time_point now) {
-  const token_transfer planned =
+void rate_limiter::AddEntry(transfers& planned,
+                            const catalog_organisation& organisation,
+                            token_account& account, time_point now) {
+  const token_transfer wish =
       PlanTransfer(account, LimitOf(organisation), HostCount(), now);
-  const bool asks = planned.wanted > 0.0 && now >= account.bank_empty_until;
-  if (planned.deposit <= 0.0 && !asks) {
+  const bool asks = wish.wanted > 0.0 && now >= account.bank_empty_until;
+  if (wish.deposit <= 0.0 && !asks) {
     return;
   }
   message::token_entry& entry =
-      *transfers[FindBank(organisation.name, now)].add_entries();
+      *planned[FindBank(RateShard(organisation.name), now)].add_entries();
   entry.set_organisation(organisation.name);
-  entry.set_deposit(planned.deposit);
-  entry.set_wanted(asks ? planned.wanted : 0.0);
+  entry.set_deposit(wish.deposit);
+  entry.set_wanted(asks ? wish.wanted : 0.0);
 }
 
 void rate_limiter::Exchange(const std::string& organisation, time_point now) {
@@ -126,9 +128,9 @@
   }
   last = now;
   ranking_.SetHosts(environment_.hosts());
-  std::map<std::string, message::token_transfer> transfers;
-  AddEntry(transfers, found->second, accounts_[organisation], now);
-  SendTransfers(std::move(transfers), now);
+  transfers planned;
+  AddEntry(planned, found->second, Account(organisation, now), now);
+  SendTransfers(std::move(planned), now);
 }
 
 void rate_limiter::Tick(time_point now) {
@@ -137,28 +139,105 @@
     return;
   }
   ranking_.SetHosts(environment_.hosts());
-  std::map<std::string, message::token_transfer> transfers;
+  transfers planned;
+  for (const std::string& hub : environment_.contacts->TakeDueProbes(now)) {
+    planned.try_emplace(hub);
+  }
+  for (std::pair<const std::string, token_account>& entry : accounts_) {
+    const auto found = tables->organisations.find(entry.first);
+    if (found != tables->organisations.end()) {
+      AddEntry(planned, found->second, entry.second, now);
+    }
+  }
+  if (now >= idle_due_) {
+    AddIdleShares(planned, *tables, now);
+  }
+  SendTransfers(std::move(planned), now);
+}
+
+void rate_limiter::CountShards(const catalog& tables) {
+  if (counted_version_ == tables.version) {
+    return;
+  }
+  counted_version_ = tables.version;
+  shard_sizes_.fill(0);
   for (const std::pair<const std::string, catalog_organisation>& entry :
-       tables->organisations) {
-    AddEntry(transfers, entry.second, accounts_[entry.first], now);
+       tables.organisations) {
+    ++shard_sizes_.at(RateShard(entry.first));
   }
-  SendTransfers(std::move(transfers), now);
 }
 
-void rate_limiter::SendTransfers(
-    std::map<std::string, message::token_transfer> transfers, time_point now) {
-  for (std::pair<const std::string, message::token_transfer>& entry :
-       transfers) {
+void rate_limiter::AddIdleShares(transfers& planned, const catalog& tables,
+                                 time_point now) {
+  const duration interval = IdleShareInterval(HostCount());
+  if (idle_since_ == time_point()) {
+    idle_since_ = now - kStartCredit;
+  }
+  if (idle_due_ == time_point()) {
+    // Hosts that start together do not report together.
+    const std::uint64_t place = RendezvousScore("idle", environment_.host);
+    idle_due_ = now + duration(place % interval.count());
+  } else {
+    idle_due_ = now + interval;
+  }
+  CountShards(tables);
+  std::array<std::uint32_t, kRateShards> used{};
+  for (const std::pair<const std::string, token_account>& entry : accounts_) {
+    if (tables.organisations.contains(entry.first)) {
+      ++used.at(RateShard(entry.first));
+    }
+  }
+  const duration idle = std::chrono::duration_cast<duration>(now - idle_since_);
+  std::array<message::idle_share*, kRateShards> shares{};
+  for (std::uint32_t shard = 0; shard < kRateShards; ++shard) {
+    if (shard_sizes_.at(shard) == used.at(shard)) {
+      continue;
+    }
+    message::idle_share& share = *planned[FindBank(shard, now)].mutable_idle();
+    share.set_shards(share.shards() | std::uint64_t{1} << shard);
+    share.set_time_us(static_cast<std::uint64_t>(idle.count()));
+    share.set_hosts(HostCount());
+    shares.at(shard) = &share;
+  }
+  for (const std::pair<const std::string, token_account>& entry : accounts_) {
+    message::idle_share* const share = shares.at(RateShard(entry.first));
+    if (share != nullptr) {
+      share->add_used(entry.first);
+    }
+  }
+  idle_since_ = now;
+  CloseIdleAccounts(planned, tables, now);
+}
+
+void rate_limiter::CloseIdleAccounts(transfers& planned, const catalog& tables,
+                                     time_point now) {
+  for (auto each = accounts_.begin(); each != accounts_.end();) {
+    token_account& account = each->second;
+    if (!IsIdle(account, now)) {
+      ++each;
+      continue;
+    }
+    const auto found = tables.organisations.find(each->first);
+    if (found != tables.organisations.end()) {
+      RefillAccount(account, LimitOf(found->second), HostCount(), now);
+      message::token_entry& entry =
+          *planned[FindBank(RateShard(each->first), now)].add_entries();
+      entry.set_organisation(each->first);
+      entry.set_deposit(account.level);
+    }
+    urgent_at_.erase(each->first);
+    each = accounts_.erase(each);
+  }
+}
+
+void rate_limiter::SendTransfers(transfers planned, time_point now) {
+  for (std::pair<const std::string, message::token_transfer>& entry : planned) {
     if (entry.first == environment_.host) {
-      HandleAnswer(environment_.host, Serve(entry.second));
+      HandleAnswer(Serve(entry.second));
       continue;
     }
-    if (WantsTokens(entry.second)) {
-      bank_contact& contact = contacts_[entry.first];
-      if (!contact.unanswered || now - contact.asked_at >= kBankRetry) {
-        contact.asked_at = now;
-      }
-      contact.unanswered = true;
+    if (WantsAnswer(entry.second)) {
+      environment_.contacts->NoteAsked(entry.first, now);
     }
     message::envelope envelope;
     *envelope.mutable_token_transfer() = std::move(entry.second);
@@ -166,20 +245,57 @@
   }
 }
 
+token_bank& rate_limiter::CreditedBank(
+    const catalog_organisation& organisation) {
+  token_bank& bank = banks_[organisation.name];
+  CreditBank(bank, clocks_.at(RateShard(organisation.name)),
+             LimitOf(organisation));
+  return bank;
+}
+
+void rate_limiter::TakeIdleShare(const message::idle_share& idle,
+                                 const catalog& tables) {
+  if (idle.hosts() == 0) {
+    Log(log_level::kWarning, "idle_share_unreadable", {});
+    return;
+  }
+  std::vector<std::string> used;
+  for (const std::string& name : idle.used()) {
+    const auto found = tables.organisations.find(name);
+    if (found != tables.organisations.end()) {
+      CreditedBank(found->second);
+      used.push_back(name);
+    }
+  }
+  const duration time(static_cast<std::int64_t>(std::min<std::uint64_t>(
+      idle.time_us(), static_cast<std::uint64_t>(kMostIdleTime.count()))));
+  for (std::uint32_t shard = 0; shard < kRateShards; ++shard) {
+    if ((idle.shards() >> shard & 1U) != 0) {
+      AddIdleTime(clocks_.at(shard), time, idle.hosts());
+    }
+  }
+  for (const std::string& name : used) {
+    SkipIdleTime(banks_[name], clocks_.at(RateShard(name)));
+  }
+}
+
 message::token_answer rate_limiter::Serve(
     const message::token_transfer& transfer) {
   message::token_answer answer;
   const catalog* const tables = environment_.tables();
+  if (tables == nullptr) {
+    return answer;
+  }
+  if (transfer.has_idle()) {
+    TakeIdleShare(transfer.idle(), *tables);
+  }
   for (const message::token_entry& entry : transfer.entries()) {
-    if (tables == nullptr) {
-      break;
-    }
     const auto found = tables->organisations.find(entry.organisation());
     if (found == tables->organisations.end()) {
       continue;
     }
     const double tokens =
-        ServeTransfer(banks_[entry.organisation()], LimitOf(found->second),
+        ServeTransfer(CreditedBank(found->second), LimitOf(found->second),
                       {entry.deposit(), entry.wanted()});
     if (entry.wanted() > 0.0) {
       message::token_given& given = *answer.add_given();
@@ -190,21 +306,20 @@
   return answer;
 }
 
-void rate_limiter::HandleTransfer(const std::string& from,
-                                  const message::token_transfer& transfer) {
-  message::envelope envelope;
-  *envelope.mutable_token_answer() = Serve(transfer);
-  if (WantsTokens(transfer)) {
-    environment_.send(from, std::move(envelope));
-  }
+std::optional<message::token_answer> rate_limiter::HandleTransfer(
+    const message::token_transfer& transfer) {
+  message::token_answer answer = Serve(transfer);
+  return WantsAnswer(transfer) ? std::optional(std::move(answer))
+                               : std::nullopt;
 }
 
-void rate_limiter::HandleAnswer(const std::string& from,
-                                const message::token_answer& answer) {
+void rate_limiter::HandleAnswer(const message::token_answer& answer) {
   const time_point now = monotonic_clock::now();
-  contacts_[from].unanswered = false;
+  if (answer.given().empty()) {
+    return;
+  }
   for (const message::token_given& given : answer.given()) {
-    token_account& account = accounts_[given.organisation()];
+    token_account& account = Account(given.organisation(), now);
     account.level += given.tokens();
     if (given.tokens() < 1.0) {
       account.bank_empty_until = now + kEmptyTime;
--- a/src/sassafraswick/gateway/rate_limiter.h
+++ b/src/sassafraswick/gateway/rate_limiter.h
@@ -1,13 +1,17 @@
 #ifndef SASSAFRASWICK_GATEWAY_RATE_LIMITER_H_
 #define SASSAFRASWICK_GATEWAY_RATE_LIMITER_H_
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "sassafraswick/config/catalog.h"
+#include "sassafraswick/fleet/hub_contacts.h"
+#include "sassafraswick/limits/idle_share.h"
 #include "sassafraswick/limits/token_exchange.h"
 #include "sassafraswick/net/async_event.h"
 #include "sassafraswick/peer/message.pb.h"
@@ -15,7 +19,8 @@
 
 /// @file
 /// Admits operations within their organisations' limits, by exchanging tokens
-/// with other hosts. See `limits/token_exchange.h` for why the sum holds.
+/// with other hosts. See `limits/token_exchange.h` and `limits/idle_share.h`
+/// for why the sum holds.
 
 namespace sassafraswick {
 
@@ -36,6 +41,8 @@
   std::function<void(const std::string& host, message::envelope envelope)> send;
   /// Newest catalog, or null before the first.
   std::function<const catalog*()> tables;
+  /// Which hubs answer.
+  hub_contacts* contacts = nullptr;
 };
 
 class rate_limiter {
@@ -55,39 +62,46 @@
   void Tick(time_point now);
 
   /// Serves another host's transfer.
-  void HandleTransfer(const std::string& from,
-                      const message::token_transfer& transfer);
+  /// @return The answer, if one is wanted.
+  [[nodiscard]] std::optional<message::token_answer> HandleTransfer(
+      const message::token_transfer& transfer);
 
   /// Takes over a bank's answer.
-  void HandleAnswer(const std::string& from,
-                    const message::token_answer& answer);
+  void HandleAnswer(const message::token_answer& answer);
 
  private:
-  /// Exchange with one host.
-  struct bank_contact {
-    time_point asked_at;
-    bool unanswered = false;
-  };
+  using transfers = std::map<std::string, message::token_transfer>;
 
   [[nodiscard]] std::uint32_t HostCount() const;
-  [[nodiscard]] std::string FindBank(const std::string& organisation,
-                                     time_point now);
+  [[nodiscard]] std::string FindBank(std::uint32_t shard, time_point now);
+  token_account& Account(const std::string& organisation, time_point now);
   void Exchange(const std::string& organisation, time_point now);
-  void SendTransfers(std::map<std::string, message::token_transfer> transfers,
-                     time_point now);
+  void AddEntry(transfers& planned, const catalog_organisation& organisation,
+                token_account& account, time_point now);
+  void AddIdleShares(transfers& planned, const catalog& tables, time_point now);
+  void CloseIdleAccounts(transfers& planned, const catalog& tables,
+                         time_point now);
+  void CountShards(const catalog& tables);
+  void SendTransfers(transfers planned, time_point now);
   [[nodiscard]] message::token_answer Serve(
       const message::token_transfer& transfer);
-  void AddEntry(std::map<std::string, message::token_transfer>& transfers,
-                const catalog_organisation& organisation,
-                token_account& account, time_point now);
+  void TakeIdleShare(const message::idle_share& idle, const catalog& tables);
+  token_bank& CreditedBank(const catalog_organisation& organisation);
 
   rate_environment environment_;
   async_event changed_;
+  /// Accounts of organisations that called this host lately.
   std::map<std::string, token_account> accounts_;
   std::map<std::string, token_bank> banks_;
-  std::map<std::string, bank_contact> contacts_;
+  std::array<share_clock, kRateShards> clocks_;
   std::map<std::string, time_point> urgent_at_;
-  /// Banks of each organisation.
+  /// Since when the shares of all other organisations lie unused here.
+  time_point idle_since_;
+  time_point idle_due_;
+  /// Organisations of each shard in the configuration of this version.
+  std::array<std::uint32_t, kRateShards> shard_sizes_{};
+  std::uint64_t counted_version_ = 0;
+  /// Banks of each shard.
   hub_ranking ranking_;
 };
 
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -422,6 +422,17 @@
     }
   }
 
+  /// Asks the host that gathers proofs of this group, and waits a moment for
+  /// its answer.
+  /// @return False if this host is to ask the instances itself.
+  boost::asio::awaitable<bool> AskHome() {
+    if (!proof_source_ || !proof_source_(name_)) {
+      co_return false;
+    }
+    co_await changed_.Wait(kPeerProofLimit);
+    co_return true;
+  }
+
   /// Asks an instance that began to claim that it leads, until it is clear
   /// whether it does.
   void Check(slot_pointer slot) {
@@ -437,6 +448,15 @@
     constexpr duration kAgain = std::chrono::milliseconds(60);
     constexpr int kRounds = 40;
     for (int round = 0; round < kRounds; ++round) {
+      const bool asked_home = co_await AskHome();
+      const bool settled = view_.primary == slot->record.id || !slot->listed;
+      if (settled) {
+        break;
+      }
+      if (asked_home && round < kHomeRounds) {
+        co_await Sleep(kAgain);
+        continue;
+      }
       const std::optional<instance_status> status = co_await Ask(slot);
       const bool clear = status.has_value() || view_.primary == slot->record.id;
       if (clear || !slot->listed) {
@@ -452,6 +472,14 @@
     constexpr duration kAgain = std::chrono::milliseconds(150);
     constexpr int kRounds = 20;
     for (int round = 0; round < kRounds; ++round) {
+      const bool asked_home = co_await AskHome();
+      if (!view_.primary.empty()) {
+        break;
+      }
+      if (asked_home && round < kHomeRounds) {
+        co_await Sleep(kAgain);
+        continue;
+      }
       const slot_pointer claiming = Primary();
       std::vector<slot_pointer> asked = slots_;
       if (claiming != nullptr && round % 2 == 0) {
@@ -472,14 +500,12 @@
   }
 
   boost::asio::awaitable<void> AskProof() {
-    if (proof_source_ && proof_source_(name_)) {
-      co_await changed_.Wait(kPeerProofLimit);
-      if (IsPermitted(view_, view_.primary, view_.term,
-                      monotonic_clock::now())) {
-        proving_ = false;
-        changed_.NotifyAll();
-        co_return;
-      }
+    const bool asked_home = co_await AskHome();
+    if (asked_home &&
+        IsPermitted(view_, view_.primary, view_.term, monotonic_clock::now())) {
+      proving_ = false;
+      changed_.NotifyAll();
+      co_return;
     }
     const time_point asked_at = monotonic_clock::now();
     const slot_pointer primary = Primary();
--- a/src/sassafraswick/gateway/target_slot.h
+++ b/src/sassafraswick/gateway/target_slot.h
@@ -25,8 +25,12 @@
 inline constexpr duration kAskLimit = std::chrono::milliseconds(400);
 /// Time after a failed proof before the next one.
 inline constexpr duration kProofRetry = std::chrono::milliseconds(30);
-/// Longest wait for another host's proof before the instances are asked.
-inline constexpr duration kPeerProofLimit = std::chrono::milliseconds(40);
+/// Longest wait for another host's proof before the instances are asked. Hosts
+/// look at their links every 50 ms at the latest.
+inline constexpr duration kPeerProofLimit = std::chrono::milliseconds(80);
+/// Rounds in which only the host that gathers proofs is asked who leads: all
+/// hosts of a large fleet at once are more than an instance's connections.
+inline constexpr int kHomeRounds = 4;
 /// Age up to which the gathering host passes a proof on.
 inline constexpr duration kSharedProofAge = std::chrono::milliseconds(120);
 /// Time for which an instance is spared after a failure.
--- a/src/sassafraswick/limits/token_exchange.cc
+++ b/src/sassafraswick/limits/token_exchange.cc
@@ -5,6 +5,8 @@
 namespace sassafraswick {
 namespace {
 
+/// Demand, in tokens a second, below which no tokens are held for it.
+constexpr double kLeastDemand = 0.05;
 /// Time over which the demand is smoothed.
 constexpr double kDemandSeconds = 1.0;
 /// Part of the burst that may lie with the hosts; the rest may lie with the
@@ -32,7 +34,6 @@
 /// the burst that one each would be more than it.
 double Prefetch(const token_account& account, const rate_limit& limit,
                 std::uint32_t hosts) {
-  constexpr double kLeastDemand = 0.05;
   if (account.demand < kLeastDemand) {
     return 0.0;
   }
@@ -108,14 +109,25 @@
 
 double ServeTransfer(token_bank& bank, const rate_limit& limit,
                      const token_transfer& transfer) {
-  const double cap = (1.0 - kHostPart) * limit.burst;
-  bank.level = std::min(cap, bank.level + std::max(transfer.deposit, 0.0));
+  AddToBank(bank, limit, transfer.deposit);
   const double given =
       std::min(std::max(transfer.wanted, 0.0), std::floor(bank.level));
   bank.level -= given;
   return given;
 }
 
+void AddToBank(token_bank& bank, const rate_limit& limit, double tokens) {
+  const double cap = (1.0 - kHostPart) * limit.burst;
+  bank.level = std::min(cap, bank.level + std::max(tokens, 0.0));
+}
+
+bool IsIdle(const token_account& account, time_point now) {
+  const double elapsed = Seconds(now - account.demand_at);
+  return account.waiting == 0 &&
+         account.demand * std::exp(-std::max(elapsed, 0.0) / kDemandSeconds) <
+             kLeastDemand;
+}
+
 duration TimeToToken(const token_account& account, const rate_limit& limit,
                      std::uint32_t hosts) {
   const double rate = std::max(ShareOfRate(limit, hosts), 0.001);
--- a/src/sassafraswick/limits/token_exchange.h
+++ b/src/sassafraswick/limits/token_exchange.h
@@ -54,6 +54,8 @@
 /// One organisation's deposits.
 struct token_bank {
   double level = 0.0;
+  /// Reading of the shard's clock up to which it was refilled.
+  double credited_seconds = 0.0;
 };
 
 /// Makes the tokens that fell due.
@@ -80,6 +82,13 @@
 [[nodiscard]] double ServeTransfer(token_bank& bank, const rate_limit& limit,
                                    const token_transfer& transfer);
 
+/// Puts tokens into a bank, up to its part of the burst.
+void AddToBank(token_bank& bank, const rate_limit& limit, double tokens);
+
+/// Tells whether a host need not keep an account any more: nobody waits, and
+/// the demand has faded.
+[[nodiscard]] bool IsIdle(const token_account& account, time_point now);
+
 /// Time until a host's own share will have made a token.
 [[nodiscard]] duration TimeToToken(const token_account& account,
                                    const rate_limit& limit,
--- a/src/sassafraswick/peer/peer_link.cc
+++ b/src/sassafraswick/peer/peer_link.cc
@@ -176,19 +176,22 @@
 }
 
 void peer_link::Send(const endpoint& to, message::envelope envelope) {
-  const std::string payload = Seal(envelope);
   auto found = outgoing_.find(to);
   if (found == outgoing_.end()) {
     DropOldest();
-    zmq::socket_t socket(sockets_, zmq::socket_type::dealer);
-    socket.set(zmq::sockopt::linger, 0);
-    socket.set(zmq::sockopt::sndhwm, kQueueLimit);
-    SetTimeouts(socket);
-    socket.connect(Address(to));
-    found = outgoing_.emplace(to, outgoing{std::move(socket), {}}).first;
+    found = outgoing_.emplace(to, outgoing{Connect(to), {}}).first;
   }
   found->second.used_at = monotonic_clock::now();
-  SendSigned(found->second.socket, authenticator_.Sign(payload), payload);
+  SendTo(found->second.route, envelope);
+}
+
+std::string peer_link::Connect(const endpoint& to) {
+  // A route is not free again at once after its link was closed.
+  const std::string route =
+      FormatEndpoint(to) + "/" + std::to_string(++links_opened_);
+  router_.set(zmq::sockopt::connect_routing_id, route);
+  router_.connect(Address(to));
+  return route;
 }
 
 void peer_link::DropOldest() {
@@ -201,10 +204,15 @@
                           const std::pair<const endpoint, outgoing>& right) {
                          return left.second.used_at < right.second.used_at;
                        });
+  router_.disconnect(Address(oldest->first));
   outgoing_.erase(oldest);
 }
 
 void peer_link::Reply(const std::string& route, message::envelope envelope) {
+  SendTo(route, envelope);
+}
+
+void peer_link::SendTo(const std::string& route, message::envelope& envelope) {
   const std::string payload = Seal(envelope);
   const zmq::send_result_t routed = router_.send(
       zmq::buffer(route), zmq::send_flags::sndmore | zmq::send_flags::dontwait);
--- a/src/sassafraswick/peer/peer_link.h
+++ b/src/sassafraswick/peer/peer_link.h
@@ -19,6 +19,9 @@
 /// @file
 /// Messages between hosts: protobuf over ZeroMQ, authenticated with the fleet's
 /// secret. Sending never blocks; a message that cannot be queued is dropped.
+/// One socket listens and connects, so that an answer returns over the
+/// connection by which its question came: a host that answers a whole fleet
+/// opens no links of its own.
 
 namespace sassafraswick {
 
@@ -72,14 +75,17 @@
   [[nodiscard]] std::uint64_t BytesSent() const noexcept { return bytes_; }
 
  private:
+  /// A link that this host opened.
   struct outgoing {
-    zmq::socket_t socket;
+    std::string route;
     time_point used_at;
   };
 
   boost::asio::awaitable<void> Receive();
   void Drain();
   [[nodiscard]] std::string Seal(message::envelope& envelope);
+  [[nodiscard]] std::string Connect(const endpoint& to);
+  void SendTo(const std::string& route, message::envelope& envelope);
   void DropOldest();
 
   boost::asio::io_context& context_;
@@ -90,6 +96,7 @@
   std::map<endpoint, outgoing> outgoing_;
   handler on_message_;
   std::uint64_t sequence_ = 0;
+  std::uint64_t links_opened_ = 0;
   std::uint64_t sent_ = 0;
   std::uint64_t bytes_ = 0;
 };
--- a/src/sassafraswick/routing/rendezvous.h
+++ b/src/sassafraswick/routing/rendezvous.h
@@ -23,11 +23,11 @@
 [[nodiscard]] std::vector<std::string> RendezvousOrder(
     std::string_view name, std::vector<std::string> hosts);
 
-/// Least number of hubs, and hosts for each hub in larger fleets. With more
-/// hubs a message carries less, and a host keeps links to more hosts than
-/// `peer_link` holds open (64).
+/// Least number of hubs, and hosts for each hub in larger fleets. Every host
+/// tells every hub of idle shares, so each hub costs every host messages; fewer
+/// hubs have more questions to answer each.
 inline constexpr std::size_t kLeastHubs = 8;
-inline constexpr std::size_t kHostsPerHub = 8;
+inline constexpr std::size_t kHostsPerHub = 16;
 
 /// The hosts that keep tokens and gather proofs for all others; in a small
 /// fleet every host.
--- a/test/integration/peer_test.cc
+++ b/test/integration/peer_test.cc
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "sassafraswick/net/async_event.h"
 #include "sassafraswick/net/tcp.h"
@@ -113,5 +114,44 @@
   CHECK(send_until_received());
 }
 
+// Score: mdb-pedidos-large quiet-1. A host that answered a whole fleet opened a
+// link for each answer and closed the oldest with what it still had to send.
+TEST_CASE("a host answers more hosts than it keeps links open",
+          "[gateway][peer]") {
+  constexpr int kHosts = 80;
+  asio::io_context context;
+  const endpoint listen = Loopback(test_support::FreePort());
+  peer_link hub(context, {"hub", 1, listen}, "secret");
+  REQUIRE(hub.Start([&hub](const message::envelope&, const std::string& route) {
+    message::envelope envelope;
+    envelope.mutable_token_answer();
+    hub.Reply(route, envelope);
+  }));
+  int answered = 0;
+  std::vector<std::unique_ptr<peer_link>> hosts;
+  for (int i = 0; i < kHosts; ++i) {
+    const endpoint own = Loopback(test_support::FreePort());
+    hosts.push_back(std::make_unique<peer_link>(
+        context, peer_identity{"host" + std::to_string(i), 1, own}, "secret"));
+    REQUIRE(hosts.back()->Start(
+        [&answered](const message::envelope& received, const std::string&) {
+          answered += received.has_token_answer() ? 1 : 0;
+        }));
+  }
+  constexpr int kRounds = 3;
+  for (int round = 1; round <= kRounds; ++round) {
+    for (const std::unique_ptr<peer_link>& host : hosts) {
+      message::envelope envelope;
+      envelope.mutable_token_transfer();
+      host->Send(listen, envelope);
+    }
+    const time_point end = monotonic_clock::now() + std::chrono::seconds(5);
+    while (answered < round * kHosts && monotonic_clock::now() < end) {
+      context.run_for(std::chrono::milliseconds(20));
+    }
+    CHECK(answered == round * kHosts);
+  }
+}
+
 }  // namespace
 }  // namespace sassafraswick
--- /dev/null
+++ b/test/sassafraswick/limits/idle_share_test.cc
@@ -0,0 +1,91 @@
+#include "sassafraswick/limits/idle_share.h"
+
+#include <catch2/catch.hpp>
+
+/// Pattern: far more hosts and organisations than organisations that call any
+/// one host.
+
+namespace sassafraswick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t kHosts = 295;
+constexpr rate_limit kLimit{20, 20};
+
+TEST_CASE("what all hosts leave unused refills a bank at the rate",
+          "[idle_share]") {
+  share_clock clock;
+  token_bank bank;
+  double given = 0.0;
+  for (int second = 0; second < 30; ++second) {
+    for (std::uint32_t host = 0; host < kHosts; ++host) {
+      AddIdleTime(clock, seconds(1), kHosts);
+    }
+    CreditBank(bank, clock, kLimit);
+    given += ServeTransfer(bank, kLimit, {0.0, 100.0});
+  }
+  // Half of the burst caps each second's refill of 20.
+  CHECK(given == Approx(30 * 10.0).margin(1.0));
+}
+
+TEST_CASE("the sum over all hosts never passes the rate", "[idle_share]") {
+  share_clock clock;
+  token_bank bank;
+  double given = 0.0;
+  for (int step = 0; step < 100; ++step) {
+    for (std::uint32_t host = 0; host < kHosts; ++host) {
+      AddIdleTime(clock, milliseconds(100), kHosts);
+    }
+    CreditBank(bank, clock, kLimit);
+    given += ServeTransfer(bank, kLimit, {0.0, 100.0});
+  }
+  CHECK(given <= 10 * 20.0 + 1e-6);
+  CHECK(given > 10 * 20.0 - 2.0);
+}
+
+TEST_CASE("a host that used its share of an organisation gives none of it away",
+          "[idle_share]") {
+  share_clock clock;
+  token_bank used;
+  token_bank unused;
+  CreditBank(used, clock, kLimit);
+  AddIdleTime(clock, seconds(1), 2);
+  SkipIdleTime(used, clock);
+  CreditBank(used, clock, kLimit);
+  CreditBank(unused, clock, kLimit);
+  CHECK(used.level == 0.0);
+  CHECK(unused.level == Approx(10.0));
+}
+
+TEST_CASE("a host that was suspended hands over a bounded time",
+          "[idle_share]") {
+  share_clock clock;
+  AddIdleTime(clock, seconds(60), 1);
+  CHECK(clock.seconds ==
+        Approx(std::chrono::duration<double>(kMostIdleTime).count()));
+  AddIdleTime(clock, -seconds(60), 1);
+  CHECK(clock.seconds ==
+        Approx(std::chrono::duration<double>(kMostIdleTime).count()));
+}
+
+TEST_CASE("a bank hears as often from a large fleet as from a middling one",
+          "[idle_share]") {
+  CHECK(IdleShareInterval(7) == kExchangeInterval);
+  CHECK(IdleShareInterval(100) == milliseconds(400));
+  CHECK(IdleShareInterval(1200) == milliseconds(1000));
+}
+
+TEST_CASE("a lowered limit empties a bank down to its part of the burst",
+          "[idle_share]") {
+  share_clock clock;
+  token_bank bank;
+  AddIdleTime(clock, seconds(1), 1);
+  CreditBank(bank, clock, kLimit);
+  CreditBank(bank, clock, {4, 4});
+  CHECK(bank.level == 2.0);
+}
+
+}  // namespace
+}  // namespace sassafraswick
--- a/test/sassafraswick/routing/rendezvous_test.cc
+++ b/test/sassafraswick/routing/rendezvous_test.cc
@@ -8,14 +8,14 @@
 
 TEST_CASE("large fleets have few hubs, in small ones all hosts are",
           "[rendezvous]") {
-  constexpr std::size_t kFleet = 87;
+  constexpr std::size_t kFleet = 165;
   std::vector<std::string> hosts;
   hosts.reserve(kFleet);
   for (int i = 0; i < 7; ++i) {
     hosts.push_back("host" + std::to_string(i));
   }
   CHECK(HubHosts(hosts).size() == 7);
-  for (int i = 7; i < 87; ++i) {
+  for (int i = 7; i < 165; ++i) {
     hosts.push_back("host" + std::to_string(i));
   }
   const std::vector<std::string> hubs = HubHosts(hosts);
