Let the bank of a large fleet hold the whole burst

Cause: at 295 hosts organisations of 4 a second were refused within their rate: half of their burst, 2 tokens, was kept for hosts, where idle shares no longer lie. The time to come back was that of one host's own share: 73 s in place of a quarter. Change: BankCap is the burst from 16 hosts on. A bank that nobody used for 3 s, as one that was frozen, starts empty, so that two banks' stocks are not spent in one window. Retry times follow the whole rate.

--- a/src/sassafraswick/gateway/rate_limiter.cc
+++ b/src/sassafraswick/gateway/rate_limiter.cc
@@ -77,7 +77,9 @@
     const bool hopeless = now < account.bank_empty_until &&
                           now + own * (account.waiting + 1) > limit;
     if (verdict.admitted || hopeless || now >= limit) {
-      verdict.retry_after = own * (account.waiting + 1);
+      verdict.retry_after =
+          std::min(own * (account.waiting + 1),
+                   TimeToReturn(LimitOf(organisation), account.waiting));
       break;
     }
     if (!waiting) {
@@ -248,8 +250,10 @@
 token_bank& rate_limiter::CreditedBank(
     const catalog_organisation& organisation) {
   token_bank& bank = banks_[organisation.name];
-  CreditBank(bank, clocks_.at(RateShard(organisation.name)),
-             LimitOf(organisation));
+  const rate_limit limit = LimitOf(organisation);
+  share_clock& clock = clocks_.at(RateShard(organisation.name));
+  NoteHeard(clock, monotonic_clock::now());
+  CreditBank(bank, clock, limit, BankCap(limit, HostCount()));
   return bank;
 }
 
@@ -271,6 +275,7 @@
       idle.time_us(), static_cast<std::uint64_t>(kMostIdleTime.count()))));
   for (std::uint32_t shard = 0; shard < kRateShards; ++shard) {
     if ((idle.shards() >> shard & 1U) != 0) {
+      NoteHeard(clocks_.at(shard), monotonic_clock::now());
       AddIdleTime(clocks_.at(shard), time, idle.hosts());
     }
   }
@@ -295,7 +300,8 @@
       continue;
     }
     const double tokens =
-        ServeTransfer(CreditedBank(found->second), LimitOf(found->second),
+        ServeTransfer(CreditedBank(found->second),
+                      BankCap(LimitOf(found->second), HostCount()),
                       {entry.deposit(), entry.wanted()});
     if (entry.wanted() > 0.0) {
       message::token_given& given = *answer.add_given();
--- a/src/sassafraswick/limits/idle_share.cc
+++ b/src/sassafraswick/limits/idle_share.cc
@@ -30,12 +30,23 @@
                    std::max<std::uint32_t>(hosts, 1);
 }
 
+void NoteHeard(share_clock& clock, time_point now) noexcept {
+  if (now - clock.heard_at > kBankSilence) {
+    ++clock.term;
+    clock.term_began_seconds = clock.seconds;
+  }
+  clock.heard_at = now;
+}
+
 void CreditBank(token_bank& bank, const share_clock& clock,
-                const rate_limit& limit) {
+                const rate_limit& limit, double cap) {
+  if (bank.credited_term != clock.term) {
+    bank = token_bank{0.0, clock.term_began_seconds, clock.term};
+  }
   const double made =
       (clock.seconds - bank.credited_seconds) * static_cast<double>(limit.rate);
   bank.credited_seconds = clock.seconds;
-  AddToBank(bank, limit, made);
+  AddToBank(bank, cap, made);
 }
 
 void SkipIdleTime(token_bank& bank, const share_clock& clock) noexcept {
--- a/src/sassafraswick/limits/token_exchange.cc
+++ b/src/sassafraswick/limits/token_exchange.cc
@@ -107,17 +107,21 @@
   return transfer;
 }
 
-double ServeTransfer(token_bank& bank, const rate_limit& limit,
+double BankCap(const rate_limit& limit, std::uint32_t hosts) {
+  const double part = hosts < kWholeBurstFleet ? 1.0 - kHostPart : 1.0;
+  return part * limit.burst;
+}
+
+double ServeTransfer(token_bank& bank, double cap,
                      const token_transfer& transfer) {
-  AddToBank(bank, limit, transfer.deposit);
+  AddToBank(bank, cap, transfer.deposit);
   const double given =
       std::min(std::max(transfer.wanted, 0.0), std::floor(bank.level));
   bank.level -= given;
   return given;
 }
 
-void AddToBank(token_bank& bank, const rate_limit& limit, double tokens) {
-  const double cap = (1.0 - kHostPart) * limit.burst;
+void AddToBank(token_bank& bank, double cap, double tokens) {
   bank.level = std::min(cap, bank.level + std::max(tokens, 0.0));
 }
 
@@ -128,6 +132,12 @@
              kLeastDemand;
 }
 
+duration TimeToReturn(const rate_limit& limit, std::uint32_t ahead) {
+  const double rate = std::max(static_cast<double>(limit.rate), 0.001);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>((ahead + 1.0) / rate));
+}
+
 duration TimeToToken(const token_account& account, const rate_limit& limit,
                      std::uint32_t hosts) {
   const double rate = std::max(ShareOfRate(limit, hosts), 0.001);
--- a/src/sassafraswick/limits/token_exchange.h
+++ b/src/sassafraswick/limits/token_exchange.h
@@ -15,7 +15,8 @@
 /// that spend more withdraw there. A lost message loses tokens and makes none;
 /// a bank that is gone costs only what it held.
 ///
-/// Half of the burst may lie with the bank and half with the hosts. What is
+/// Half of the burst may lie with the bank and half with the hosts; in a large
+/// fleet, where few hosts have an account, all of it with the bank. What is
 /// withdrawn and not spent yet comes on top, up to `kPrefetch` of the demand.
 
 namespace sassafraswick {
@@ -56,8 +57,13 @@
   double level = 0.0;
   /// Reading of the shard's clock up to which it was refilled.
   double credited_seconds = 0.0;
+  /// Term of the shard's clock in which it was refilled.
+  std::uint64_t credited_term = 0;
 };
 
+/// Fleet from which on a bank may hold the whole burst.
+inline constexpr std::uint32_t kWholeBurstFleet = 16;
+
 /// Makes the tokens that fell due.
 /// @param hosts Hosts that share the rate, at least 1.
 void RefillAccount(token_account& account, const rate_limit& limit,
@@ -77,18 +83,27 @@
                                           const rate_limit& limit,
                                           std::uint32_t hosts, time_point now);
 
+/// Tokens of an organisation that a bank may hold.
+[[nodiscard]] double BankCap(const rate_limit& limit, std::uint32_t hosts);
+
 /// Serves a transfer at the bank.
+/// @param cap Tokens that the bank may hold.
 /// @return Tokens for the host that asked.
-[[nodiscard]] double ServeTransfer(token_bank& bank, const rate_limit& limit,
+[[nodiscard]] double ServeTransfer(token_bank& bank, double cap,
                                    const token_transfer& transfer);
 
-/// Puts tokens into a bank, up to its part of the burst.
-void AddToBank(token_bank& bank, const rate_limit& limit, double tokens);
+/// Puts tokens into a bank that may hold `cap` of them.
+void AddToBank(token_bank& bank, double cap, double tokens);
 
 /// Tells whether a host need not keep an account any more: nobody waits, and
 /// the demand has faded.
 [[nodiscard]] bool IsIdle(const token_account& account, time_point now);
 
+/// Time after which a refused caller may find a token, by the whole rate.
+/// @param ahead Requests that wait for one already.
+[[nodiscard]] duration TimeToReturn(const rate_limit& limit,
+                                    std::uint32_t ahead);
+
 /// Time until a host's own share will have made a token.
 [[nodiscard]] duration TimeToToken(const token_account& account,
                                    const rate_limit& limit,
