Let four hosts of a large fleet follow the store and tell the others

Ruled out: serializable watches (there are none); relaying whole configurations (100 KB over links of 20 Mbit/s): hosts that are told of a newer version read it, a tenth of a call each, and ask the peer if that fails. Change: from 16 hosts on the four hubs that rank first watch with short waits; the others ask one of them every 500 ms, are told of changes at once, and watch the store themselves if what they know is older than 4 s (fleet/news_log decides, gateway/ store_news carries). Entries of hosts have leases of 20 s; the failover lease has one of its own of 3 s, and nobody waits for its last holder. gateway/registration, store_news and store_calls are split off fleet_agent.h. A fleet that starts for the first time reads the list of hosts after 700 ms (host.fleet_starts). A conditional expression around co_await freed twice with GCC 12: one process in 295 ended ('double free'), written as if and else now. Tests: news_log_test, registry_test (last holder).

--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -50,7 +50,7 @@
         source_(std::move(source)),
         link_(context, {settings.host, boot, settings.peers}, std::string()),
         state_(context, RateEnvironment()),
-        fleet_(platform, state_, link_, settings.host),
+        fleet_(platform, state_, link_, settings),
         failover_(platform, state_, fleet_) {}
 
   /// Opens the ports and starts all work.
--- a/src/sassafraswick/gateway/registry.cc
+++ b/src/sassafraswick/gateway/registry.cc
@@ -10,11 +10,6 @@
 
 /// Wait of each host behind the one before it in the order.
 constexpr duration kRankStep = std::chrono::milliseconds(250);
-/// Shortest lease; bounds how long a dead holder keeps the failover lease.
-constexpr duration kShortestLease = std::chrono::milliseconds(3000);
-/// Lease time a host; at 1,200 hosts 12 s and 300 renewals a second.
-constexpr duration kLeasePerHost = std::chrono::milliseconds(10);
-
 /// Time for which a host whose entry ended is reckoned with. Longer than any
 /// cut of the users' days (12 s); until then its share stays unused if it is
 /// gone.
@@ -51,6 +46,8 @@
   failover.lease = item.deleted ? 0 : item.lease;
   if (item.deleted) {
     failover.vacant_since = now;
+  } else {
+    failover.last_host = item.value.substr(0, item.value.find('/'));
   }
 }
 
@@ -70,6 +67,7 @@
               before.failover.vacant_since != time_point()
           ? before.failover.vacant_since
           : now;
+  registry.failover.last_host = before.failover.last_host;
   for (const store_item& item : page.items) {
     ApplyRegistryItem(registry, item, now);
   }
@@ -99,16 +97,15 @@
   if (!registry.failover.holder.empty()) {
     return false;
   }
+  std::vector<std::string> candidates = registry.names;
+  if (host != registry.failover.last_host) {
+    std::erase(candidates, registry.failover.last_host);
+  }
   const std::vector<std::string> order =
-      RendezvousOrder(kFailoverKey, registry.names);
+      RendezvousOrder(kFailoverKey, std::move(candidates));
   const auto own = std::find(order.begin(), order.end(), host);
   const std::ptrdiff_t rank = own - order.begin();
   return now - registry.failover.vacant_since >= kRankStep * rank;
 }
 
-duration HostLeaseTime(std::size_t hosts) {
-  return std::max(kShortestLease,
-                  kLeasePerHost * static_cast<std::int64_t>(hosts));
-}
-
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/registry.h
+++ b/src/sassafraswick/gateway/registry.h
@@ -31,6 +31,8 @@
   std::uint64_t lease = 0;
   /// When the vacancy was seen.
   time_point vacant_since;
+  /// Host of the last holder, whose entry may outlive it.
+  std::string last_host;
 };
 
 /// What the store's keys say.
@@ -62,11 +64,13 @@
 [[nodiscard]] bool ShouldClaimFailover(const host_registry& registry,
                                        const std::string& host, time_point now);
 
-/// Time to live of a host's lease. Longer for larger fleets, so that renewals
-/// stay within the store's rate.
-[[nodiscard]] duration HostLeaseTime(std::size_t hosts);
+/// Time to live of a host's lease. Hubs that die are passed over long before;
+/// 1,200 hosts renew 180 times a second.
+inline constexpr duration kHostLease = std::chrono::seconds(20);
+/// Time to live of the failover lease; bounds how long a dead holder keeps it.
+inline constexpr duration kFailoverLease = std::chrono::milliseconds(3000);
 
-/// The own lease, by this host's clock.
+/// A lease of this host, by its own clock.
 struct lease_clock {
   std::uint64_t id = 0;
   duration ttl = duration::zero();
--- a/src/sassafraswick/gateway/settings.h
+++ b/src/sassafraswick/gateway/settings.h
@@ -15,6 +15,8 @@
 struct gateway_settings {
   std::string host;
   std::string availability_zone;
+  /// The whole fleet starts for the first time, all hosts at once.
+  bool fleet_starts = false;
   /// Where callers connect.
   endpoint callers;
   /// Where other hosts connect.
--- a/src/sassafraswick/gateway/shared_store.h
+++ b/src/sassafraswick/gateway/shared_store.h
@@ -15,6 +15,13 @@
 
 namespace sassafraswick {
 
+/// How new a reading has to be.
+enum class read_age {
+  kNewest,
+  /// May lack the last seconds; costs a tenth.
+  kMaybeOld,
+};
+
 /// A key as it was read or as it changed.
 struct store_item {
   std::string key;
@@ -58,9 +65,10 @@
 template <typename Store>
 concept shared_store = requires(Store store, std::string prefix,
                                 std::int64_t revision, duration span,
-                                store_change change, std::uint64_t lease) {
+                                store_change change, std::uint64_t lease,
+                                read_age age) {
   {
-    store.Range(prefix)
+    store.Range(prefix, age)
     } -> std::same_as<boost::asio::awaitable<result<store_page>>>;
   {
     store.Watch(prefix, revision, span)
--- /dev/null
+++ b/src/sassafraswick/gateway/store_news.h
@@ -0,0 +1,451 @@
+#ifndef SASSAFRASWICK_GATEWAY_STORE_NEWS_H_
+#define SASSAFRASWICK_GATEWAY_STORE_NEWS_H_
+
+#include <algorithm>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sassafraswick/core/log.h"
+#include "sassafraswick/fleet/news_log.h"
+#include "sassafraswick/gateway/gateway_platform.h"
+#include "sassafraswick/gateway/gateway_state.h"
+#include "sassafraswick/gateway/shared_store.h"
+#include "sassafraswick/gateway/store_calls.h"
+#include "sassafraswick/net/async_event.h"
+#include "sassafraswick/peer/message.pb.h"
+#include "sassafraswick/routing/rendezvous.h"
+
+/// @file
+/// How a host learns of changes in the store: by watching it, or in a large
+/// fleet from one of a few hosts that do. Hosts that hear nothing new enough
+/// watch the store themselves until they do again.
+
+namespace sassafraswick {
+
+/// Longest wait of one watch in a small fleet; the store's limit is 30 s.
+inline constexpr duration kWatchWait = std::chrono::seconds(20);
+/// Pause a host of the fleet after changes of targets or hosts were taken, and
+/// its limit: each change costs every watching host a call, and some ten come
+/// together when a fleet starts. Instances that leave serve on for 7 s and
+/// more.
+inline constexpr duration kChangePause = std::chrono::milliseconds(8);
+inline constexpr duration kChangePauseLimit = std::chrono::milliseconds(200);
+
+/// Time in which the hosts of a fleet that starts have registered; the users'
+/// start within 300 ms of each other. Whoever reads the hosts earlier takes the
+/// fleet for small.
+inline constexpr duration kFleetStartTime = std::chrono::milliseconds(700);
+
+/// What the news of the store need of their host.
+struct news_environment {
+  std::string host;
+  /// Names of all hosts, this one included, in order.
+  std::function<const std::vector<std::string>&()> hosts;
+  std::function<void(const std::string& host, message::envelope envelope)> send;
+  std::function<void(const std::string& route, message::envelope envelope)>
+      answer;
+};
+
+/// One followed key or prefix.
+struct followed_prefix {
+  std::string prefix;
+  /// Takes over all entries; those that are missing are gone.
+  std::function<void(const store_page&)> load;
+  /// Takes over changes.
+  std::function<void(const store_page&)> take;
+  /// Changes of it are relayed. Otherwise it is read anew when a peer names a
+  /// newer version.
+  bool relayed = true;
+  /// Time before the first reading.
+  duration first_delay = duration::zero();
+  /// Revision up to which everything was taken over; 0 before the first
+  /// reading.
+  std::int64_t revision = 0;
+  /// When the store last confirmed that there was nothing newer.
+  time_point confirmed_at;
+  bool reload = false;
+  /// When a reading that may be old was last made.
+  time_point read_old_at;
+};
+
+template <gateway_platform Platform>
+class store_news {
+ public:
+  using codec = typename Platform::codec;
+  using store_type = typename Platform::store;
+
+  store_news(const Platform& platform, gateway_state<codec>& gateway,
+             store_calls& calls, news_environment environment)
+      : platform_(platform),
+        gateway_(gateway),
+        calls_(calls),
+        environment_(std::move(environment)),
+        wanted_(gateway.context.get_executor()) {}
+
+  /// Follows a prefix; to be called before `Start`.
+  void Add(followed_prefix followed) {
+    followed_.push_back(std::make_unique<followed_prefix>(std::move(followed)));
+  }
+
+  void Start() {
+    for (const std::unique_ptr<followed_prefix>& each : followed_) {
+      Spawn([this, followed = each.get()] { return Follow(*followed); });
+    }
+    Spawn([this] { return AskFollowers(); });
+  }
+
+  /// Has what is not relayed read again.
+  void Reload() {
+    for (const std::unique_ptr<followed_prefix>& each : followed_) {
+      if (!each->relayed && each->revision != 0 && !Watches()) {
+        each->reload = true;
+      }
+    }
+    wanted_.NotifyAll();
+  }
+
+  /// Answers a host that does not follow the store.
+  void Handle(const std::string& from, const std::string& route,
+              const message::news_request& request) {
+    if (KnownRevision() == 0) {
+      return;
+    }
+    subscriber& known = subscribers_[from];
+    known = {route, request.revision(), request.stamp(),
+             monotonic_clock::now()};
+    Tell(known);
+  }
+
+  /// Takes over what a follower said.
+  void Take(const message::news_answer& answer) {
+    if (KnownRevision() == 0) {
+      return;
+    }
+    NoteAge(answer);
+    if (answer.revision() <= KnownRevision()) {
+      return;
+    }
+    if (answer.base() == 0 || answer.base() > KnownRevision()) {
+      AskToReload();
+      return;
+    }
+    std::vector<store_item> items;
+    for (const message::store_change& change : answer.changes()) {
+      items.push_back({change.key(), change.value(), change.revision(),
+                       change.lease(), change.deleted()});
+    }
+    for (const std::unique_ptr<followed_prefix>& each : followed_) {
+      if (each->relayed) {
+        TakeItems(*each, items, answer.revision());
+      }
+    }
+    TellAll(false);
+  }
+
+  /// Tells hosts that ask this one of changes. Every message names the version
+  /// of the configuration.
+  /// @param version_rose Tell all, also if there are no other changes.
+  void TellAll(bool version_rose) {
+    const time_point now = monotonic_clock::now();
+    std::erase_if(subscribers_,
+                  [now](const std::pair<const std::string, subscriber>& each) {
+                    return now - each.second.asked_at > kForgetSubscriber;
+                  });
+    for (std::pair<const std::string, subscriber>& each : subscribers_) {
+      const std::optional<std::vector<store_item>> changes =
+          log_.Since(each.second.revision);
+      if (version_rose || (changes.has_value() && !changes->empty())) {
+        Tell(each.second);
+      }
+    }
+  }
+
+  /// Tells whether this host watches the store.
+  [[nodiscard]] bool Watches() {
+    return IsOwnFollower() ||
+           monotonic_clock::now() - ConfirmedAt() > kNewsStale;
+  }
+
+ private:
+  /// A host that asks this one.
+  struct subscriber {
+    std::string route;
+    std::int64_t revision = 0;
+    std::uint64_t stamp = 0;
+    time_point asked_at;
+  };
+
+  /// Time after a reading that may be old in which the next one must not be.
+  static constexpr duration kOldReadRest = std::chrono::seconds(2);
+  /// Longest pause of a host that is no follower after a failed call, a host of
+  /// the fleet: if the store is away, all hosts come to ask it.
+  static constexpr duration kRetryPerHost = std::chrono::milliseconds(10);
+  static constexpr duration kLongestRetry = std::chrono::seconds(4);
+
+  /// Time after its last question for which a host is told of changes.
+  static constexpr duration kForgetSubscriber = 4 * kNewsInterval;
+
+  template <typename Work>
+  void Spawn(Work work) {
+    boost::asio::co_spawn(gateway_.context, std::move(work),
+                          boost::asio::detached);
+  }
+
+  const std::vector<std::string>& Ranked() {
+    ranking_.SetHosts(environment_.hosts());
+    return ranking_.Rank("news");
+  }
+
+  [[nodiscard]] bool IsOwnFollower() {
+    return IsFollower(Ranked(), environment_.host, environment_.hosts().size());
+  }
+
+  [[nodiscard]] duration RetryLimit() {
+    const std::int64_t hosts =
+        static_cast<std::int64_t>(environment_.hosts().size());
+    return IsOwnFollower() ? kStoreRetryLimit
+                           : std::clamp(kRetryPerHost * hosts, kStoreRetryLimit,
+                                        kLongestRetry);
+  }
+
+  [[nodiscard]] std::int64_t KnownRevision() const {
+    std::int64_t known = 0;
+    for (const std::unique_ptr<followed_prefix>& each : followed_) {
+      if (each->relayed) {
+        known = known == 0 ? each->revision : std::min(known, each->revision);
+        if (each->revision == 0) {
+          return 0;
+        }
+      }
+    }
+    return known;
+  }
+
+  [[nodiscard]] time_point ConfirmedAt() const {
+    time_point oldest = time_point::max();
+    for (const std::unique_ptr<followed_prefix>& each : followed_) {
+      oldest = std::min(oldest, each->confirmed_at);
+    }
+    return oldest;
+  }
+
+  /// Reads a prefix and then follows its changes.
+  boost::asio::awaitable<void> Follow(followed_prefix& followed) {
+    const std::unique_ptr<store_type> store =
+        platform_.MakeStore(gateway_.context.get_executor());
+    duration retry = kStoreRetry;
+    co_await Sleep(followed.first_delay);
+    while (true) {
+      const bool reads = followed.revision == 0 || followed.reload;
+      const bool watches = KnownRevision() != 0 && Watches();
+      if (!reads && !watches) {
+        constexpr duration kTick = std::chrono::milliseconds(200);
+        co_await wanted_.Wait(kTick);
+        continue;
+      }
+      result<void> outcome = boost::outcome_v2::success();
+      if (reads) {
+        outcome = co_await Read(*store, followed);
+      } else {
+        outcome = co_await WatchOnce(*store, followed);
+      }
+      if (outcome) {
+        retry = kStoreRetry;
+        continue;
+      }
+      co_await Sleep(retry);
+      retry = std::min(retry * 2, RetryLimit());
+    }
+  }
+
+  boost::asio::awaitable<result<void>> Read(store_type& store,
+                                            followed_prefix& followed) {
+    const bool again = followed.reload;
+    followed.reload = false;
+    const time_point sent_at = monotonic_clock::now();
+    // Peers say what is newest: a reading that may be old is tried first, and
+    // if they ask for another one soon, it was too old.
+    const bool may_be_old =
+        again && sent_at - followed.read_old_at > kOldReadRest;
+    const read_age age = may_be_old ? read_age::kMaybeOld : read_age::kNewest;
+    if (may_be_old) {
+      followed.read_old_at = sent_at;
+    }
+    const result<store_page> page = co_await store.Range(followed.prefix, age);
+    calls_.Note("range", page);
+    if (!page) {
+      followed.reload = again;
+      co_return page.error();
+    }
+    if (page.value().revision >= followed.revision) {
+      followed.load(page.value());
+      Advance(followed, page.value().revision);
+      if (followed.relayed) {
+        log_.Restart(page.value().revision);
+      }
+    }
+    if (age == read_age::kNewest) {
+      followed.confirmed_at = std::max(followed.confirmed_at, sent_at);
+    }
+    TellAll(false);
+    co_return boost::outcome_v2::success();
+  }
+
+  boost::asio::awaitable<result<void>> WatchOnce(store_type& store,
+                                                 followed_prefix& followed) {
+    const bool large = environment_.hosts().size() >= kRelayedFleet;
+    const duration wait = large ? kFollowerWait : kWatchWait;
+    const result<store_page> page =
+        co_await store.Watch(followed.prefix, followed.revision, wait);
+    calls_.Note("watch", page);
+    if (!page) {
+      if (page.error().kind == error_kind::kNotFound) {
+        Log(log_level::kInfo, "store_history_lost",
+            {{"prefix", followed.prefix}});
+        followed.reload = true;
+        co_return boost::outcome_v2::success();
+      }
+      co_return page.error();
+    }
+    followed.confirmed_at = monotonic_clock::now();
+    TakeItems(followed, page.value().items, page.value().revision);
+    TellAll(false);
+    if (followed.relayed && !page.value().items.empty()) {
+      const std::int64_t hosts =
+          static_cast<std::int64_t>(environment_.hosts().size());
+      co_await Sleep(std::min(kChangePause * hosts, kChangePauseLimit));
+    }
+    co_return boost::outcome_v2::success();
+  }
+
+  static void Advance(followed_prefix& followed, std::int64_t revision) {
+    followed.revision = std::max(followed.revision, revision);
+  }
+
+  /// Takes over changes that are not known yet.
+  void TakeItems(followed_prefix& followed,
+                 const std::vector<store_item>& items, std::int64_t revision) {
+    store_page fresh;
+    fresh.revision = revision;
+    for (const store_item& item : items) {
+      if (item.revision > followed.revision &&
+          item.key.starts_with(followed.prefix)) {
+        fresh.items.push_back(item);
+        if (followed.relayed) {
+          log_.Add(item);
+        }
+      }
+    }
+    if (!fresh.items.empty()) {
+      followed.take(fresh);
+    }
+    Advance(followed, revision);
+  }
+
+  void AskToReload() {
+    for (const std::unique_ptr<followed_prefix>& each : followed_) {
+      each->reload = each->reload || each->relayed;
+    }
+    wanted_.NotifyAll();
+  }
+
+  /// Asks a follower at intervals, so that it tells this host of changes.
+  boost::asio::awaitable<void> AskFollowers() {
+    while (true) {
+      co_await Sleep(kNewsInterval);
+      if (IsOwnFollower() || KnownRevision() == 0) {
+        continue;
+      }
+      const time_point now = monotonic_clock::now();
+      const std::vector<std::string> order =
+          FollowersFor(Ranked(), environment_.host);
+      std::vector<std::string> fit;
+      std::copy_if(order.begin(), order.end(), std::back_inserter(fit),
+                   [this, now](const std::string& each) {
+                     return !stale_until_.contains(each) ||
+                            now > stale_until_[each];
+                   });
+      const std::string asked = gateway_.contacts.FirstAnswering(fit, now);
+      if (asked.empty()) {
+        continue;
+      }
+      gateway_.contacts.NoteAsked(asked, now);
+      asked_ = asked;
+      asked_at_ = now;
+      message::envelope envelope;
+      envelope.mutable_news_request()->set_revision(KnownRevision());
+      envelope.mutable_news_request()->set_stamp(++stamp_);
+      environment_.send(asked, std::move(envelope));
+    }
+  }
+
+  /// Takes over how new a follower's knowledge is.
+  void NoteAge(const message::news_answer& answer) {
+    if (answer.stamp() != stamp_) {
+      return;
+    }
+    const duration age(static_cast<std::int64_t>(answer.age_us()));
+    if (age > kRelayStale) {
+      stale_until_[asked_] = monotonic_clock::now() + kRelayStale;
+      return;
+    }
+    for (const std::unique_ptr<followed_prefix>& each : followed_) {
+      each->confirmed_at = std::max(each->confirmed_at, asked_at_ - age);
+    }
+  }
+
+  void Tell(subscriber& to) {
+    message::envelope envelope;
+    message::news_answer& answer = *envelope.mutable_news_answer();
+    const std::optional<std::vector<store_item>> changes =
+        log_.Since(to.revision);
+    answer.set_revision(KnownRevision());
+    answer.set_stamp(to.stamp);
+    const duration age = std::chrono::duration_cast<duration>(
+        monotonic_clock::now() - ConfirmedAt());
+    answer.set_age_us(static_cast<std::uint64_t>(age.count()));
+    if (changes.has_value()) {
+      answer.set_base(to.revision);
+      for (const store_item& item : *changes) {
+        message::store_change& change = *answer.add_changes();
+        change.set_key(item.key);
+        change.set_value(item.value);
+        change.set_revision(item.revision);
+        change.set_lease(item.lease);
+        change.set_deleted(item.deleted);
+      }
+      to.revision = std::max(to.revision, answer.revision());
+    }
+    environment_.answer(to.route, std::move(envelope));
+  }
+
+  Platform platform_;
+  gateway_state<codec>& gateway_;
+  store_calls& calls_;
+  news_environment environment_;
+  std::vector<std::unique_ptr<followed_prefix>> followed_;
+  news_log log_;
+  std::map<std::string, subscriber> subscribers_;
+  /// Hosts that follow the store in the order of this name.
+  hub_ranking ranking_;
+  async_event wanted_;
+  /// The newest question to a follower.
+  std::string asked_;
+  time_point asked_at_;
+  std::uint64_t stamp_ = 0;
+  /// Followers whose knowledge was too old, and until when others are asked.
+  std::map<std::string, time_point> stale_until_;
+};
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_GATEWAY_STORE_NEWS_H_
--- /dev/null
+++ b/test/sassafraswick/fleet/news_log_test.cc
@@ -0,0 +1,79 @@
+#include "sassafraswick/fleet/news_log.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+/// Pattern: a few hosts follow the store for hundreds.
+
+namespace sassafraswick {
+namespace {
+
+store_item Change(const std::string& key, std::int64_t revision,
+                  bool deleted = false) {
+  store_item item;
+  item.key = key;
+  item.value = "value of " + std::to_string(revision);
+  item.revision = revision;
+  item.deleted = deleted;
+  return item;
+}
+
+TEST_CASE("a log tells the newest change of each key", "[news_log]") {
+  news_log log;
+  log.Restart(10);
+  log.Add(Change("a", 11));
+  log.Add(Change("a", 13, true));
+  log.Add(Change("b", 12));
+  const std::optional<std::vector<store_item>> all = log.Since(10);
+  REQUIRE(all.has_value());
+  REQUIRE(all->size() == 2);
+  CHECK(all->front().deleted);
+  CHECK(log.Since(12)->size() == 1);
+  CHECK(log.Since(13)->empty());
+}
+
+// A server that left must not come back because an older change arrives late.
+TEST_CASE("an older change does not replace a newer one", "[news_log]") {
+  news_log log;
+  log.Restart(10);
+  log.Add(Change("a", 13, true));
+  log.Add(Change("a", 11));
+  REQUIRE(log.Since(10)->size() == 1);
+  CHECK(log.Since(10)->front().deleted);
+}
+
+TEST_CASE("a log that does not reach back says so", "[news_log]") {
+  news_log log;
+  CHECK_FALSE(log.Since(0).has_value());
+  log.Restart(10);
+  CHECK_FALSE(log.Since(9).has_value());
+  CHECK(log.Since(10).has_value());
+  log.Restart(20);
+  CHECK_FALSE(log.Since(19).has_value());
+}
+
+TEST_CASE("few hosts of a large fleet follow the store, all of a small one",
+          "[news_log]") {
+  const std::vector<std::string> ranked = {"a", "b", "c", "d", "e", "f"};
+  CHECK(IsFollower(ranked, "d", 300));
+  CHECK_FALSE(IsFollower(ranked, "e", 300));
+  CHECK(IsFollower(ranked, "e", 7));
+}
+
+TEST_CASE("hosts spread over the followers", "[news_log]") {
+  const std::vector<std::string> ranked = {"a", "b", "c", "d", "e"};
+  std::map<std::string, int> asked;
+  for (int i = 0; i < 400; ++i) {
+    const std::vector<std::string> order =
+        FollowersFor(ranked, "host" + std::to_string(i));
+    REQUIRE(order.size() == kFollowers);
+    ++asked[order.front()];
+  }
+  CHECK(asked.size() == kFollowers);
+  for (const std::pair<const std::string, int>& each : asked) {
+    CHECK(each.second > 60);
+  }
+}
+
+}  // namespace
+}  // namespace sassafraswick
--- a/test/sassafraswick/gateway/registry_test.cc
+++ b/test/sassafraswick/gateway/registry_test.cc
@@ -1,5 +1,6 @@
 #include "sassafraswick/gateway/registry.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace sassafraswick {
@@ -89,6 +90,25 @@
   CHECK_FALSE(ShouldClaimFailover(registry, "b", At(9)));
 }
 
+// A holder that died stays registered for longer than it holds the lease.
+TEST_CASE("nobody waits for the last holder to claim again", "[registry]") {
+  host_registry registry = ThreeHosts();
+  const auto first =
+      std::find_if(registry.names.begin(), registry.names.end(),
+                   [&registry](const std::string& name) {
+                     return ShouldClaimFailover(registry, name, At(0));
+                   });
+  REQUIRE(first != registry.names.end());
+  ApplyRegistryItem(registry, Lease(*first + "/1", 10), At(1));
+  ApplyRegistryItem(registry, Gone(Lease(*first + "/1", 10), 11), At(5));
+  int others = 0;
+  for (const std::string& name : registry.names) {
+    others +=
+        name != *first && ShouldClaimFailover(registry, name, At(5)) ? 1 : 0;
+  }
+  CHECK(others == 1);
+}
+
 TEST_CASE("a lease is acted on for less than its time to live", "[registry]") {
   lease_clock lease;
   CHECK(lease.ValidUntil() == time_point());
