Keep unexpected errors to the task or message that met them

Cause: tasks were started detached, which drops exceptions without a word: a loop that met one was over for good. A host would no longer renew its lease, follow the store or hear its peers, and no line said so ('one malformed message or unexpected error', seen by operators of similar systems). Ruled out: ending the process; a fleet that sends one bad message to all would be gone. Change: net/spawn logs a task's error; loops begin anew after 100 ms; peer_link keeps an error to its message. FreePort of the tests gives up when its block is used up, where it tried for ever (seen: a test with 100 hosts).

--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -2,8 +2,6 @@
 #define SASSAFRASWICK_GATEWAY_FAILOVER_AGENT_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <map>
 #include <memory>
 #include <string>
@@ -12,6 +10,7 @@
 
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/gateway/fleet_agent.h"
+#include "sassafraswick/net/spawn.h"
 
 /// @file
 /// Watches all groups and replaces primaries while this host holds the failover
@@ -69,10 +68,8 @@
         TickReplacement(watched.state, group->Health(), settings_, now);
     LogPhase(*group, watched.state, before);
     for (const replacement_action& action : actions) {
-      boost::asio::co_spawn(
-          gateway_.context,
-          [this, group, action] { return Act(group, action); },
-          boost::asio::detached);
+      Spawn(gateway_.context, "group",
+            [this, group, action] { return Act(group, action); });
     }
   }
 
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -2,8 +2,6 @@
 #define SASSAFRASWICK_GATEWAY_FLEET_AGENT_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,6 +20,7 @@
 #include "sassafraswick/gateway/store_news.h"
 #include "sassafraswick/gateway/target_directory.h"
 #include "sassafraswick/net/async_event.h"
+#include "sassafraswick/net/spawn.h"
 #include "sassafraswick/peer/peer_link.h"
 
 /// @file
@@ -60,8 +59,10 @@
 
   void Start() {
     news_.Start();
-    Spawn([this] { return registration_.Run(); });
-    Spawn([this] { return targets_.UnlistLapsed(); });
+    SpawnLoop(gateway_.context, "registration",
+              [this] { return registration_.Run(); });
+    SpawnLoop(gateway_.context, "targets",
+              [this] { return targets_.UnlistLapsed(); });
   }
 
   /// Sends a message to a host, with the newest configuration's version.
@@ -95,9 +96,10 @@
     } else if (received.has_token_answer()) {
       gateway_.limiter.HandleAnswer(received.token_answer());
     } else if (received.has_view_question()) {
-      Spawn([this, route, question = received.view_question()] {
-        return AnswerView(route, question);
-      });
+      Spawn(gateway_.context, "view",
+            [this, route, question = received.view_question()] {
+              return AnswerView(route, question);
+            });
     } else if (received.has_view_answer()) {
       proofs_.Take(received.view_answer());
     } else if (received.has_news_request()) {
@@ -126,12 +128,6 @@
   [[nodiscard]] bool HasTargets() const { return targets_.IsLoaded(); }
 
  private:
-  template <typename Work>
-  void Spawn(Work work) {
-    boost::asio::co_spawn(gateway_.context, std::move(work),
-                          boost::asio::detached);
-  }
-
   /// This host is one of the fleet, whether its entry is there or not.
   void AddSelf() {
     registry_.hosts[host_] = link_.Identity().listen;
--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -2,8 +2,6 @@
 #define SASSAFRASWICK_GATEWAY_GATEWAY_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -19,6 +17,7 @@
 #include "sassafraswick/gateway/failover_agent.h"
 #include "sassafraswick/gateway/fleet_agent.h"
 #include "sassafraswick/gateway/settings.h"
+#include "sassafraswick/net/spawn.h"
 #include "sassafraswick/net/tcp.h"
 #include "sassafraswick/peer/peer_link.h"
 
@@ -62,14 +61,16 @@
           fleet_.Handle(received, route);
         }));
     fleet_.Start();
-    Spawn([this, listening = std::make_shared<boost::asio::ip::tcp::acceptor>(
-                     std::move(acceptor))] { return Accept(listening); });
-    Spawn([this] { return failover_.Run(); });
-    Spawn([this] { return ExchangeTokens(); });
-    Spawn([this] { return SweepSessions(); });
-    Spawn([this] { return SweepLinks(); });
-    Spawn([this] { return StopOnSignal(); });
-    Spawn([this] { return ReloadOnSignal(); });
+    SpawnLoop(
+        context_, "accept",
+        [this, listening = std::make_shared<boost::asio::ip::tcp::acceptor>(
+                   std::move(acceptor))] { return Accept(listening); });
+    SpawnLoop(context_, "failover", [this] { return failover_.Run(); });
+    SpawnLoop(context_, "tokens", [this] { return ExchangeTokens(); });
+    SpawnLoop(context_, "sessions", [this] { return SweepSessions(); });
+    SpawnLoop(context_, "links", [this] { return SweepLinks(); });
+    SpawnLoop(context_, "stop", [this] { return StopOnSignal(); });
+    SpawnLoop(context_, "reload", [this] { return ReloadOnSignal(); });
     return boost::outcome_v2::success();
   }
 
@@ -84,11 +85,6 @@
   [[nodiscard]] const gateway_settings& Settings() const { return settings_; }
 
  private:
-  template <typename Work>
-  void Spawn(Work work) {
-    boost::asio::co_spawn(context_, std::move(work), boost::asio::detached);
-  }
-
   rate_environment RateEnvironment() {
     rate_environment environment;
     environment.host = settings_.host;
@@ -132,7 +128,7 @@
           std::make_shared<client_session<codec>>(state_, std::move(socket),
                                                   ++last_session_);
       sessions_.push_back(session);
-      Spawn([session] { return session->Run(); });
+      Spawn(context_, "session", [session] { return session->Run(); });
     }
   }
 
@@ -211,7 +207,7 @@
     state_.drain_transactions = settings_.stop_grace / 2;
     Log(log_level::kInfo, "stopping",
         {{"sessions", std::to_string(state_.counters.sessions)}});
-    Spawn([this] { return fleet_.Leave(); });
+    Spawn(context_, "leave", [this] { return fleet_.Leave(); });
     const time_point end = told_at + settings_.stop_grace * 4 / 5;
     while (monotonic_clock::now() < end) {
       const bool noticed = monotonic_clock::now() - told_at > kEntryNotices;
--- a/src/sassafraswick/gateway/store_news.h
+++ b/src/sassafraswick/gateway/store_news.h
@@ -3,8 +3,6 @@
 
 #include <algorithm>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <functional>
 #include <iterator>
 #include <map>
@@ -21,6 +19,7 @@
 #include "sassafraswick/gateway/shared_store.h"
 #include "sassafraswick/gateway/store_calls.h"
 #include "sassafraswick/net/async_event.h"
+#include "sassafraswick/net/spawn.h"
 #include "sassafraswick/peer/message.pb.h"
 #include "sassafraswick/routing/rendezvous.h"
 
@@ -98,9 +97,10 @@
 
   void Start() {
     for (const std::unique_ptr<followed_prefix>& each : followed_) {
-      Spawn([this, followed = each.get()] { return Follow(*followed); });
+      SpawnLoop(gateway_.context, "follow",
+                [this, followed = each.get()] { return Follow(*followed); });
     }
-    Spawn([this] { return AskFollowers(); });
+    SpawnLoop(gateway_.context, "news", [this] { return AskFollowers(); });
   }
 
   /// Has what is not relayed read again.
@@ -194,12 +194,6 @@
   /// Time after its last question for which a host is told of changes.
   static constexpr duration kForgetSubscriber = 4 * kNewsInterval;
 
-  template <typename Work>
-  void Spawn(Work work) {
-    boost::asio::co_spawn(gateway_.context, std::move(work),
-                          boost::asio::detached);
-  }
-
   const std::vector<std::string>& Ranked() {
     ranking_.SetHosts(environment_.hosts());
     return ranking_.Rank("news");
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -3,8 +3,6 @@
 
 #include <algorithm>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
@@ -20,6 +18,7 @@
 #include "sassafraswick/gateway/counters.h"
 #include "sassafraswick/gateway/link_pool.h"
 #include "sassafraswick/net/async_event.h"
+#include "sassafraswick/net/spawn.h"
 #include "sassafraswick/routing/choose_target.h"
 
 /// @file
@@ -167,12 +166,10 @@
 
   /// Ends a transaction in the background and gives the connection back.
   void RollbackAndRelease(link_lease<Codec> lease) {
-    boost::asio::co_spawn(
-        context_,
-        [self = this->shared_from_this(), lease = std::move(lease)] {
-          return self->links_.Rollback(lease);
-        },
-        boost::asio::detached);
+    Spawn(context_, "group",
+          [self = this->shared_from_this(), lease = std::move(lease)] {
+            return self->links_.Rollback(lease);
+          });
   }
 
   /// Takes over what an answer shows of an instance.
@@ -260,9 +257,8 @@
       return;
     }
     resolving_ = true;
-    boost::asio::co_spawn(
-        context_, [self = this->shared_from_this()] { return self->AskAll(); },
-        boost::asio::detached);
+    Spawn(context_, "group",
+          [self = this->shared_from_this()] { return self->AskAll(); });
   }
 
   /// Asks the primary and a replica for a proof, unless that is under way.
@@ -271,10 +267,8 @@
       return;
     }
     proving_ = true;
-    boost::asio::co_spawn(
-        context_,
-        [self = this->shared_from_this()] { return self->AskProof(); },
-        boost::asio::detached);
+    Spawn(context_, "group",
+          [self = this->shared_from_this()] { return self->AskProof(); });
   }
 
   /// Sets how to ask the host that gathers proofs of this group; it says false
@@ -313,11 +307,10 @@
 
   /// Asks an instance for its status and takes over what it answers.
   void AskInBackground(const slot_pointer& slot) {
-    boost::asio::co_spawn(
-        context_,
+    Spawn(
+        context_, "group",
         [self = this->shared_from_this(),
-         slot]() -> boost::asio::awaitable<void> { co_await self->Ask(slot); },
-        boost::asio::detached);
+         slot]() -> boost::asio::awaitable<void> { co_await self->Ask(slot); });
   }
 
   /// Sends a control statement; all answer with the instance's status.
@@ -436,12 +429,9 @@
   /// Asks an instance that began to claim that it leads, until it is clear
   /// whether it does.
   void Check(slot_pointer slot) {
-    boost::asio::co_spawn(
-        context_,
-        [self = this->shared_from_this(), slot] {
-          return self->AskUntilClear(slot);
-        },
-        boost::asio::detached);
+    Spawn(context_, "group", [self = this->shared_from_this(), slot] {
+      return self->AskUntilClear(slot);
+    });
   }
 
   boost::asio::awaitable<void> AskUntilClear(slot_pointer slot) {
--- /dev/null
+++ b/src/sassafraswick/net/spawn.h
@@ -0,0 +1,79 @@
+#ifndef SASSAFRASWICK_NET_SPAWN_H_
+#define SASSAFRASWICK_NET_SPAWN_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <exception>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "sassafraswick/core/log.h"
+#include "sassafraswick/net/async_event.h"
+
+/// @file
+/// Starts coroutines whose unexpected errors end only themselves, with a log
+/// line. Errors that are expected are values; these are what is left, such as
+/// exhausted memory.
+
+namespace sassafraswick {
+
+/// Rest of a loop after an unexpected error.
+inline constexpr duration kLoopRest = std::chrono::milliseconds(100);
+
+/// Logs an unexpected error of a task.
+inline void LogTaskError(std::string_view task, std::exception_ptr failure) {
+  try {
+    std::rethrow_exception(std::move(failure));
+  } catch (const std::exception& error) {
+    Log(log_level::kError, "task_failed",
+        {{"task", std::string(task)}, {"reason", error.what()}});
+  } catch (...) {
+    Log(log_level::kError, "task_failed",
+        {{"task", std::string(task)}, {"reason", "unknown"}});
+  }
+}
+
+/// Starts a task that runs once.
+/// @param task Name for the log.
+/// @param work Returns an `awaitable<void>`; kept until it ends.
+template <typename Context, typename Work>
+void Spawn(Context&& context, std::string_view task, Work work) {
+  boost::asio::co_spawn(std::forward<Context>(context), std::move(work),
+                        [task = std::string(task)](std::exception_ptr failure) {
+                          if (failure != nullptr) {
+                            LogTaskError(task, std::move(failure));
+                          }
+                        });
+}
+
+/// Runs work until it ends without an error.
+template <typename Work>
+boost::asio::awaitable<void> RunAgainAfterErrors(std::string task, Work work) {
+  bool ended = false;
+  while (!ended) {
+    try {
+      co_await work();
+      ended = true;
+    } catch (...) {
+      LogTaskError(task, std::current_exception());
+    }
+    if (!ended) {
+      co_await Sleep(kLoopRest);
+    }
+  }
+}
+
+/// Starts a task that a host cannot do without: after an unexpected error it
+/// begins anew.
+template <typename Context, typename Work>
+void SpawnLoop(Context&& context, std::string_view task, Work work) {
+  Spawn(std::forward<Context>(context), task,
+        [task = std::string(task), work = std::move(work)] {
+          return RunAgainAfterErrors(task, work);
+        });
+}
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_NET_SPAWN_H_
--- a/src/sassafraswick/peer/peer_link.cc
+++ b/src/sassafraswick/peer/peer_link.cc
@@ -3,14 +3,14 @@
 #include <sodium.h>
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <optional>
 
+#include "sassafraswick/net/spawn.h"
+
 namespace sassafraswick {
 namespace {
 
@@ -121,7 +121,7 @@
                                           FormatEndpoint(identity_.listen) +
                                           ": " + failure.what());
   }
-  asio::co_spawn(context_, Receive(), asio::detached);
+  Spawn(context_, "peers", [this] { return Receive(); });
   return boost::outcome_v2::success();
 }
 
@@ -159,11 +159,21 @@
     message::envelope received;
     if (received.ParseFromArray(parts[2].data(),
                                 static_cast<int>(parts[2].size()))) {
-      on_message_(received, std::string(View(parts[0])));
+      Handle(received, std::string(View(parts[0])));
     }
   }
 }
 
+void peer_link::Handle(const message::envelope& received,
+                       const std::string& route) {
+  // One message that cannot be handled must not end all receiving.
+  try {
+    on_message_(received, route);
+  } catch (...) {
+    LogTaskError("peer message", std::current_exception());
+  }
+}
+
 std::string peer_link::Seal(message::envelope& envelope) {
   envelope.set_host(identity_.host);
   envelope.set_boot(identity_.boot);
@@ -187,7 +197,7 @@
 
 std::string peer_link::Connect(const endpoint& to) {
   // A route is not free again at once after its link was closed.
-  const std::string route =
+  std::string route =
       FormatEndpoint(to) + "/" + std::to_string(++links_opened_);
   router_.set(zmq::sockopt::connect_routing_id, route);
   router_.connect(Address(to));
--- a/src/sassafraswick/peer/peer_link.h
+++ b/src/sassafraswick/peer/peer_link.h
@@ -83,6 +83,7 @@
 
   boost::asio::awaitable<void> Receive();
   void Drain();
+  void Handle(const message::envelope& received, const std::string& route);
   [[nodiscard]] std::string Seal(message::envelope& envelope);
   [[nodiscard]] std::string Connect(const endpoint& to);
   void SendTo(const std::string& route, message::envelope& envelope);
--- a/test/integration/peer_test.cc
+++ b/test/integration/peer_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <stdexcept>
 #include <utility>
 #include <vector>
 
@@ -114,6 +115,31 @@
   CHECK(send_until_received());
 }
 
+TEST_CASE("a message that cannot be handled does not end receiving",
+          "[gateway][peer]") {
+  asio::io_context context;
+  const endpoint near = Loopback(test_support::FreePort());
+  const endpoint far = Loopback(test_support::FreePort());
+  peer_link sender(context, {"near", 1, near}, "secret");
+  peer_link receiver(context, {"far", 1, far}, "secret");
+  int received = 0;
+  REQUIRE(sender.Start([](const message::envelope&, const std::string&) {}));
+  REQUIRE(
+      receiver.Start([&received](const message::envelope&, const std::string&) {
+        if (++received == 1) {
+          throw std::runtime_error("unexpected");
+        }
+      }));
+  const time_point end = monotonic_clock::now() + std::chrono::seconds(5);
+  while (received < 3 && monotonic_clock::now() < end) {
+    message::envelope envelope;
+    envelope.mutable_configuration_request();
+    sender.Send(far, envelope);
+    context.run_for(std::chrono::milliseconds(50));
+  }
+  CHECK(received >= 3);
+}
+
 // Score: mdb-pedidos-large quiet-1. A host that answered a whole fleet opened a
 // link for each answer and closed the oldest with what it still had to send.
 TEST_CASE("a host answers more hosts than it keeps links open",
--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
 #include <thread>
 #include <utility>
 
@@ -178,7 +179,7 @@
 std::uint16_t FreePort() {
   static const int first = ClaimPortBlock();
   static int next = 0;
-  while (true) {
+  for (int tried = 0; tried < kPortBlockSize; ++tried) {
     const int port = first + 1 + next++ % (kPortBlockSize - 1);
     const int descriptor = BindPort(port);
     if (descriptor >= 0) {
@@ -186,6 +187,7 @@
       return static_cast<std::uint16_t>(port);
     }
   }
+  throw std::runtime_error("no port of this process's block is free");
 }
 
 bool WaitForPort(std::uint16_t port, std::chrono::milliseconds limit) {
