--- a/src/sassafraswick/fleet/fwd.h
+++ b/src/sassafraswick/fleet/fwd.h
@@ -5,7 +5,6 @@
 
 class hub_contacts;
 class news_log;
-struct news_reading;
 
 }  // namespace sassafraswick
 
