Keep reads in the zone while its instance is not slower

Change: an instance of another zone counts as slower by the fastest latency. The part is added, not multiplied, so that it fades where all are loaded.

--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -48,7 +48,7 @@
         settings_(settings),
         source_(std::move(source)),
         link_(context, {settings.host, boot, settings.peers}, std::string()),
-        state_(context, RateEnvironment()),
+        state_(context, settings.availability_zone, RateEnvironment()),
         fleet_(platform, state_, link_, settings),
         failover_(platform, state_, fleet_) {}
 
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -22,11 +22,15 @@
 
 template <session_codec Codec>
 struct gateway_state {
-  gateway_state(boost::asio::io_context& io, rate_environment rates)
+  gateway_state(boost::asio::io_context& io, std::string zone,
+                rate_environment rates)
       : context(io),
+        availability_zone(std::move(zone)),
         limiter(io.get_executor(), WithContacts(std::move(rates))) {}
 
   boost::asio::io_context& context;
+  /// Where this host stands.
+  std::string availability_zone;
   /// Which hubs of the fleet answer; the limiter refers to it.
   hub_contacts contacts;
   std::shared_ptr<const catalog> tables;
@@ -62,8 +66,8 @@
          tables->pools) {
       std::shared_ptr<target_group<Codec>>& group = groups[entry.first];
       if (group == nullptr) {
-        group = std::make_shared<target_group<Codec>>(context, entry.first,
-                                                      counters);
+        group = std::make_shared<target_group<Codec>>(
+            context, entry.first, availability_zone, counters);
         group->SetProofSource(proof_source);
       }
       group->SetSyncReplicas(entry.second.sync_replicas);
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -33,10 +33,12 @@
   using slot_pointer = std::shared_ptr<target_slot<Codec>>;
   using link_pointer = std::shared_ptr<target_link<Codec>>;
 
+  /// @param availability_zone Where this host stands.
   target_group(boost::asio::io_context& context, std::string name,
-               gateway_counters& counters)
+               std::string availability_zone, gateway_counters& counters)
       : context_(context),
         name_(std::move(name)),
+        availability_zone_(std::move(availability_zone)),
         counters_(counters),
         links_(
             name_, counters,
@@ -378,6 +380,7 @@
     option.slots = std::max<std::uint32_t>(slot.record.slots, 1);
     option.latency = slot.latency;
     option.is_primary = slot.record.id == view_.primary;
+    option.is_remote = slot.record.availability_zone != availability_zone_;
     option.has_connection =
         std::any_of(slot.idle.begin(), slot.idle.end(),
                     [&organisation](const link_pointer& link) {
@@ -537,6 +540,7 @@
 
   boost::asio::io_context& context_;
   std::string name_;
+  std::string availability_zone_;
   gateway_counters& counters_;
   link_pool<Codec> links_;
   primary_view view_;
--- a/src/sassafraswick/routing/choose_target.cc
+++ b/src/sassafraswick/routing/choose_target.cc
@@ -7,6 +7,9 @@
 
 /// The primary alone can run writes: reads count this much more there.
 constexpr double kPrimaryWeight = 1.6;
+/// Bytes between zones are paid for: reads leave the own zone once an instance
+/// there takes longer than another one by this part of the fastest latency.
+constexpr double kRemoteCost = 1.0;
 /// Latency assumed if no instance was measured yet, in milliseconds.
 constexpr double kUnknownLatency = 20.0;
 /// Keeps an avoided option behind every other.
@@ -35,6 +38,9 @@
   if (option.is_primary) {
     cost *= kPrimaryWeight;
   }
+  if (option.is_remote) {
+    cost += kRemoteCost * fastest;
+  }
   if (!option.has_connection) {
     cost += ToMilliseconds(option.connect_time);
   }
--- a/src/sassafraswick/routing/choose_target.h
+++ b/src/sassafraswick/routing/choose_target.h
@@ -23,6 +23,8 @@
   /// Smoothed time to an answer.
   duration latency = duration::zero();
   bool is_primary = false;
+  /// Stands in another availability zone than the host.
+  bool is_remote = false;
   /// A connection of the organisation rests ready.
   bool has_connection = false;
   /// Time for opening one.
--- a/test/sassafraswick/gateway/read_plan_test.cc
+++ b/test/sassafraswick/gateway/read_plan_test.cc
@@ -15,7 +15,7 @@
 std::shared_ptr<group> Unproved(boost::asio::io_context& context,
                                 gateway_counters& counters) {
   std::shared_ptr<group> made =
-      std::make_shared<group>(context, "orders", counters);
+      std::make_shared<group>(context, "orders", "zone-a", counters);
   for (const char* const id : {"a", "b", "c"}) {
     target_record record;
     record.id = id;
--- a/test/sassafraswick/routing/choose_target_test.cc
+++ b/test/sassafraswick/routing/choose_target_test.cc
@@ -41,6 +41,30 @@
   CHECK(ChooseTarget({primary, Option(25)}, 3) == 1U);
 }
 
+// Standard days of klv-transform: three reads in four crossed zones, and their
+// bytes were half of all prices.
+TEST_CASE("reads stay in the zone until its instance is slower or fuller",
+          "[choose_target]") {
+  target_option near = Option(20);
+  target_option far = Option(20);
+  far.is_remote = true;
+  for (std::uint64_t random = 0; random < 100; ++random) {
+    CHECK(ChooseTarget({far, near}, random) == 1U);
+  }
+  near.latency = std::chrono::milliseconds(50);
+  CHECK(ChooseTarget({far, near}, 3) == 0U);
+  near = Option(20);
+  near.in_flight = 4;
+  CHECK(ChooseTarget({far, near}, 3) == 0U);
+  // Where all are slow, the zone counts for less than the load.
+  near = Option(200);
+  near.in_flight = 6;
+  far.latency = std::chrono::milliseconds(120);
+  CHECK(ChooseTarget({far, near}, 3) == 0U);
+  // Two zones without an instance of their own share evenly.
+  CHECK(ChooseTarget({far, far}, 3).has_value());
+}
+
 TEST_CASE("waiting for a replica is weighed against the primary's load",
           "[choose_target]") {
   target_option primary = Option(20);
