Read the store once at the start, and part following from relaying

Change: one reading of all keys at the start and where the store has dropped changes; a reading of one prefix remains for what peers name. The side that tells other hosts stands in gateway/news_relay, what is followed in gateway/followed_prefix.

--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -143,6 +143,8 @@
   news_environment NewsEnvironment() {
     news_environment environment;
     environment.host = host_;
+    environment.first_delay =
+        fleet_starts_ ? kFleetStartTime : duration::zero();
     environment.hosts = [this]() -> const std::vector<std::string>& {
       return registry_.names;
     };
@@ -174,7 +176,6 @@
     news_.Add(std::move(targets));
     followed_prefix hosts;
     hosts.prefix = std::string(kRegistryPrefix);
-    hosts.first_delay = fleet_starts_ ? kFleetStartTime : duration::zero();
     hosts.load = [this](const store_page& page) {
       LoadRegistry(registry_, page, monotonic_clock::now());
       NoteHosts();
--- a/src/sassafraswick/gateway/fwd.h
+++ b/src/sassafraswick/gateway/fwd.h
@@ -3,8 +3,11 @@
 
 namespace sassafraswick {
 
+class news_relay;
 class rate_limiter;
+struct followed_prefix;
 struct gateway_counters;
+struct news_environment;
 
 }  // namespace sassafraswick
 
--- a/src/sassafraswick/gateway/store_news.h
+++ b/src/sassafraswick/gateway/store_news.h
@@ -15,8 +15,10 @@
 
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/fleet/news_log.h"
+#include "sassafraswick/gateway/followed_prefix.h"
 #include "sassafraswick/gateway/gateway_platform.h"
 #include "sassafraswick/gateway/gateway_state.h"
+#include "sassafraswick/gateway/news_relay.h"
 #include "sassafraswick/gateway/shared_store.h"
 #include "sassafraswick/gateway/store_calls.h"
 #include "sassafraswick/net/async_event.h"
@@ -31,52 +33,6 @@
 
 namespace sassafraswick {
 
-/// Longest wait of one watch in a small fleet; the store's limit is 30 s.
-inline constexpr duration kWatchWait = std::chrono::seconds(20);
-/// Pause a host of the fleet after changes of targets or hosts were taken, and
-/// its limit: each change costs every watching host a call, and some ten come
-/// together when a fleet starts. Instances that leave serve on for 7 s and
-/// more.
-inline constexpr duration kChangePause = std::chrono::milliseconds(8);
-inline constexpr duration kChangePauseLimit = std::chrono::milliseconds(200);
-
-/// Time in which the hosts of a fleet that starts have registered; the users'
-/// start within 300 ms of each other. Whoever reads the hosts earlier takes the
-/// fleet for small.
-inline constexpr duration kFleetStartTime = std::chrono::milliseconds(700);
-
-/// What the news of the store need of their host.
-struct news_environment {
-  std::string host;
-  /// Names of all hosts, this one included, in order.
-  std::function<const std::vector<std::string>&()> hosts;
-  std::function<void(const std::string& host, message::envelope envelope)> send;
-  std::function<void(const std::string& route, message::envelope envelope)>
-      answer;
-};
-
-/// One followed key or prefix.
-struct followed_prefix {
-  std::string prefix;
-  /// Takes over all entries; those that are missing are gone.
-  std::function<void(const store_page&)> load;
-  /// Takes over changes.
-  std::function<void(const store_page&)> take;
-  /// Changes of it are relayed. Otherwise it is read anew when a peer names a
-  /// newer version.
-  bool relayed = true;
-  /// Time before the first reading.
-  duration first_delay = duration::zero();
-  /// Revision up to which everything was taken over; 0 before the first
-  /// reading.
-  std::int64_t revision = 0;
-  /// When the store last confirmed that there was nothing newer.
-  time_point confirmed_at;
-  bool reload = false;
-  /// When a reading that may be old was last made.
-  time_point read_old_at;
-};
-
 template <gateway_platform Platform>
 class store_news {
  public:
@@ -89,6 +45,7 @@
         gateway_(gateway),
         calls_(calls),
         environment_(std::move(environment)),
+        relay_(environment_.answer),
         wanted_(gateway.context.get_executor()) {}
 
   /// Follows a prefix; to be called before `Start`.
@@ -121,10 +78,7 @@
     if (KnownRevision() == 0) {
       return;
     }
-    subscriber& known = subscribers_[from];
-    known = {route, request.revision(), request.stamp(),
-             monotonic_clock::now()};
-    Tell(known);
+    relay_.Handle(from, route, request, State());
   }
 
   /// Takes over what a follower said.
@@ -137,7 +91,7 @@
       return;
     }
     if (answer.base() == 0 || answer.base() > KnownRevision()) {
-      AskToReload(false);
+      AskToReload();
       return;
     }
     std::vector<store_item> items;
@@ -156,20 +110,7 @@
   /// Tells hosts that ask this one of changes. Every message names the version
   /// of the configuration.
   /// @param version_rose Tell all, also if there are no other changes.
-  void TellAll(bool version_rose) {
-    const time_point now = monotonic_clock::now();
-    std::erase_if(subscribers_,
-                  [now](const std::pair<const std::string, subscriber>& each) {
-                    return now - each.second.asked_at > kForgetSubscriber;
-                  });
-    for (std::pair<const std::string, subscriber>& each : subscribers_) {
-      const std::optional<std::vector<store_item>> changes =
-          log_.Since(each.second.revision);
-      if (version_rose || (changes.has_value() && !changes->empty())) {
-        Tell(each.second);
-      }
-    }
-  }
+  void TellAll(bool version_rose) { relay_.TellAll(version_rose, State()); }
 
   /// Tells whether this host watches the store.
   [[nodiscard]] bool Watches() {
@@ -178,16 +119,8 @@
   }
 
  private:
-  /// A host that asks this one.
-  struct subscriber {
-    std::string route;
-    std::int64_t revision = 0;
-    std::uint64_t stamp = 0;
-    time_point asked_at;
-  };
-
   /// Prefix of all keys.
-  static constexpr std::string_view kEveryPrefix = "";
+  static constexpr std::string_view kEveryPrefix{};
   /// Time between two looks whether something has to be read or watched.
   static constexpr duration kWantedTick = std::chrono::milliseconds(200);
   /// Time after a reading that may be old in which the next one must not be.
@@ -197,9 +130,6 @@
   static constexpr duration kRetryPerHost = std::chrono::milliseconds(10);
   static constexpr duration kLongestRetry = std::chrono::seconds(4);
 
-  /// Time after its last question for which a host is told of changes.
-  static constexpr duration kForgetSubscriber = 4 * kNewsInterval;
-
   const std::vector<std::string>& Ranked() {
     ranking_.SetHosts(environment_.hosts());
     return ranking_.Rank("news");
@@ -230,6 +160,10 @@
     return known;
   }
 
+  [[nodiscard]] news_state State() const {
+    return {KnownRevision(), ConfirmedAt()};
+  }
+
   [[nodiscard]] time_point ConfirmedAt() const {
     time_point oldest = time_point::max();
     for (const std::unique_ptr<followed_prefix>& each : followed_) {
@@ -238,14 +172,13 @@
     return oldest;
   }
 
-  /// Reads a prefix at the start and whenever its changes are lost.
+  /// Reads a prefix whenever its changes are lost.
   boost::asio::awaitable<void> KeepRead(followed_prefix& followed) {
     const std::unique_ptr<store_type> store =
         platform_.MakeStore(gateway_.context.get_executor());
     duration retry = kStoreRetry;
-    co_await Sleep(followed.first_delay);
     while (true) {
-      if (followed.revision != 0 && !followed.reload) {
+      if (reads_all_ || !followed.reload) {
         co_await wanted_.Wait(kWantedTick);
         continue;
       }
@@ -254,23 +187,66 @@
     }
   }
 
-  /// Follows the changes of everything by one watch: each waiting call is
-  /// priced, and while the store is away each is a call that fails.
+  /// Reads everything and follows its changes by one watch: each call is
+  /// priced, those that wait and those that fail as well.
   boost::asio::awaitable<void> KeepWatching() {
     const std::unique_ptr<store_type> store =
         platform_.MakeStore(gateway_.context.get_executor());
     duration retry = kStoreRetry;
+    co_await Sleep(environment_.first_delay);
     while (true) {
       const std::int64_t known = FollowedRevision();
-      if (known == 0 || !Watches()) {
+      if (!reads_all_ && (known == 0 || !Watches())) {
         co_await wanted_.Wait(kWantedTick);
         continue;
       }
-      const result<void> outcome = co_await WatchOnce(*store, known);
+      result<void> outcome = boost::outcome_v2::success();
+      if (reads_all_) {
+        outcome = co_await ReadAll(*store);
+      } else {
+        outcome = co_await WatchOnce(*store, known);
+      }
       retry = co_await Rest(outcome, retry);
     }
   }
 
+  boost::asio::awaitable<result<void>> ReadAll(store_type& store) {
+    const time_point sent_at = monotonic_clock::now();
+    const result<store_page> all =
+        co_await store.Range(std::string(kEveryPrefix), read_age::kNewest);
+    calls_.Note("range", all);
+    if (!all) {
+      co_return all.error();
+    }
+    reads_all_ = false;
+    for (const std::unique_ptr<followed_prefix>& each : followed_) {
+      store_page page;
+      page.revision = all.value().revision;
+      std::copy_if(all.value().items.begin(), all.value().items.end(),
+                   std::back_inserter(page.items),
+                   [&each](const store_item& item) {
+                     return item.key.starts_with(each->prefix);
+                   });
+      each->reload = false;
+      TakePage(*each, page);
+      each->confirmed_at = std::max(each->confirmed_at, sent_at);
+    }
+    TellAll(false);
+    co_return boost::outcome_v2::success();
+  }
+
+  /// Takes over a reading, unless more is known already.
+  void TakePage(followed_prefix& followed, const store_page& page) {
+    if (page.revision < followed.revision) {
+      return;
+    }
+    followed.load(page);
+    Advance(followed, page.revision);
+    if (followed.relayed) {
+      relay_.Changes().Restart(page.revision);
+    }
+  }
+
   /// Pauses after a failed call.
   /// @return The pause after the next failure.
   boost::asio::awaitable<duration> Rest(result<void> outcome, duration pause) {
@@ -310,13 +286,7 @@
       followed.reload = again;
       co_return page.error();
     }
-    if (page.value().revision >= followed.revision) {
-      followed.load(page.value());
-      Advance(followed, page.value().revision);
-      if (followed.relayed) {
-        log_.Restart(page.value().revision);
-      }
-    }
+    TakePage(followed, page.value());
     if (age == read_age::kNewest) {
       followed.confirmed_at = std::max(followed.confirmed_at, sent_at);
     }
@@ -335,7 +305,7 @@
       if (page.error().kind == error_kind::kNotFound) {
         Log(log_level::kInfo, "store_history_lost",
             {{"revision", std::to_string(known)}});
-        AskToReload(true);
+        reads_all_ = true;
         co_return boost::outcome_v2::success();
       }
       co_return page.error();
@@ -372,7 +342,7 @@
           item.key.starts_with(followed.prefix)) {
         fresh.items.push_back(item);
         if (followed.relayed) {
-          log_.Add(item);
+          relay_.Changes().Add(item);
         }
       }
     }
@@ -384,10 +354,10 @@
     return any;
   }
 
-  /// Has everything read again, or only what is relayed.
-  void AskToReload(bool everything) {
+  /// Has what is relayed read again.
+  void AskToReload() {
     for (const std::unique_ptr<followed_prefix>& each : followed_) {
-      each->reload = each->reload || each->relayed || everything;
+      each->reload = each->reload || each->relayed;
     }
     wanted_.NotifyAll();
   }
@@ -437,41 +407,17 @@
     }
   }
 
-  void Tell(subscriber& to) {
-    message::envelope envelope;
-    message::news_answer& answer = *envelope.mutable_news_answer();
-    const std::optional<std::vector<store_item>> changes =
-        log_.Since(to.revision);
-    answer.set_revision(KnownRevision());
-    answer.set_stamp(to.stamp);
-    const duration age = std::chrono::duration_cast<duration>(
-        monotonic_clock::now() - ConfirmedAt());
-    answer.set_age_us(static_cast<std::uint64_t>(age.count()));
-    if (changes.has_value()) {
-      answer.set_base(to.revision);
-      for (const store_item& item : *changes) {
-        message::store_change& change = *answer.add_changes();
-        change.set_key(item.key);
-        change.set_value(item.value);
-        change.set_revision(item.revision);
-        change.set_lease(item.lease);
-        change.set_deleted(item.deleted);
-      }
-      to.revision = std::max(to.revision, answer.revision());
-    }
-    environment_.answer(to.route, std::move(envelope));
-  }
-
   Platform platform_;
   gateway_state<codec>& gateway_;
   store_calls& calls_;
   news_environment environment_;
   std::vector<std::unique_ptr<followed_prefix>> followed_;
-  news_log log_;
-  std::map<std::string, subscriber> subscribers_;
+  news_relay relay_;
   /// Hosts that follow the store in the order of this name.
   hub_ranking ranking_;
   async_event wanted_;
+  /// Nothing was read yet, or the store has dropped changes.
+  bool reads_all_ = true;
   /// The newest question to a follower.
   std::string asked_;
   time_point asked_at_;
