Keep the pauses between questions for a configuration while peers disagree

Cause, found by reading: a message of a peer that is itself behind counted as having caught up, so between two peers of different versions every message of the newer one asked for the record at once, and the store was never asked. In the test 150 questions in 3 s instead of 4.

Change: the newest version heard of is kept until the host has it.

--- a/src/sassafraswick/fleet/version_catch_up.cc
+++ b/src/sassafraswick/fleet/version_catch_up.cc
@@ -15,12 +15,13 @@
 
 catch_up_step version_catch_up::Next(std::uint64_t heard, std::uint64_t own,
                                      bool watches, time_point now) noexcept {
+  const bool caught_up = own != own_ || own >= wanted_;
+  wanted_ = std::max(wanted_, heard);
   if (heard <= own) {
-    behind_ = false;
+    // Peers that are behind themselves do not end the pauses.
     return catch_up_step::kNone;
   }
-  if (!behind_ || own != own_) {
-    behind_ = true;
+  if (caught_up) {
     own_ = own;
     behind_since_ = now;
     ask_at_ = watches ? now + kWatchGrace : now;
--- a/src/sassafraswick/fleet/version_catch_up.h
+++ b/src/sassafraswick/fleet/version_catch_up.h
@@ -39,8 +39,9 @@
   void NoteBusy(duration retry_after, time_point now) noexcept;
 
  private:
+  /// Own version since which the host has been behind, and the newest heard of.
   std::uint64_t own_ = 0;
-  bool behind_ = false;
+  std::uint64_t wanted_ = 0;
   time_point behind_since_;
   time_point ask_at_;
   duration patience_ = kRecordPatience;
--- a/test/sassafraswick/fleet/version_catch_up_test.cc
+++ b/test/sassafraswick/fleet/version_catch_up_test.cc
@@ -74,6 +74,33 @@
   CHECK(reads);
 }
 
+TEST_CASE("peers that are behind themselves do not end the pauses",
+          "[catch-up]") {
+  version_catch_up catch_up;
+  int questions = 0;
+  bool reads = false;
+  for (time_point now = kStart; now < kStart + std::chrono::seconds(3);
+       now += std::chrono::milliseconds(20)) {
+    const catch_up_step step = catch_up.Next(kNewer, kOwn, false, now);
+    questions += step == catch_up_step::kAskPeer ? 1 : 0;
+    reads = reads || step == catch_up_step::kReadStore;
+    CHECK(catch_up.Next(kOwn, kOwn, false, now) == catch_up_step::kNone);
+    CHECK(catch_up.Next(kOwn - 1, kOwn, false, now) == catch_up_step::kNone);
+  }
+  // After 0, 300, 900 and 2,100 ms.
+  CHECK(questions == 4);
+  CHECK(reads);
+}
+
+TEST_CASE("a version that follows at once is asked for at once", "[catch-up]") {
+  version_catch_up catch_up;
+  REQUIRE(catch_up.Next(kNewer, kOwn, false, kStart) ==
+          catch_up_step::kAskPeer);
+  CHECK(catch_up.Next(kNewer, kNewer, false, kStart) == catch_up_step::kNone);
+  CHECK(catch_up.Next(kNewer + 1, kNewer, false, kStart) ==
+        catch_up_step::kAskPeer);
+}
+
 TEST_CASE("records for peers keep to their share of the link", "[catch-up]") {
   constexpr double kLinkMbps = 20.0;
   constexpr std::size_t kRecord = 30'000;
