Hand out test ports that are only in TIME_WAIT

Cause: FreePort counted a port in TIME_WAIT as taken. Ruled out: another process on the port; every process holds its block. Change: the port is tried with SO_REUSEADDR, as all listeners bind.

--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -27,9 +27,13 @@
 constexpr int kPortBlocks = 200;
 constexpr int kPortBlockSize = 100;
 
+/// Binds as the programs under test do: a port counts as taken while a socket
+/// listens on it, but not because of earlier connections in TIME_WAIT.
 /// @return A socket bound to a loopback port, or -1 if it is taken.
 int BindPort(int port) {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   const sockaddr_in address = LoopbackAddress(static_cast<std::uint16_t>(port));
   const int bound = bind(
       descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
@@ -47,10 +51,10 @@
   for (int i = getpid();; ++i) {
     const int first = kFirstPort + (i % kPortBlocks) * kPortBlockSize;
     const int descriptor = BindPort(first);
-    if (descriptor >= 0) {
-      listen(descriptor, 1);
+    if (descriptor >= 0 && listen(descriptor, 1) == 0) {
       return first;
     }
+    close(descriptor);
   }
 }
 
