--- a/src/sassafraswick/config/catalog.h
+++ b/src/sassafraswick/config/catalog.h
@@ -105,6 +105,11 @@
   bool leaving = false;
   /// The instance considers itself its group's primary.
   bool claims_primary = false;
+  /// Time until the instance has warmed up after its start.
+  duration warmup_left = duration::zero();
+  /// Distinguishes starts of an instance under the same identifier; zero if
+  /// unknown.
+  std::int64_t start_id = 0;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/fleet/fwd.h
+++ b/src/sassafraswick/fleet/fwd.h
@@ -4,7 +4,10 @@
 namespace sassafraswick {
 
 class hub_monitor;
+class evacuated_zones;
 class store_change_log;
+class store_era_tracker;
+struct store_revision;
 class record_rate_limiter;
 class version_catch_up;
 
--- a/src/sassafraswick/fleet/store_change_log.cc
+++ b/src/sassafraswick/fleet/store_change_log.cc
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-void store_change_log::Reset(std::int64_t revision) {
+void store_change_log::Reset(const store_revision& revision) {
   // Two prefixes are read one after the other. The log is complete since the
   // later read.
   complete_since_ = std::max(complete_since_, revision);
@@ -49,7 +49,7 @@
 }
 
 std::optional<std::vector<store_item>> store_change_log::ChangesSince(
-    std::int64_t revision) const {
+    const store_revision& revision) const {
   if (!initialized_ || revision < complete_since_) {
     return std::nullopt;
   }
--- a/src/sassafraswick/fleet/store_change_log.h
+++ b/src/sassafraswick/fleet/store_change_log.h
@@ -17,11 +17,11 @@
 
 namespace sassafraswick {
 
-/// Newest change of each watched key.
+/// Newest change of each watched key, of one era of the store.
 class store_change_log {
  public:
   /// Starts the log after a full read of a prefix at this revision.
-  void Reset(std::int64_t revision);
+  void Reset(const store_revision& revision);
 
   /// Adds a change. A change that is older than the known one is ignored.
   void Add(const store_item& item);
@@ -29,12 +29,12 @@
   /// Returns the changes after a revision.
   /// @return Nothing if the log does not reach back to the revision.
   [[nodiscard]] std::optional<std::vector<store_item>> ChangesSince(
-      std::int64_t revision) const;
+      const store_revision& revision) const;
 
  private:
   std::map<std::string, store_item> changes_;
   /// Revision after which the log is complete.
-  std::int64_t complete_since_ = 0;
+  store_revision complete_since_;
   bool initialized_ = false;
 };
 
--- a/src/sassafraswick/gateway/change_relay.cc
+++ b/src/sassafraswick/gateway/change_relay.cc
@@ -18,7 +18,9 @@
                                  const message::news_request& request,
                                  const watch_progress& progress) {
   subscriber& requester = subscribers_[from];
-  requester = {route, request.revision(), request.stamp(),
+  requester = {route,
+               {request.era(), request.revision()},
+               request.stamp(),
                monotonic_clock::now()};
   Notify(requester, progress);
 }
@@ -45,22 +47,23 @@
   message::news_answer& answer = *envelope.mutable_news_answer();
   const std::optional<std::vector<store_item>> changes =
       log_.ChangesSince(receiver.revision);
-  answer.set_revision(progress.revision);
+  answer.set_era(progress.revision.era);
+  answer.set_revision(progress.revision.number);
   answer.set_stamp(receiver.stamp);
   const duration age = std::chrono::duration_cast<duration>(
       monotonic_clock::now() - progress.confirmed_at);
   answer.set_age_us(static_cast<std::uint64_t>(age.count()));
   if (changes.has_value()) {
-    answer.set_base(receiver.revision);
+    answer.set_base(receiver.revision.number);
     for (const store_item& item : *changes) {
       message::store_change& change = *answer.add_changes();
       change.set_key(item.key);
       change.set_value(item.value);
-      change.set_revision(item.revision);
+      change.set_revision(item.revision.number);
       change.set_lease(item.lease);
       change.set_deleted(item.deleted);
     }
-    receiver.revision = std::max(receiver.revision, answer.revision());
+    receiver.revision = std::max(receiver.revision, progress.revision);
   }
   respond_(receiver.route, std::move(envelope));
 }
--- a/src/sassafraswick/gateway/change_relay.h
+++ b/src/sassafraswick/gateway/change_relay.h
@@ -19,7 +19,7 @@
 /// Revision up to which the relayed prefixes were applied, and the last time at
 /// which the store was known to have nothing newer.
 struct watch_progress {
-  std::int64_t revision = 0;
+  store_revision revision;
   time_point confirmed_at;
 };
 
@@ -53,7 +53,7 @@
   /// A host that polls this one for changes.
   struct subscriber {
     std::string route;
-    std::int64_t revision = 0;
+    store_revision revision;
     std::uint64_t stamp = 0;
     time_point last_request_at;
   };
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -154,7 +154,8 @@
       co_return;
     }
     ++gateway_.counters.promotions;
-    const std::int64_t token = fleet_.Registry().failover.fencing_token;
+    const std::int64_t token =
+        ToFencingToken(fleet_.Registry().failover.fencing_token);
     const result<bool> accepted = co_await platform_.Promote(
         gateway_.context.get_executor(), group->Name(), action.instance,
         fleet_.Host(), token);
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "sassafraswick/core/deflate.h"
 #include "sassafraswick/core/log.h"
@@ -47,6 +48,7 @@
         link_(link),
         host_(settings.host),
         fleet_starts_(settings.fleet_starts),
+        eras_(settings.fleet_starts),
         record_rate_limiter_(settings.link_mbps),
         calls_(gateway.counters),
         targets_(gateway),
@@ -54,9 +56,11 @@
                 [this](const std::string& to, message::envelope envelope) {
                   SendTo(to, std::move(envelope));
                 }),
-        registration_(platform, gateway, registry_, calls_, host_,
-                      host_ + "/" + std::to_string(link_.Identity().boot),
-                      link_.Identity().listen),
+        registration_(
+            platform, gateway, registry_, eras_, calls_,
+            [this](store_era era) { ObserveEra(era); }, host_,
+            host_ + "/" + std::to_string(link_.Identity().boot),
+            link_.Identity().listen),
         watcher_(platform, gateway, calls_, WatcherEnvironment()) {
     AddOwnHost();
     gateway_.proof_source = [this](const std::string& pool) {
@@ -71,6 +75,8 @@
                      [this] { return registration_.Run(); });
     SpawnWithRestart(gateway_.context, "targets",
                      [this] { return targets_.RemoveMissing(); });
+    SpawnWithRestart(gateway_.context, "unconfirmed",
+                     [this] { return RemoveUnconfirmed(); });
   }
 
   /// Sends a message to a host, with the version of the current configuration.
@@ -79,13 +85,13 @@
     if (found == registry_.hosts.end() || host == host_) {
       return;
     }
-    envelope.set_configuration_version(Version());
+    AddKnownVersions(envelope);
     link_.Send(found->second, std::move(envelope));
   }
 
   /// Sends a response over the connection on which the request arrived.
   void Respond(const std::string& route, message::envelope envelope) {
-    envelope.set_configuration_version(Version());
+    AddKnownVersions(envelope);
     link_.Reply(route, std::move(envelope));
   }
 
@@ -93,6 +99,9 @@
   void HandleMessage(const message::envelope& received,
                      const std::string& route) {
     gateway_.hubs.RecordMessage(received.host());
+    if (received.store_era() != 0) {
+      ObserveEra(received.store_era());
+    }
     CatchUpWith(received, route);
     if (received.has_token_transfer()) {
       const std::optional<message::token_answer> answer =
@@ -133,6 +142,7 @@
 
   [[nodiscard]] const host_registry& Registry() const { return registry_; }
   [[nodiscard]] const std::string& Host() const { return host_; }
+  [[nodiscard]] store_era StoreEra() const { return eras_.Current(); }
   [[nodiscard]] bool HasTargets() const { return targets_.IsLoaded(); }
 
  private:
@@ -143,8 +153,39 @@
     registry_.expired.erase(host_);
   }
 
+  /// Adds what every message tells the receiver: the newest configuration and
+  /// era of the store that this host knows.
+  void AddKnownVersions(message::envelope& envelope) const {
+    envelope.set_configuration_version(Version());
+    envelope.set_store_era(eras_.Current());
+  }
+
+  /// Records the era of a response of the store or of a peer's message.
+  void ObserveEra(store_era era) {
+    if (eras_.Observe(era, monotonic_clock::now())) {
+      Log(log_level::kWarning, "store_era", {{"era", std::to_string(era)}});
+      watcher_.BeginEra();
+    }
+  }
+
+  /// Removes what a new era of the store lacked and what was not written again.
+  boost::asio::awaitable<void> RemoveUnconfirmed() {
+    constexpr duration kInterval = std::chrono::seconds(1);
+    while (true) {
+      co_await Sleep(kInterval);
+      const time_point now = monotonic_clock::now();
+      if (DropUnconfirmedHosts(registry_, now)) {
+        UpdateHostCount();
+      }
+      gateway_.evacuated.DropLostMarks(now);
+      OnEvacuationsChanged();
+    }
+  }
+
   store_watcher_environment WatcherEnvironment() {
     store_watcher_environment environment;
+    environment.era = [this] { return eras_.Current(); };
+    environment.observe_era = [this](store_era era) { ObserveEra(era); };
     environment.host = host_;
     environment.first_delay =
         fleet_starts_ ? kFleetRegistrationTime : duration::zero();
@@ -181,6 +222,15 @@
       targets_.ApplyChanges(page);
     };
     watcher_.AddPrefix(std::move(targets));
+    watched_prefix evacuations;
+    evacuations.prefix = std::string(Platform::kEvacuationPrefix);
+    evacuations.apply_snapshot = [this](const store_page& page) {
+      LoadEvacuations(page);
+    };
+    evacuations.apply_changes = [this](const store_page& page) {
+      ApplyEvacuations(page);
+    };
+    watcher_.AddPrefix(std::move(evacuations));
     watched_prefix hosts;
     hosts.prefix = std::string(kRegistryPrefix);
     hosts.apply_snapshot = [this](const store_page& page) {
@@ -193,6 +243,44 @@
     watcher_.AddPrefix(std::move(hosts));
   }
 
+  static std::string EvacuatedZone(const store_item& item) {
+    return item.key.substr(Platform::kEvacuationPrefix.size());
+  }
+
+  void LoadEvacuations(const store_page& page) {
+    std::vector<std::string> zones;
+    for (const store_item& item : page.items) {
+      zones.push_back(EvacuatedZone(item));
+    }
+    gateway_.evacuated.Load(zones, page.revision.era, monotonic_clock::now());
+    OnEvacuationsChanged();
+  }
+
+  void ApplyEvacuations(const store_page& page) {
+    for (const store_item& item : page.items) {
+      if (item.deleted) {
+        gateway_.evacuated.Unmark(EvacuatedZone(item));
+      } else {
+        gateway_.evacuated.Mark(EvacuatedZone(item), monotonic_clock::now());
+      }
+    }
+    OnEvacuationsChanged();
+  }
+
+  void OnEvacuationsChanged() {
+    const std::vector<std::string> zones = gateway_.evacuated.Names();
+    if (zones == evacuated_zones_) {
+      return;
+    }
+    evacuated_zones_ = zones;
+    std::string text;
+    for (const std::string& zone : zones) {
+      text += text.empty() ? zone : "," + zone;
+    }
+    Log(log_level::kInfo, "zones_evacuated", {{"zones", text}});
+    gateway_.ApplyEvacuation();
+  }
+
   void ApplyConfiguration(const store_page& page) {
     for (const store_item& item : page.items) {
       if (item.key == Platform::kConfigurationKey && !item.deleted) {
@@ -307,7 +395,7 @@
     if (registry_.failover.holder != before) {
       Log(log_level::kInfo, "failover_lease",
           {{"holder", registry_.failover.holder},
-           {"token", std::to_string(registry_.failover.fencing_token)}});
+           {"token", FormatRevision(registry_.failover.fencing_token)}});
     }
     UpdateHostCount();
   }
@@ -329,7 +417,10 @@
   peer_link& link_;
   std::string host_;
   bool fleet_starts_;
+  store_era_tracker eras_;
   host_registry registry_;
+  /// Evacuated zones of which the instances were told.
+  std::vector<std::string> evacuated_zones_;
   std::string record_;
   /// `record_`, compressed on the first request of a peer.
   std::string compressed_record_;
--- a/src/sassafraswick/gateway/gateway_platform.h
+++ b/src/sassafraswick/gateway/gateway_platform.h
@@ -24,9 +24,10 @@
 concept gateway_platform = session_codec<typename Platform::codec> &&
     shared_store<typename Platform::store> &&
     requires(Platform platform, std::string text, std::int64_t token,
-             boost::asio::any_io_executor executor) {
+             boost::asio::any_io_executor executor,
+             store_era_observer observer) {
   {
-    platform.MakeStore(executor)
+    platform.MakeStore(executor, observer)
     } -> std::same_as<std::unique_ptr<typename Platform::store>>;
   {
     Platform::DecodeCatalog(text)
@@ -34,6 +35,8 @@
   { Platform::DecodeTarget(text, text) } -> std::same_as<result<target_record>>;
   { Platform::kConfigurationKey } -> std::convertible_to<std::string_view>;
   { Platform::kTargetsPrefix } -> std::convertible_to<std::string_view>;
+  /// Prefix of the marks of evacuated zones; the rest of a key is the zone.
+  { Platform::kEvacuationPrefix } -> std::convertible_to<std::string_view>;
   /// Requests the promotion of an instance; false if the instance is not
   /// running.
   {
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -42,6 +42,8 @@
   std::map<std::string, target_record> unassigned_targets;
   rate_limiter limiter;
   gateway_counters counters;
+  /// Zones whose instances receive no more statements.
+  evacuated_zones evacuated;
   /// Response times of reads at all instances.
   response_times read_times;
   /// Limits the reads that run on a second instance as well.
@@ -86,6 +88,7 @@
         group = std::make_shared<target_group<Codec>>(
             context, entry.first, availability_zone, counters);
         group->SetProofSource(proof_source);
+        group->SetEvacuatedZones(evacuated);
       }
       group->SetSyncReplicas(entry.second.sync_replicas);
       group->SetBudget(entry.second.max_connections, host_count);
@@ -126,6 +129,15 @@
     }
   }
 
+  /// Applies a change of `evacuated` to all instances.
+  void ApplyEvacuation() {
+    for (const std::pair<const std::string,
+                         std::shared_ptr<target_group<Codec>>>& entry :
+         groups) {
+      entry.second->SetEvacuatedZones(evacuated);
+    }
+  }
+
   void RemoveTarget(const std::string& id) {
     unassigned_targets.erase(id);
     for (const std::pair<const std::string,
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -125,6 +125,13 @@
   boost::asio::awaitable<statement_result> RunInTransaction(
       statement query, bool writes, running_transaction<Codec>& transaction) {
     const bool commits = query.kind == statement_kind::kCommit;
+    if (transaction.lease.target->IsEvacuated(monotonic_clock::now())) {
+      transaction.lease.connection->Close();
+      statement_result aborted;
+      aborted.failure = failure_code::kAborted;
+      aborted.detail = "the instance's availability zone is evacuated";
+      co_return aborted;
+    }
     if (writes) {
       engine_.OnWrite();
     }
@@ -293,10 +300,10 @@
   boost::asio::awaitable<sent_statement> SendOn(
       statement query, std::optional<log_point> after,
       pooled_connection_lease<Codec> lease, duration timeout) {
-    statement_batch batch = BuildBatch<Codec>(
-        engine_.SessionState(), *lease.connection, query, after);
-    sent_statement sent = co_await SendBatch<Codec>(
-        group_, std::move(lease), std::move(batch), timeout);
+    statement_batch batch = BuildBatch<Codec>(engine_.SessionState(),
+                                              *lease.connection, query, after);
+    sent_statement sent = co_await SendBatch<Codec>(group_, std::move(lease),
+                                                    std::move(batch), timeout);
     co_return sent;
   }
 
--- a/src/sassafraswick/gateway/read_plan.h
+++ b/src/sassafraswick/gateway/read_plan.h
@@ -77,14 +77,16 @@
                           operation.min_position);
 }
 
-/// Returns the primary, or null if it is unknown or currently unresponsive.
+/// Returns the primary, or null if it is unknown, currently unresponsive or in
+/// an evacuated zone.
 template <session_codec Codec>
 [[nodiscard]] std::shared_ptr<target_state<Codec>> AvailablePrimary(
     const target_group<Codec>& group) {
   const std::shared_ptr<target_state<Codec>> primary = group.Primary();
-  const bool suspect =
-      primary != nullptr && primary->IsSuspect(monotonic_clock::now());
-  return suspect ? nullptr : primary;
+  const time_point now = monotonic_clock::now();
+  const bool unavailable = primary != nullptr && (primary->IsSuspect(now) ||
+                                                  primary->IsEvacuated(now));
+  return unavailable ? nullptr : primary;
 }
 
 /// Chooses an instance for a read.
--- a/src/sassafraswick/gateway/read_race.h
+++ b/src/sassafraswick/gateway/read_race.h
@@ -135,8 +135,8 @@
   /// @param state The session's variables and prepared statements.
   /// @return The first response that need not be retried elsewhere; without
   /// one, the last failure.
-  boost::asio::awaitable<read_attempt<Codec>> Run(
-      const session_state& state, read_attempt<Codec> first) {
+  boost::asio::awaitable<read_attempt<Codec>> Run(const session_state& state,
+                                                  read_attempt<Codec> first) {
     started_at_ = monotonic_clock::now();
     const duration late_after =
         gateway_.read_times.LateAfter(ResponseClassOf(operation_.route));
@@ -170,14 +170,11 @@
 
   void Start(read_attempt<Codec> attempt, const session_state& state) {
     running_at_.push_back(attempt.lease.target);
-    statement_batch batch =
-        BuildBatch<Codec>(state, *attempt.lease.connection, query_,
-                          attempt.plan.after);
+    statement_batch batch = BuildBatch<Codec>(state, *attempt.lease.connection,
+                                              query_, attempt.plan.after);
     Spawn(gateway_.context, "read",
           [self = this->shared_from_this(), attempt = std::move(attempt),
-           batch = std::move(batch)] {
-            return self->Finish(attempt, batch);
-          });
+           batch = std::move(batch)] { return self->Finish(attempt, batch); });
   }
 
   /// Returns whether no instance is left that may still respond: all attempts
@@ -217,9 +214,9 @@
     if (attempt.plan.wait > duration::zero()) {
       co_await Sleep(attempt.plan.wait);
     }
-    attempt.lease = co_await group_->Acquire(
-        attempt.plan.target, operation_.organisation, operation_.session,
-        operation_.Deadline());
+    attempt.lease =
+        co_await group_->Acquire(attempt.plan.target, operation_.organisation,
+                                 operation_.session, operation_.Deadline());
     const bool has_connection = attempt.lease.connection != nullptr;
     if (has_connection && is_over_) {
       group_->Release(attempt.lease, true);
@@ -228,8 +225,8 @@
       End(attempt.plan.target);
       co_return;
     }
-    statement_batch batch = BuildBatch<Codec>(
-        state, *attempt.lease.connection, query_, attempt.plan.after);
+    statement_batch batch = BuildBatch<Codec>(state, *attempt.lease.connection,
+                                              query_, attempt.plan.after);
     co_await Finish(std::move(attempt), std::move(batch));
   }
 
@@ -239,8 +236,7 @@
     attempt.sent =
         co_await SendBatch<Codec>(group_, attempt.lease, batch, left);
     const statement_result& response = attempt.sent.response;
-    group_->Release(attempt.lease,
-                    response.failure != failure_code::kNoAnswer);
+    group_->Release(attempt.lease, response.failure != failure_code::kNoAnswer);
     if (response.failure == failure_code::kBusy) {
       attempt.lease.target->avoid_until = monotonic_clock::now() + kBusyBackoff;
     }
--- a/src/sassafraswick/gateway/registration.h
+++ b/src/sassafraswick/gateway/registration.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -38,12 +39,15 @@
 
   /// @param identity Host name and boot id, as written into the failover lease.
   registration(const Platform& platform, gateway_state<codec>& gateway,
-               host_registry& registry, store_call_recorder& calls,
+               host_registry& registry, const store_era_tracker& eras,
+               store_call_recorder& calls, store_era_observer observe_era,
                std::string host, std::string identity, endpoint listen)
       : platform_(platform),
         gateway_(gateway),
         registry_(registry),
+        eras_(eras),
         calls_(calls),
+        observe_era_(std::move(observe_era)),
         host_(std::move(host)),
         identity_(std::move(identity)),
         listen_(std::move(listen)) {}
@@ -52,7 +56,7 @@
   /// lease when it is vacant.
   boost::asio::awaitable<void> Run() {
     const std::unique_ptr<store_type> store =
-        platform_.MakeStore(gateway_.context.get_executor());
+        platform_.MakeStore(gateway_.context.get_executor(), observe_era_);
     constexpr duration kCheckInterval = std::chrono::milliseconds(100);
     duration retry_delay = kInitialStoreRetryDelay;
     time_point retry_at;
@@ -85,17 +89,10 @@
       co_await Sleep(kCallCheckInterval);
     }
     const std::unique_ptr<store_type> store =
-        platform_.MakeStore(gateway_.context.get_executor());
-    if (IsRecordedHolder() &&
+        platform_.MakeStore(gateway_.context.get_executor(), observe_era_);
+    if (IsRecordedHolder() && IsCurrent(failover_lease_) &&
         monotonic_clock::now() < failover_lease_.ValidUntil()) {
-      store_change release;
-      release.key = std::string(kFailoverKey);
-      release.remove = true;
-      release.conditional = true;
-      release.expected_revision = registry_.failover.fencing_token;
-      registry_.failover.holder.clear();
-      const result<store_commit> released = co_await store->Commit(release);
-      calls_.RecordCall("release_failover", released);
+      co_await ReleaseFailover(*store);
     }
     store_change removal;
     removal.key = std::string(kHostsPrefix) + host_;
@@ -107,14 +104,38 @@
   /// Returns whether this host holds the failover lease and may replace
   /// primaries.
   [[nodiscard]] bool HoldsFailover(time_point now) const {
-    return !leaving_ && IsRecordedHolder() &&
+    return !leaving_ && IsRecordedHolder() && IsCurrent(failover_lease_) &&
            now < failover_lease_.ValidUntil();
   }
 
  private:
   [[nodiscard]] bool IsRecordedHolder() const {
     return registry_.failover.holder == identity_ &&
-           registry_.failover.lease == failover_lease_.id;
+           registry_.failover.lease == failover_lease_.id &&
+           registry_.failover.fencing_token.era == failover_lease_.era;
+  }
+
+  /// Returns whether a lease is of the store's current era. One of an earlier
+  /// era must not be renewed: its number may be another host's lease by now.
+  [[nodiscard]] bool IsCurrent(const held_lease& lease) const {
+    return lease.era == eras_.Current();
+  }
+
+  /// Gives up leases of earlier eras. The host registers again after a random
+  /// delay, so that the hosts of a fleet do not write all at once.
+  void DropEarlierLeases() {
+    if (failover_lease_.id != 0 && !IsCurrent(failover_lease_)) {
+      Log(log_level::kWarning, "failover_lease_dropped",
+          {{"era", std::to_string(eras_.Current())}});
+      failover_lease_ = held_lease();
+    }
+    if (lease_.id != 0 && !IsCurrent(lease_)) {
+      lease_ = held_lease();
+      const duration spread = ReregistrationSpread(registry_.names.size());
+      register_at_ = monotonic_clock::now() +
+                     duration(std::uniform_int_distribution<duration::rep>(
+                         0, spread.count())(random_));
+    }
   }
 
   static bool IsDue(const held_lease& lease) {
@@ -125,22 +146,31 @@
   /// @return False if a call failed.
   boost::asio::awaitable<bool> RunDueCalls(store_type& store) {
     bool succeeded = true;
+    DropEarlierLeases();
     // The failover lease has the shorter time to live, so it is renewed first.
     if (failover_lease_.id != 0 && IsDue(failover_lease_)) {
       const bool renewed =
           co_await Renew(store, failover_lease_, "keep_failover");
       succeeded = succeeded && renewed;
     }
-    if (lease_.id == 0 && !leaving_) {
-      const bool registered = co_await Register(store);
+    if (lease_.id == 0) {
+      const bool is_due = !leaving_ && monotonic_clock::now() >= register_at_;
+      const bool registered = !is_due || co_await Register(store);
       succeeded = succeeded && registered;
     } else if (IsDue(lease_)) {
       const bool renewed = co_await Renew(store, lease_, "keep_lease");
       succeeded = succeeded && renewed;
     }
+    if (IsStrayHolder(registry_, identity_, failover_lease_, eras_)) {
+      const bool released = co_await ReleaseFailover(store);
+      succeeded = succeeded && released;
+    }
     const bool claim =
         lease_.id != 0 && registry_.loaded &&
         gateway_.current_catalog != nullptr && !leaving_ &&
+        registry_.era == eras_.Current() &&
+        eras_.HaveEarlierLeasesEnded(kFailoverLeaseTtl,
+                                     monotonic_clock::now()) &&
         ShouldClaimFailover(registry_, host_, monotonic_clock::now());
     if (claim) {
       const bool claimed = co_await ClaimFailover(store);
@@ -157,6 +187,7 @@
     calls_.RecordCall("grant_lease", granted);
     if (granted) {
       lease.id = granted.value().id;
+      lease.era = granted.value().era;
       lease.ttl = granted.value().ttl;
       lease.renewed_at = sent_at;
     }
@@ -174,10 +205,12 @@
     entry.lease = lease.id;
     const result<store_commit> written = co_await store.Commit(entry);
     calls_.RecordCall("register", written);
-    if (written) {
+    const bool registered =
+        written && written.value().revision.era == lease.era;
+    if (registered) {
       lease_ = lease;
     }
-    co_return written.has_value();
+    co_return registered;
   }
 
   boost::asio::awaitable<bool> Renew(store_type& store, held_lease& lease,
@@ -186,6 +219,9 @@
     const std::uint64_t id = lease.id;
     const result<void> kept = co_await store.KeepLease(id);
     calls_.RecordCall(call_name, kept);
+    if (!IsCurrent(lease)) {
+      co_return false;
+    }
     if (kept) {
       lease.renewed_at = sent_at;
       co_return true;
@@ -197,6 +233,21 @@
     co_return false;
   }
 
+  /// Removes the record that names this host as holder of the failover lease.
+  /// @return False if the call failed.
+  boost::asio::awaitable<bool> ReleaseFailover(store_type& store) {
+    store_change release;
+    release.key = std::string(kFailoverKey);
+    release.remove = true;
+    release.conditional = true;
+    release.expected_revision = registry_.failover.fencing_token.number;
+    registry_.failover.holder.clear();
+    registry_.failover.vacant_since = monotonic_clock::now();
+    const result<store_commit> released = co_await store.Commit(release);
+    calls_.RecordCall("release_failover", released);
+    co_return released.has_value();
+  }
+
   boost::asio::awaitable<bool> ClaimFailover(store_type& store) {
     const held_lease lease = co_await AcquireLease(store, kFailoverLeaseTtl);
     if (lease.id == 0) {
@@ -209,7 +260,9 @@
     claim.conditional = true;
     const result<store_commit> claimed = co_await store.Commit(claim);
     calls_.RecordCall("claim_failover", claimed);
-    if (!claimed || !claimed.value().applied) {
+    const bool holds = claimed && claimed.value().applied &&
+                       claimed.value().revision.era == lease.era;
+    if (!holds) {
       co_return false;
     }
     failover_lease_ = lease;
@@ -220,19 +273,24 @@
     item.lease = claim.lease;
     ApplyRegistryItem(registry_, item, monotonic_clock::now());
     Log(log_level::kInfo, "failover_lease_taken",
-        {{"token", std::to_string(item.revision)}});
+        {{"token", FormatRevision(item.revision)}});
     co_return true;
   }
 
   Platform platform_;
   gateway_state<codec>& gateway_;
   host_registry& registry_;
+  const store_era_tracker& eras_;
   store_call_recorder& calls_;
+  store_era_observer observe_era_;
   std::string host_;
   std::string identity_;
   endpoint listen_;
   held_lease lease_;
   held_lease failover_lease_;
+  /// Time of the registration in a new era.
+  time_point register_at_;
+  std::mt19937_64 random_{std::random_device()()};
   bool leaving_ = false;
   /// A call that may write is in flight.
   bool call_in_flight_ = false;
--- a/src/sassafraswick/gateway/registry.cc
+++ b/src/sassafraswick/gateway/registry.cc
@@ -15,6 +15,10 @@
 /// (12 s). If the host is really gone, its share stays unused until then.
 constexpr duration kExpiredHostSharingTime = std::chrono::seconds(60);
 
+/// Time beyond `ReregistrationSpread` for registrations in a new era: retries
+/// while the store is busy, and the way to other hosts.
+constexpr duration kReregistrationMargin = std::chrono::seconds(5);
+
 void RefreshNames(host_registry& registry) {
   registry.names.clear();
   for (const std::pair<const std::string, endpoint>& host : registry.hosts) {
@@ -26,6 +30,7 @@
                time_point now) {
   const std::string name = item.key.substr(kHostsPrefix.size());
   const result<endpoint> address = ParseEndpoint(item.value);
+  registry.unconfirmed.erase(name);
   if (item.deleted || !address) {
     registry.hosts.erase(name);
     registry.expired[name] = now;
@@ -59,9 +64,17 @@
   registry = host_registry();
   registry.loaded = true;
   registry.expired = previous.expired;
+  registry.era = page.revision.era;
+  const bool is_new_era = previous.loaded && previous.era != registry.era;
   for (const std::string& name : previous.names) {
-    registry.expired[name] = now;
+    if (is_new_era) {
+      registry.hosts[name] = previous.hosts.find(name)->second;
+      registry.unconfirmed[name] = now;
+    } else {
+      registry.expired[name] = now;
+    }
   }
+  RefreshNames(registry);
   registry.failover.vacant_since =
       previous.failover.holder.empty() &&
               previous.failover.vacant_since != time_point()
@@ -82,6 +95,25 @@
   }
 }
 
+bool DropUnconfirmedHosts(host_registry& registry, time_point now) {
+  const duration wait =
+      ReregistrationSpread(registry.names.size()) + kReregistrationMargin;
+  bool dropped = false;
+  for (auto each = registry.unconfirmed.begin();
+       each != registry.unconfirmed.end();) {
+    if (now - each->second < wait) {
+      ++each;
+      continue;
+    }
+    registry.hosts.erase(each->first);
+    registry.expired[each->first] = now;
+    each = registry.unconfirmed.erase(each);
+    dropped = true;
+  }
+  RefreshNames(registry);
+  return dropped;
+}
+
 std::uint32_t CountSharingHosts(const host_registry& registry, time_point now) {
   std::uint32_t count = static_cast<std::uint32_t>(registry.hosts.size());
   for (const std::pair<const std::string, time_point>& host :
@@ -109,4 +141,12 @@
   return now - registry.failover.vacant_since >= kClaimDelayPerRank * rank;
 }
 
+bool IsStrayHolder(const host_registry& registry, std::string_view identity,
+                   const held_lease& lease, const store_era_tracker& eras) {
+  const failover_lease& recorded = registry.failover;
+  return recorded.holder == identity &&
+         recorded.fencing_token.era == eras.Current() &&
+         (recorded.lease != lease.id || lease.era != eras.Current());
+}
+
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/registry.h
+++ b/src/sassafraswick/gateway/registry.h
@@ -5,10 +5,12 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "sassafraswick/config/endpoint.h"
 #include "sassafraswick/core/time.h"
+#include "sassafraswick/fleet/store_era.h"
 #include "sassafraswick/gateway/shared_store.h"
 
 /// @file
@@ -28,7 +30,7 @@
   std::string holder;
   /// Store revision of the write that set the holder, or of its removal;
   /// increases with every change.
-  std::int64_t fencing_token = 0;
+  store_revision fencing_token;
   std::uint64_t lease = 0;
   /// When this host learned that the lease is vacant.
   time_point vacant_since;
@@ -45,11 +47,17 @@
   /// still be serving and only be unable to reach the store, so limits keep
   /// counting it for some time.
   std::map<std::string, time_point, std::less<>> expired;
+  /// Hosts that were registered in an earlier era of the store and have not
+  /// registered in the current one, and since when.
+  std::map<std::string, time_point, std::less<>> unconfirmed;
   bool loaded = false;
+  /// Era of the last complete read.
+  store_era era = 0;
   failover_lease failover;
 };
 
-/// Replaces the registry by the result of a complete read.
+/// Replaces the registry by the result of a complete read. In a new era of the
+/// store, hosts that it lacks remain until `DropUnconfirmedHosts`.
 void LoadRegistry(host_registry& registry, const store_page& page,
                   time_point now);
 
@@ -57,6 +65,10 @@
 void ApplyRegistryItem(host_registry& registry, const store_item& item,
                        time_point now);
 
+/// Removes the hosts that had time to register in the current era and did not.
+/// @return Whether there were any.
+bool DropUnconfirmedHosts(host_registry& registry, time_point now);
+
 /// Returns the number of hosts that share limits: those registered, and those
 /// that were until recently.
 [[nodiscard]] std::uint32_t CountSharingHosts(const host_registry& registry,
@@ -76,6 +88,7 @@
 /// A lease held by this host, measured by the host's own clock.
 struct held_lease {
   std::uint64_t id = 0;
+  store_era era = 0;
   duration ttl = duration::zero();
   /// When the last successful renewal was sent.
   time_point renewed_at;
@@ -88,6 +101,16 @@
   }
 };
 
+/// Returns whether the failover lease names this host as its holder though the
+/// host does not hold it: the response to its claim was lost, or its claim was
+/// written under a lease number that a new era gave to another host. The record
+/// then has to be released, as that lease may be renewed for long.
+/// @param identity The host's name in the record.
+[[nodiscard]] bool IsStrayHolder(const host_registry& registry,
+                                 std::string_view identity,
+                                 const held_lease& lease,
+                                 const store_era_tracker& eras);
+
 }  // namespace sassafraswick
 
 #endif  // SASSAFRASWICK_GATEWAY_REGISTRY_H_
--- a/src/sassafraswick/gateway/report.h
+++ b/src/sassafraswick/gateway/report.h
@@ -42,6 +42,7 @@
     instance["availability_zone"] = target->record.availability_zone;
     instance["listed"] = target->listed;
     instance["leaving"] = target->record.leaving;
+    instance["evacuated"] = target->evacuated_since.has_value();
     instance["idle"] = target->idle.size();
     instance["busy"] = target->busy;
     instance["latency_ms"] = ToMilliseconds(target->latency);
@@ -62,6 +63,12 @@
                               ? std::uint64_t{0}
                               : process.State().current_catalog->version;
   dump["sessions"] = process.State().counters.sessions;
+  dump["store_era"] = process.Fleet().StoreEra();
+  boost::json::array evacuated;
+  for (const std::string& zone : process.State().evacuated.Names()) {
+    evacuated.push_back(boost::json::value(zone));
+  }
+  dump["evacuated_zones"] = evacuated;
   dump["failover_holder"] = process.Fleet().Registry().failover.holder;
   boost::json::array hosts;
   for (const std::string& name : process.Fleet().Registry().names) {
--- a/src/sassafraswick/gateway/shared_store.h
+++ b/src/sassafraswick/gateway/shared_store.h
@@ -4,11 +4,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
 #include "sassafraswick/core/error.h"
 #include "sassafraswick/core/time.h"
+#include "sassafraswick/fleet/store_era.h"
 
 /// @file
 /// Interface to the shared key-value store: prefix reads, leases and watches.
@@ -26,7 +28,7 @@
 struct store_item {
   std::string key;
   std::string value;
-  std::int64_t revision = 0;
+  store_revision revision;
   std::uint64_t lease = 0;
   bool deleted = false;
 };
@@ -34,7 +36,7 @@
 /// Result of a read or a watch, and the store revision that it reflects.
 struct store_page {
   std::vector<store_item> items;
-  std::int64_t revision = 0;
+  store_revision revision;
 };
 
 /// A write or removal of one key, optionally conditional on its revision.
@@ -47,19 +49,25 @@
   /// Applies the change only if the key is at `expected_revision`; zero means
   /// that the key must not exist.
   bool conditional = false;
+  /// Number of a revision of the current era.
   std::int64_t expected_revision = 0;
 };
 
 struct store_commit {
   bool applied = false;
-  std::int64_t revision = 0;
+  store_revision revision;
 };
 
 struct store_lease {
+  /// Unique within an era.
   std::uint64_t id = 0;
+  store_era era = 0;
   duration ttl = duration::zero();
 };
 
+/// Receives the era of every response of the store, before the response.
+using store_era_observer = std::function<void(store_era era)>;
+
 /// Client of the shared store. Errors: `kUnavailable` if no response arrived
 /// (the change may still have been applied), `kNotFound` if a lease or the
 /// history that a watch needs no longer exists, `kProtocol` if the response
@@ -84,6 +92,8 @@
   {
     store.KeepLease(lease)
     } -> std::same_as<boost::asio::awaitable<result<void>>>;
+  /// Ends the call in flight, which then fails.
+  { store.Abort() } -> std::same_as<void>;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/statement_batch.h
+++ b/src/sassafraswick/gateway/statement_batch.h
@@ -26,10 +26,9 @@
 /// for it, and records that the connection holds that state.
 /// @param after Log position that the target must have reached.
 template <session_codec Codec>
-[[nodiscard]] statement_batch BuildBatch(const session_state& state,
-                                         pooled_connection<Codec>& connection,
-                                         const statement& query,
-                                         const std::optional<log_point>& after) {
+[[nodiscard]] statement_batch BuildBatch(
+    const session_state& state, pooled_connection<Codec>& connection,
+    const statement& query, const std::optional<log_point>& after) {
   prepared_statement_use use;
   if (query.kind == statement_kind::kExecute) {
     use.runs.insert(query.name);
--- a/src/sassafraswick/gateway/store_watcher.h
+++ b/src/sassafraswick/gateway/store_watcher.h
@@ -71,7 +71,7 @@
   /// watches the store and so receives their changes anyway.
   void RequestUnrelayedRead() {
     for (const std::unique_ptr<watched_prefix>& each : prefixes_) {
-      if (!each->relayed && each->revision != 0 && !IsWatching()) {
+      if (!each->relayed && IsKnown(each->revision) && !IsWatching()) {
         each->needs_read = true;
       }
     }
@@ -81,7 +81,7 @@
   /// Responds to a host that polls for changes.
   void HandleRequest(const std::string& from, const std::string& route,
                      const message::news_request& request) {
-    if (RelayedRevision() == 0) {
+    if (!IsKnown(RelayedRevision())) {
       return;
     }
     relay_.HandleRequest(from, route, request, Progress());
@@ -89,30 +89,51 @@
 
   /// Applies the changes in a relay host's response.
   void HandleAnswer(const message::news_answer& answer) {
-    if (RelayedRevision() == 0) {
+    const store_revision current = RelayedRevision();
+    const store_revision newest{answer.era(), answer.revision()};
+    if (!IsKnown(current) || newest.era < current.era) {
+      return;
+    }
+    if (newest.era > current.era) {
+      RequestRelayedRead();
       return;
     }
     RecordRelayAge(answer);
-    if (answer.revision() <= RelayedRevision()) {
+    if (newest <= current) {
       return;
     }
-    if (answer.base() == 0 || answer.base() > RelayedRevision()) {
+    if (answer.base() == 0 || answer.base() > current.number) {
       RequestRelayedRead();
       return;
     }
     std::vector<store_item> items;
     for (const message::store_change& change : answer.changes()) {
-      items.push_back({change.key(), change.value(), change.revision(),
-                       change.lease(), change.deleted()});
+      const store_revision revision{newest.era, change.revision()};
+      items.push_back({change.key(), change.value(), revision, change.lease(),
+                       change.deleted()});
     }
     for (const std::unique_ptr<watched_prefix>& each : prefixes_) {
       if (each->relayed) {
-        ApplyChanges(*each, items, answer.revision());
+        ApplyChanges(*each, items, newest);
       }
     }
     NotifySubscribers(false);
   }
 
+  /// Starts a new era of the store. A host that watches the store reads all
+  /// keys again, also if its watch still waits for changes of the earlier era;
+  /// the others learn of it from their relay host.
+  void BeginEra() {
+    if (!IsWatching()) {
+      return;
+    }
+    needs_full_read_ = true;
+    if (watch_store_ != nullptr) {
+      watch_store_->Abort();
+    }
+    work_pending_.NotifyAll();
+  }
+
   /// Sends new changes to the hosts that poll this one. Every message carries
   /// the version of the configuration.
   /// @param configuration_changed Send to every subscriber, even if there are
@@ -129,6 +150,9 @@
   }
 
  private:
+  static constexpr store_revision kNewestRevision{
+      std::numeric_limits<store_era>::max(),
+      std::numeric_limits<std::int64_t>::max()};
   /// The empty prefix matches all keys.
   static constexpr std::string_view kAllKeysPrefix{};
   /// Interval at which the loops check for a pending read or watch.
@@ -161,14 +185,13 @@
                                       kMaxStoreRetryDelay, kMaxRetryDelayCap);
   }
 
-  [[nodiscard]] std::int64_t RelayedRevision() const {
-    std::int64_t known = 0;
+  /// Revision up to which the changes of all relayed prefixes were applied;
+  /// unknown before they were read.
+  [[nodiscard]] store_revision RelayedRevision() const {
+    store_revision known = kNewestRevision;
     for (const std::unique_ptr<watched_prefix>& each : prefixes_) {
       if (each->relayed) {
-        known = known == 0 ? each->revision : std::min(known, each->revision);
-        if (each->revision == 0) {
-          return 0;
-        }
+        known = std::min(known, each->revision);
       }
     }
     return known;
@@ -188,8 +211,7 @@
 
   /// Reads a prefix again whenever its changes may have been missed.
   boost::asio::awaitable<void> ReadWhenNeeded(watched_prefix& watched) {
-    const std::unique_ptr<store_type> store =
-        platform_.MakeStore(gateway_.context.get_executor());
+    const std::unique_ptr<store_type> store = MakeStore();
     duration retry_delay = kInitialStoreRetryDelay;
     while (true) {
       if (needs_full_read_ || !watched.needs_read) {
@@ -204,21 +226,24 @@
   /// Reads all keys, then receives the changes of all prefixes by a single
   /// watch: each call is billed, including waiting and failed ones.
   boost::asio::awaitable<void> WatchContinuously() {
-    const std::unique_ptr<store_type> store =
-        platform_.MakeStore(gateway_.context.get_executor());
+    watch_store_ = MakeStore();
     duration retry_delay = kInitialStoreRetryDelay;
     co_await Sleep(environment_.first_delay);
     while (true) {
-      const std::int64_t known = WatchedRevision();
-      if (!needs_full_read_ && (known == 0 || !IsWatching())) {
+      const store_revision known = WatchedRevision();
+      const bool is_watching = IsKnown(known) && IsWatching();
+      if (is_watching && known.era < environment_.era()) {
+        needs_full_read_ = true;
+      }
+      if (!needs_full_read_ && !is_watching) {
         co_await work_pending_.Wait(kWorkCheckInterval);
         continue;
       }
       result<void> outcome = boost::outcome_v2::success();
       if (needs_full_read_) {
-        outcome = co_await ReadAll(*store);
+        outcome = co_await ReadAll(*watch_store_);
       } else {
-        outcome = co_await WatchOnce(*store, known);
+        outcome = co_await WatchOnce(*watch_store_, known);
       }
       retry_delay = co_await BackOff(outcome, retry_delay);
     }
@@ -232,6 +257,9 @@
     if (!all) {
       co_return all.error();
     }
+    if (all.value().revision.era < environment_.era()) {
+      co_return MakeEarlierEraError();
+    }
     needs_full_read_ = false;
     for (const std::unique_ptr<watched_prefix>& each : prefixes_) {
       store_page page;
@@ -272,16 +300,27 @@
     co_return std::min(retry_delay * 2, MaxRetryDelay());
   }
 
-  /// Revision up to which the changes of all prefixes were applied; 0 while a
-  /// prefix has to be read.
-  [[nodiscard]] std::int64_t WatchedRevision() const {
-    std::int64_t known = std::numeric_limits<std::int64_t>::max();
+  /// Revision up to which the changes of all prefixes were applied; unknown
+  /// while a prefix has to be read.
+  [[nodiscard]] store_revision WatchedRevision() const {
+    store_revision known = kNewestRevision;
     for (const std::unique_ptr<watched_prefix>& each : prefixes_) {
-      known = std::min(known, each->needs_read ? 0 : each->revision);
+      known =
+          std::min(known, each->needs_read ? store_revision() : each->revision);
     }
     return known;
   }
 
+  [[nodiscard]] std::unique_ptr<store_type> MakeStore() {
+    return platform_.MakeStore(gateway_.context.get_executor(),
+                               environment_.observe_era);
+  }
+
+  static error MakeEarlierEraError() {
+    return MakeError(error_kind::kUnavailable,
+                     "the store answered from an earlier era");
+  }
+
   /// Reads a prefix whose changes may have been missed.
   boost::asio::awaitable<result<void>> Read(store_type& store,
                                             watched_prefix& watched) {
@@ -300,9 +339,9 @@
     const result<store_page> page =
         co_await store.Range(watched.prefix, freshness);
     calls_.RecordCall("range", page);
-    if (!page) {
+    if (!page || page.value().revision.era < environment_.era()) {
       watched.needs_read = true;
-      co_return page.error();
+      co_return page ? MakeEarlierEraError() : page.error();
     }
     ApplySnapshot(watched, page.value());
     if (freshness == read_freshness::kLatest) {
@@ -313,22 +352,26 @@
   }
 
   boost::asio::awaitable<result<void>> WatchOnce(store_type& store,
-                                                 std::int64_t known) {
+                                                 store_revision known) {
     const bool uses_relay_hosts = environment_.hosts().size() >= kRelayMinHosts;
     const duration wait =
         uses_relay_hosts ? kRelayHostWatchTimeout : kMaxWatchWait;
     const result<store_page> page =
-        co_await store.Watch(std::string(kAllKeysPrefix), known, wait);
+        co_await store.Watch(std::string(kAllKeysPrefix), known.number, wait);
     calls_.RecordCall("watch", page);
     if (!page) {
       if (page.error().kind == error_kind::kNotFound) {
         Log(log_level::kInfo, "store_history_lost",
-            {{"revision", std::to_string(known)}});
+            {{"revision", FormatRevision(known)}});
         needs_full_read_ = true;
         co_return boost::outcome_v2::success();
       }
       co_return page.error();
     }
+    if (page.value().revision.era != known.era) {
+      needs_full_read_ = true;
+      co_return boost::outcome_v2::success();
+    }
     const time_point now = monotonic_clock::now();
     bool changed = false;
     for (const std::unique_ptr<watched_prefix>& each : prefixes_) {
@@ -346,7 +389,8 @@
     co_return boost::outcome_v2::success();
   }
 
-  static void AdvanceRevision(watched_prefix& watched, std::int64_t revision) {
+  static void AdvanceRevision(watched_prefix& watched,
+                              const store_revision& revision) {
     watched.revision = std::max(watched.revision, revision);
   }
 
@@ -354,7 +398,7 @@
   /// @return Whether there were any.
   bool ApplyChanges(watched_prefix& watched,
                     const std::vector<store_item>& items,
-                    std::int64_t revision) {
+                    const store_revision& revision) {
     store_page new_changes;
     new_changes.revision = revision;
     for (const store_item& item : items) {
@@ -387,7 +431,8 @@
   boost::asio::awaitable<void> PollRelayHosts() {
     while (true) {
       co_await Sleep(kChangePollInterval);
-      if (IsRelayHost() || RelayedRevision() == 0) {
+      const store_revision known = RelayedRevision();
+      if (IsRelayHost() || !IsKnown(known)) {
         continue;
       }
       const time_point now = monotonic_clock::now();
@@ -409,7 +454,8 @@
       polled_host_ = relay_host;
       polled_at_ = now;
       message::envelope envelope;
-      envelope.mutable_news_request()->set_revision(RelayedRevision());
+      envelope.mutable_news_request()->set_era(known.era);
+      envelope.mutable_news_request()->set_revision(known.number);
       envelope.mutable_news_request()->set_stamp(++stamp_);
       environment_.send(relay_host, std::move(envelope));
     }
@@ -436,6 +482,8 @@
   store_watcher_environment environment_;
   std::vector<std::unique_ptr<watched_prefix>> prefixes_;
   change_relay relay_;
+  /// Client of the watch and of complete reads.
+  std::unique_ptr<store_type> watch_store_;
   /// Ranks the hubs; the first ones are the relay hosts.
   hub_ranking ranking_;
   async_event work_pending_;
--- a/src/sassafraswick/gateway/target_directory.h
+++ b/src/sassafraswick/gateway/target_directory.h
@@ -23,6 +23,10 @@
 inline constexpr duration kMissingEntryRetention =
     std::chrono::milliseconds(2500);
 
+/// Time for which a target that has left is remembered, so that a copy of the
+/// store does not list it again. Longer than the copy is old.
+inline constexpr duration kDepartedRetention = std::chrono::seconds(60);
+
 /// Applies changes of the target entries to the groups of this host.
 template <gateway_platform Platform>
 class target_directory {
@@ -33,15 +37,24 @@
       : gateway_(gateway) {}
 
   /// Replaces the known entries by all entries of the store. Those that it no
-  /// longer has are removed after `kMissingEntryRetention`.
+  /// longer has are removed after `kMissingEntryRetention`. In a new era of the
+  /// store, entries may be older than what this host knows: an instance that
+  /// has left stays unlisted and one that is leaving stays so until its entry
+  /// changes.
   void Load(const store_page& page) {
-    std::map<std::string, std::string> missing = std::move(targets_);
+    const bool is_copy = is_loaded_ && page.revision.era != era_;
+    era_ = page.revision.era;
+    std::map<std::string, target_record> missing = std::move(targets_);
     targets_.clear();
     for (const store_item& item : page.items) {
-      missing.erase(item.key);
-      ApplyEntry(item);
+      const auto known = missing.find(item.key);
+      if (known != missing.end()) {
+        targets_[item.key] = known->second;
+        missing.erase(known);
+      }
+      ApplyEntry(item, is_copy);
     }
-    for (const std::pair<const std::string, std::string>& entry : missing) {
+    for (const std::pair<const std::string, target_record>& entry : missing) {
       targets_[entry.first] = entry.second;
       missing_since_[entry.first] = monotonic_clock::now();
     }
@@ -52,7 +65,7 @@
   void ApplyChanges(const store_page& page) {
     for (const store_item& item : page.items) {
       if (!item.deleted) {
-        ApplyEntry(item);
+        ApplyEntry(item, false);
       } else if (targets_.contains(item.key)) {
         missing_since_[item.key] = monotonic_clock::now();
       }
@@ -72,39 +85,74 @@
           continue;
         }
         Log(log_level::kInfo, "target_gone", {{"key", each->first}});
-        gateway_.RemoveTarget(targets_[each->first]);
+        const target_record& record = targets_[each->first];
+        gateway_.RemoveTarget(record.id);
+        departed_[each->first] = {record.start_id, now};
         targets_.erase(each->first);
         each = missing_since_.erase(each);
       }
+      std::erase_if(
+          departed_,
+          [now](const std::pair<const std::string, departed_target>& each) {
+            return now - each.second.at >= kDepartedRetention;
+          });
     }
   }
 
   [[nodiscard]] bool IsLoaded() const { return is_loaded_; }
 
  private:
-  void ApplyEntry(const store_item& item) {
-    const result<target_record> record =
+  /// A target that has left.
+  struct departed_target {
+    std::int64_t start_id = 0;
+    time_point at;
+  };
+
+  /// @param is_copy The entry may be older than what this host knows.
+  void ApplyEntry(const store_item& item, bool is_copy) {
+    result<target_record> decoded =
         Platform::DecodeTarget(item.key, item.value);
-    if (!record) {
+    if (!decoded) {
       Log(log_level::kWarning, "target_entry_unreadable",
-          {{"key", item.key}, {"reason", record.error().message}});
+          {{"key", item.key}, {"reason", decoded.error().message}});
+      return;
+    }
+    target_record& record = decoded.value();
+    if (is_copy && HasDeparted(item.key, record)) {
+      Log(log_level::kInfo, "target_entry_outdated", {{"key", item.key}});
       return;
     }
+    const auto known = targets_.find(item.key);
+    if (is_copy && known != targets_.end() &&
+        known->second.start_id == record.start_id) {
+      record.leaving = record.leaving || known->second.leaving;
+    }
+    departed_.erase(item.key);
     missing_since_.erase(item.key);
-    targets_[item.key] = record.value().id;
-    gateway_.UpdateTarget(record.value());
+    targets_[item.key] = record;
+    gateway_.UpdateTarget(record);
     Log(log_level::kInfo, "target_entry",
-        {{"target", record.value().id},
-         {"pool", record.value().pool},
-         {"leaving", record.value().leaving ? "yes" : "no"},
-         {"claims_primary", record.value().claims_primary ? "yes" : "no"}});
+        {{"target", record.id},
+         {"pool", record.pool},
+         {"leaving", record.leaving ? "yes" : "no"},
+         {"claims_primary", record.claims_primary ? "yes" : "no"}});
+  }
+
+  [[nodiscard]] bool HasDeparted(const std::string& key,
+                                 const target_record& record) const {
+    const auto found = departed_.find(key);
+    return found != departed_.end() &&
+           found->second.start_id == record.start_id;
   }
 
   gateway_state<codec>& gateway_;
-  /// Target identifier of every known entry, by key.
-  std::map<std::string, std::string> targets_;
+  /// Every known entry, by key.
+  std::map<std::string, target_record> targets_;
+  /// Targets that have left, by key of their entry.
+  std::map<std::string, departed_target> departed_;
   /// Keys of entries that disappeared, and when.
   std::map<std::string, time_point> missing_since_;
+  store_era era_ = 0;
   bool is_loaded_ = false;
 };
 
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -65,13 +65,23 @@
     }
     target->record = record;
     target->listed = true;
-    target->health.leaving = record.leaving;
+    target->warm_at = monotonic_clock::now() + record.warmup_left;
+    ApplyEvacuation(*target);
     if (record.claims_primary && view_.primary != record.id) {
       CheckPrimaryClaim(target);
     }
     changed_.NotifyAll();
   }
 
+  /// Sets the evacuated zones, which must outlive this group.
+  void SetEvacuatedZones(const evacuated_zones& zones) {
+    evacuated_zones_ = &zones;
+    for (const target_pointer& target : targets_) {
+      ApplyEvacuation(*target);
+    }
+    changed_.NotifyAll();
+  }
+
   /// Marks an instance as no longer listed in the store, and closes its idle
   /// connections.
   void Unlist(const std::string& id) {
@@ -425,10 +435,20 @@
                       return connection->Organisation() == organisation;
                     });
     option.connect_time = connection_pool_.ConnectCost();
-    option.avoid = now < target.avoid_until || target.IsSuspect(now);
+    option.avoid =
+        now < target.avoid_until || target.IsSuspect(now) || target.IsCold(now);
     return option;
   }
 
+  void ApplyEvacuation(target_state<Codec>& target) const {
+    target.evacuated_since =
+        evacuated_zones_ == nullptr
+            ? std::nullopt
+            : evacuated_zones_->Since(target.record.availability_zone);
+    target.health.leaving = !target.listed || target.record.leaving ||
+                            target.evacuated_since.has_value();
+  }
+
   void ObserveStatus(target_state<Codec>& target, const instance_status& status,
                      time_point requested_at) {
     if (!target.health.status.has_value() ||
@@ -595,6 +615,7 @@
   primary_view view_;
   async_event changed_;
   std::vector<target_pointer> targets_;
+  const evacuated_zones* evacuated_zones_ = nullptr;
   std::uint64_t last_claim_order_ = 0;
   std::uint32_t sync_replicas_ = 0;
   std::function<bool(const std::string& pool)> proof_source_;
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -4,11 +4,13 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "sassafraswick/config/catalog.h"
 #include "sassafraswick/consistency/replica_progress.h"
 #include "sassafraswick/failover/replacement.h"
+#include "sassafraswick/fleet/zone_evacuation.h"
 #include "sassafraswick/gateway/pooled_connection.h"
 #include "sassafraswick/limits/connection_share.h"
 #include "sassafraswick/net/async_event.h"
@@ -56,6 +58,10 @@
 
   target_record record;
   bool listed = true;
+  /// When this host learned that the instance's zone is evacuated.
+  std::optional<time_point> evacuated_since;
+  /// When the instance has warmed up after its start.
+  time_point warm_at;
   time_point unlisted_at;
   std::vector<std::shared_ptr<pooled_connection<Codec>>> idle;
   std::uint32_t busy = 0;
@@ -77,10 +83,24 @@
   /// claim has a higher one.
   std::uint64_t claim_order = 0;
 
-  [[nodiscard]] bool IsUsable() const { return listed && !record.leaving; }
+  [[nodiscard]] bool IsUsable() const {
+    return listed && !record.leaving && !evacuated_since.has_value();
+  }
+
+  /// Returns whether nothing may be sent to the instance any more, because its
+  /// zone is evacuated and its successor had time to take over.
+  [[nodiscard]] bool IsEvacuated(time_point now) const {
+    return evacuated_since.has_value() &&
+           now - *evacuated_since >= kEvacuationHandover;
+  }
+
+  /// Returns whether the instance warms up after its start, so that it serves
+  /// reads only if no other can.
+  [[nodiscard]] bool IsCold(time_point now) const { return now < warm_at; }
 
   /// Returns whether a status request or a connection attempt showed that the
-  /// instance is unresponsive, and it has answered nothing since the given time.
+  /// instance is unresponsive, and it has answered nothing since the given
+  /// time.
   [[nodiscard]] bool IsUnresponsiveSince(time_point since) const {
     return health.silent_since.has_value() && answered_at < since;
   }
--- a/src/sassafraswick/gateway/watched_prefix.h
+++ b/src/sassafraswick/gateway/watched_prefix.h
@@ -40,6 +40,10 @@
   std::function<void(const std::string& host, message::envelope envelope)> send;
   std::function<void(const std::string& route, message::envelope envelope)>
       respond;
+  /// Returns the newest known era of the store.
+  std::function<store_era()> era;
+  /// Passed to the clients of the store.
+  store_era_observer observe_era;
   /// Delay before the first read.
   duration first_delay = duration::zero();
 };
@@ -55,8 +59,9 @@
   /// Relay hosts forward changes of this prefix. A prefix that is not relayed
   /// is read again when a peer announces a newer version.
   bool relayed = true;
-  /// Revision up to which all changes were applied; 0 before the first read.
-  std::int64_t revision = 0;
+  /// Revision up to which all changes were applied; unknown before the first
+  /// read.
+  store_revision revision;
   /// Last time at which the store was known to have nothing newer.
   time_point confirmed_at;
   bool needs_read = false;
--- a/src/sassafraswick/net/http_client.cc
+++ b/src/sassafraswick/net/http_client.cc
@@ -1,7 +1,9 @@
 #include "sassafraswick/net/http_client.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
 #include "sassafraswick/net/tcp.h"
@@ -36,6 +38,20 @@
 
 }  // namespace
 
+std::string http_response::Header(std::string_view name) const {
+  const auto found = std::find_if(
+      headers.begin(), headers.end(), [name](const http_header& header) {
+        return boost::beast::iequals(header.name, name);
+      });
+  return found == headers.end() ? std::string() : found->value;
+}
+
+void http_client::Abort() {
+  if (stream_.has_value()) {
+    stream_->cancel();
+  }
+}
+
 asio::awaitable<boost::system::error_code> http_client::Open() {
   boost::system::error_code failure;
   if (stream_.has_value()) {
@@ -98,6 +114,10 @@
   }
   http_response received;
   received.status = response.result_int();
+  for (const http::response<http::string_body>::value_type& field : response) {
+    received.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
   received.body = std::move(response.body());
   co_return received;
 }
--- a/src/sassafraswick/net/http_client.h
+++ b/src/sassafraswick/net/http_client.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/verb.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "sassafraswick/config/endpoint.h"
@@ -44,6 +45,10 @@
 struct http_response {
   unsigned status = 0;
   std::string body;
+  std::vector<http_header> headers;
+
+  /// Value of a header, whose name is compared without case; empty if missing.
+  [[nodiscard]] std::string Header(std::string_view name) const;
 };
 
 /// Sends one request at a time. After a failure the next request opens a new
@@ -63,6 +68,9 @@
   /// was received.
   boost::asio::awaitable<result<http_response>> Call(http_request request);
 
+  /// Closes the connection. A request in flight fails.
+  void Abort();
+
  private:
   boost::asio::awaitable<boost::system::error_code> Open();
   boost::asio::awaitable<boost::system::error_code> Receive(
--- a/test/integration/gateway_test.cc
+++ b/test/integration/gateway_test.cc
@@ -405,6 +405,173 @@
   CHECK(client.ReadLine().empty());
 }
 
+/// Brings the store back from an older copy.
+void RestoreStore(standin_platform& platform) {
+  platform.Store().SetDown(true);
+  Pause(milliseconds(500));
+  platform.Store().RestoreCopy();
+  platform.Store().SetDown(false);
+}
+
+/// Raises the store's revision, as other writers do.
+void WriteOtherKeys(standin_platform& platform) {
+  constexpr int kWrites = 200;
+  for (int i = 0; i < kWrites; ++i) {
+    platform.Store().Put("servers/other", std::to_string(i));
+  }
+}
+
+/// Returns whether a gateway rejects a key.
+bool Rejects(standin_platform& platform, std::size_t gateway,
+             const std::string& key) {
+  line_client client(platform.CallerPort(gateway));
+  return client.Start("counter", key).starts_with("ERROR NOAUTH");
+}
+
+// Hosts compared revisions without the store's era, and ignored all changes
+// until the revision had passed its old value.
+TEST_CASE("hosts follow a store that was restored from an older copy",
+          "[gateway][restore]") {
+  standin_platform platform(2);
+  REQUIRE(platform.WaitReady());
+  line_client client(platform.CallerPort(0));
+  client.Start("counter", "key-two");
+  REQUIRE(RunUntilDone(client, "WRITE frame oak"));
+  platform.Store().MakeCopy();
+  platform.PublishConfiguration(2, "\"key-two\"");
+  WriteOtherKeys(platform);
+  REQUIRE(WaitFor(kTimeout, [&platform] {
+    return Rejects(platform, 0, "key-one") && Rejects(platform, 1, "key-one");
+  }));
+  RestoreStore(platform);
+
+  // The copy holds the withdrawn key until the operator writes again.
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Rejects(platform, static_cast<std::size_t>(i % 2), "key-one"));
+    Pause(milliseconds(50));
+  }
+  platform.PublishConfiguration(2, "\"key-two\"");
+  platform.PublishConfiguration(3, "\"key-two\",\"key-five\"");
+  const sassafraswick::time_point published =
+      sassafraswick::monotonic_clock::now();
+  CHECK(WaitFor(kTimeout, [&platform] {
+    return !Rejects(platform, 0, "key-five") &&
+           !Rejects(platform, 1, "key-five");
+  }));
+  CHECK(sassafraswick::monotonic_clock::now() - published < milliseconds(3000));
+  CHECK(client.Run("WRITE frame ash").starts_with("COMPLETE"));
+}
+
+TEST_CASE(
+    "a host that starts after a return of the store learns of withdrawn "
+    "keys from its peers",
+    "[gateway][restore]") {
+  standin_platform platform(2);
+  REQUIRE(platform.WaitReady());
+  platform.Store().MakeCopy();
+  platform.PublishConfiguration(2, "\"key-two\"");
+  REQUIRE(WaitFor(kTimeout, [&platform] {
+    return Rejects(platform, 0, "key-one") && Rejects(platform, 1, "key-one");
+  }));
+  platform.Gateway(1).Kill();
+  RestoreStore(platform);
+  platform.RestartGateway(1);
+  REQUIRE(platform.WaitReady());
+  CHECK(WaitFor(milliseconds(3000),
+                [&platform] { return Rejects(platform, 1, "key-one"); }));
+}
+
+TEST_CASE("a primary is replaced after a return of the store",
+          "[gateway][restore]") {
+  standin_platform platform(2);
+  REQUIRE(platform.WaitReady());
+  line_client client(platform.CallerPort(1));
+  client.Start("counter", "key-one");
+  REQUIRE(RunUntilDone(client, "WRITE before oak"));
+  platform.Store().MakeCopy();
+  WriteOtherKeys(platform);
+  Pause(milliseconds(1000));
+  RestoreStore(platform);
+  SECTION("once") {}
+  SECTION("twice in a row") { RestoreStore(platform); }
+  platform.Crash(platform.Group().PrimaryIndex());
+  CHECK(RunUntilDone(client, "WRITE after ash"));
+  CHECK(client.Run("READ before").starts_with("ROW oak"));
+  for (const std::size_t gateway : {0U, 1U}) {
+    CHECK(WaitFor(kTimeout, [&platform, gateway] {
+      return !platform.Store()
+                  .Value("sassafraswick/host/gateway-" +
+                         std::to_string(gateway))
+                  .empty();
+    }));
+  }
+}
+
+TEST_CASE("an evacuated zone receives nothing until the mark is removed",
+          "[gateway][evacuation]") {
+  standin_platform platform(2);
+  REQUIRE(platform.WaitReady());
+  line_client client(platform.CallerPort(0));
+  client.Start("workshop", "key-one");
+  REQUIRE(RunUntilDone(client, "WRITE frame oak"));
+  line_client open(platform.CallerPort(0));
+  open.Start("counter", "key-one");
+  REQUIRE(open.Run("BEGIN").starts_with("COMPLETE"));
+  // The holder of the failover lease only observes at first.
+  Pause(milliseconds(2500));
+  const std::size_t evacuated = platform.Group().PrimaryIndex();
+  const std::string mark = "op/evacuate/zone-" + std::to_string(evacuated);
+  platform.Store().Put(mark, "{}");
+  REQUIRE(WaitFor(milliseconds(5000), [&platform, evacuated] {
+    return platform.Group().PrimaryIndex() != evacuated;
+  }));
+  CHECK(RunUntilDone(client, "WRITE frame ash"));
+  Pause(milliseconds(2500));
+  std::uint64_t reads = 0;
+  const auto count_reads = [&reads](group_instance& each) {
+    reads = each.reads;
+  };
+  platform.Group().Modify(evacuated, count_reads);
+  const std::uint64_t reads_before = reads;
+  for (int i = 0; i < 100; ++i) {
+    CHECK(client.Run("READ frame").starts_with("ROW ash"));
+  }
+  platform.Group().Modify(evacuated, count_reads);
+  CHECK(reads == reads_before);
+
+  platform.Store().Delete(mark);
+  CHECK(WaitFor(kTimeout, [&] {
+    for (int i = 0; i < 50; ++i) {
+      static_cast<void>(client.Run("READ frame"));
+    }
+    platform.Group().Modify(evacuated, count_reads);
+    return reads > reads_before;
+  }));
+}
+
+TEST_CASE("a primary in an evacuated zone without a successor is not used",
+          "[gateway][evacuation]") {
+  standin_platform platform(1);
+  REQUIRE(platform.WaitReady());
+  line_client client(platform.CallerPort(0));
+  client.Start("counter", "key-one");
+  REQUIRE(RunUntilDone(client, "WRITE frame oak"));
+  for (std::size_t i = 0; i < platform.Group().Size(); ++i) {
+    platform.Store().Put("op/evacuate/zone-" + std::to_string(i), "{}");
+  }
+  REQUIRE(WaitFor(kTimeout, [&client] {
+    return client.Run("WRITE frame ash").starts_with("ERROR BUSY");
+  }));
+  CHECK(client.Run("READ frame").starts_with("ERROR BUSY"));
+  CHECK(client.Run("BEGIN").starts_with("COMPLETE"));
+  CHECK(client.Run("READ frame").starts_with("ERROR"));
+  client.Run("ROLLBACK");
+  for (std::size_t i = 0; i < platform.Group().Size(); ++i) {
+    platform.Store().Delete("op/evacuate/zone-" + std::to_string(i));
+  }
+  CHECK(RunUntilDone(client, "WRITE frame elm"));
+}
+
 // Each of the three watched prefixes had its own watch; together these watches
 // made up two of three calls to the store. Seen in scenario quiet-1 of
 // mdb-pedidos-large, small.
--- a/test/platform/soak.cc
+++ b/test/platform/soak.cc
@@ -77,7 +77,7 @@
   return "target-" + std::to_string(index);
 }
 
-const std::array<fault_kind, 15> kFaultKinds{{
+const std::array<fault_kind, 16> kFaultKinds{{
     {"crash-primary",
      [](standin_platform& platform, std::mt19937_64&) {
        const std::size_t index = platform.Group().PrimaryIndex();
@@ -131,6 +131,11 @@
        return std::function<void()>(
            [&platform] { platform.Store().SetDown(false); });
      }},
+    {"store-restored",
+     [](standin_platform& platform, std::mt19937_64&) {
+       platform.Store().MakeCopy();
+       return std::function<void()>([&platform] { platform.RestoreStore(); });
+     }},
     {"store-cut",
      [](standin_platform& platform, std::mt19937_64& random) {
        return StartLinkFault(platform,
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -226,9 +226,32 @@
       {"limits", json::object{{"tx_idle_ms", 3000}}},
       {"tenants", tenants}};
   configured_version_ = version;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    configuration_ = json::serialize(document);
+  }
   store_.Put("op/config", json::serialize(document));
 }
 
+void standin_platform::RestoreStore() {
+  constexpr std::chrono::milliseconds kOutage(200);
+  constexpr std::chrono::milliseconds kRewriteDelay(500);
+  store_.SetDown(true);
+  Pause(kOutage);
+  store_.RestoreCopy();
+  store_.SetDown(false);
+  Pause(kRewriteDelay);
+  std::string configuration;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    configuration = configuration_;
+  }
+  store_.Put("op/config", configuration);
+  for (std::size_t i = 0; i < group_.Size(); ++i) {
+    PublishEntry(i);
+  }
+}
+
 void standin_platform::Accept(const listening_socket& listener,
                               std::size_t index, bool line_protocol) {
   while (!stopped_) {
@@ -277,10 +300,11 @@
       response =
           store_.HandleRequest(request.method, request.target, request.body);
     }
-    SendAll(descriptor, "HTTP/1.1 " + std::to_string(response.status) +
-                            " x\r\nContent-Length: " +
-                            std::to_string(response.body.size()) + "\r\n\r\n" +
-                            response.body);
+    SendAll(descriptor,
+            "HTTP/1.1 " + std::to_string(response.status) +
+                " x\r\nStore-Era: " + std::to_string(response.era) +
+                "\r\nContent-Length: " + std::to_string(response.body.size()) +
+                "\r\n\r\n" + response.body);
   }
 }
 
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -66,6 +66,10 @@
     return configured_version_;
   }
 
+  /// Brings the store back from its copy after a short outage. Operator and
+  /// instances write their keys again somewhat later.
+  void RestoreStore();
+
   /// Stops an instance: its port refuses connections.
   void Crash(std::size_t index);
   /// Starts a stopped instance at the same port.
@@ -113,6 +117,7 @@
   std::string directory_;
   bool keeps_directory_ = false;
   std::atomic<std::uint64_t> configured_version_{0};
+  std::string configuration_;
   std::vector<std::string> link_arguments_;
   std::uint16_t control_port_ = 0;
   test_support::child_process fault_proxy_;
--- a/test/platform/standin_store.cc
+++ b/test/platform/standin_store.cc
@@ -15,6 +15,7 @@
 using sassafraswick::monotonic_clock;
 
 constexpr int kNotFound = 404;
+constexpr int kHistoryLost = 410;
 constexpr int kPreconditionFailed = 412;
 constexpr int kUnavailable = 503;
 
@@ -44,6 +45,15 @@
                                             const std::string& target,
                                             const std::string& body) {
   std::unique_lock<std::mutex> lock(mutex_);
+  store_response response = Respond(lock, method, target, body);
+  response.era = era_;
+  return response;
+}
+
+store_response standin_store::Respond(std::unique_lock<std::mutex>& lock,
+                                      const std::string& method,
+                                      const std::string& target,
+                                      const std::string& body) {
   ExpireLeases();
   if (down_ || stopped_) {
     return {kUnavailable, "{}"};
@@ -92,6 +102,26 @@
   return waiting_watches_;
 }
 
+void standin_store::MakeCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ExpireLeases();
+  copy_ = {items_, leases_, revision_, next_lease_};
+}
+
+void standin_store::RestoreCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  items_ = copy_.items;
+  leases_ = copy_.leases;
+  revision_ = copy_.revision;
+  next_lease_ = copy_.next_lease;
+  for (std::pair<const std::uint64_t, lease>& each : leases_) {
+    each.second.expires_at = monotonic_clock::now() + each.second.ttl;
+  }
+  events_.clear();
+  ++era_;
+  changed_.notify_all();
+}
+
 void standin_store::SetDown(bool down) {
   const std::lock_guard<std::mutex> lock(mutex_);
   down_ = down;
@@ -126,6 +156,9 @@
                                     std::chrono::milliseconds wait) {
   const sassafraswick::time_point deadline = monotonic_clock::now() + wait;
   constexpr std::chrono::milliseconds kPollInterval(20);
+  if (after > revision_) {
+    return {kHistoryLost, "{}"};
+  }
   json::array found;
   ++waiting_watches_;
   while (found.empty() && !down_ && !stopped_ &&
--- a/test/platform/standin_store.h
+++ b/test/platform/standin_store.h
@@ -18,6 +18,8 @@
 struct store_response {
   int status = 200;
   std::string body;
+  /// Sent in the header `Store-Era`.
+  std::uint64_t era = 1;
 };
 
 /// Thread-safe; a watch request blocks until a change or its timeout.
@@ -39,6 +41,12 @@
   /// Number of watches that are waiting for a change.
   [[nodiscard]] std::size_t WaitingWatches();
 
+  /// Keeps a copy of the store for `RestoreCopy`.
+  void MakeCopy();
+  /// Restores the store from the copy and begins a new era: later changes and
+  /// leases are gone, and revisions and lease numbers are given out again.
+  void RestoreCopy();
+
   /// While set, the response to every request is 503.
   void SetDown(bool down);
   void Stop();
@@ -50,17 +58,27 @@
     std::int64_t created = 0;
     std::uint64_t lease = 0;
   };
+  struct lease {
+    std::chrono::milliseconds ttl{0};
+    sassafraswick::time_point expires_at;
+  };
+  /// What a copy of the store contains.
+  struct store_copy {
+    std::map<std::string, stored_item> items;
+    std::map<std::uint64_t, lease> leases;
+    std::int64_t revision = 1;
+    std::uint64_t next_lease = 100;
+  };
   struct event {
     std::int64_t revision = 0;
     std::string key;
     bool deleted = false;
     stored_item item;
   };
-  struct lease {
-    std::chrono::milliseconds ttl{0};
-    sassafraswick::time_point expires_at;
-  };
 
+  store_response Respond(std::unique_lock<std::mutex>& lock,
+                         const std::string& method, const std::string& target,
+                         const std::string& body);
   store_response Range(const std::string& prefix);
   store_response Watch(std::unique_lock<std::mutex>& lock,
                        const std::string& prefix, std::int64_t after,
@@ -80,6 +98,8 @@
   std::map<std::uint64_t, lease> leases_;
   std::int64_t revision_ = 1;
   std::uint64_t next_lease_ = 100;
+  std::uint64_t era_ = 1;
+  store_copy copy_;
   std::size_t waiting_watches_ = 0;
   bool down_ = false;
   bool stopped_ = false;
--- a/test/sassafraswick/failover/promotion_model.cc
+++ b/test/sassafraswick/failover/promotion_model.cc
@@ -92,6 +92,8 @@
   primary_view view;
   sassafraswick::host_registry registry;
   sassafraswick::held_lease lease;
+  sassafraswick::store_era_tracker eras{true};
+  bool registry_read_pending = false;
   sassafraswick::replacement_state replacement;
   bool is_watching = false;
   bool registration_pending = false;
@@ -103,6 +105,7 @@
 };
 
 struct store_state {
+  sassafraswick::store_era era = 1;
   bool down = false;
   bool leases_frozen = false;
   time_point down_since;
@@ -114,6 +117,12 @@
   std::uint64_t holder_lease = 0;
 };
 
+/// The store as it was at a time.
+struct store_copy {
+  time_point made_at;
+  store_state state;
+};
+
 /// Response of an instance to any request.
 struct status_response {
   instance_status status;
@@ -136,8 +145,11 @@
     for (host& each : hosts_) {
       each.registry.loaded = true;
       each.registry.failover.vacant_since = now_;
+      each.registry.era = store_.era;
+      each.eras.Observe(store_.era, now_);
       for (const host& other : hosts_) {
         each.registry.names.push_back(other.name);
+        each.registry.hosts[other.name] = sassafraswick::endpoint();
       }
       After(RandomDuration(milliseconds(50)), [this, &each] { Tick(each); });
       After(RandomDuration(milliseconds(50)),
@@ -147,6 +159,7 @@
       After(milliseconds(20), [this, &each] { ApplyLog(each); });
     }
     After(milliseconds(50), [this] { ExpireLeases(); });
+    After(milliseconds(50), [this] { CopyStore(); });
     for (std::size_t i = 0; i < options_.faults; ++i) {
       After(milliseconds(2500) + RandomDuration(options_.length - kQuietPeriod),
             [this] { InjectFault(); });
@@ -164,6 +177,13 @@
                         " though all faults ended");
       }
     }
+    const bool is_held =
+        std::any_of(hosts_.begin(), hosts_.end(),
+                    [this](const host& each) { return HoldsFailover(each); });
+    if (!is_held) {
+      ReportViolation(
+          "no host holds the failover lease though all faults ended");
+    }
     return std::move(report_);
   }
 
@@ -457,8 +477,11 @@
   }
 
   [[nodiscard]] bool HoldsFailover(const host& self) const {
-    const bool named = self.registry.failover.holder == self.name &&
-                       self.registry.failover.lease == self.lease.id;
+    const bool named =
+        self.registry.failover.holder == self.name &&
+        self.registry.failover.lease == self.lease.id &&
+        self.registry.failover.fencing_token.era == self.lease.era &&
+        self.lease.era == self.eras.Current();
     const bool in_time = now_ < self.lease.ValidUntil() ||
                          options_.bug == injected_bug::kIgnoreLeaseExpiry;
     return named && in_time;
@@ -568,7 +591,8 @@
                         " holds the failover lease too");
       }
     }
-    const std::int64_t token = self.registry.failover.fencing_token;
+    const std::int64_t token =
+        ToFencingToken(self.registry.failover.fencing_token);
     Trace(self.name + " requests promotion of " + action.instance +
           " with token " + std::to_string(token));
     After(MessageDelay(), [this, &self, action, token] {
@@ -609,18 +633,103 @@
     const duration delay =
         response_lost ? milliseconds(100) + RandomDuration(milliseconds(3000))
                       : milliseconds(5) + MessageDelay();
-    After(delay,
-          [this, &from, effect = std::move(effect), complete, response_lost] {
-            if (store_.down ||
-                (!response_lost && IsPartitioned(from.name, "store"))) {
-              return;
-            }
-            const bool applied = effect();
-            if (!response_lost) {
-              AtHost(from, MessageDelay(),
-                     [complete, applied] { complete(true, applied); });
-            }
-          });
+    After(delay, [this, &from, effect = std::move(effect), complete,
+                  response_lost] {
+      if (store_.down ||
+          (!response_lost && IsPartitioned(from.name, "store"))) {
+        return;
+      }
+      const bool applied = effect();
+      const sassafraswick::store_era era = StoreEra();
+      if (!response_lost) {
+        AtHost(from, MessageDelay(), [this, &from, complete, applied, era] {
+          ObserveEra(from, era);
+          complete(true, applied);
+        });
+      }
+    });
+  }
+
+  /// Era that hosts read from the store's responses.
+  [[nodiscard]] sassafraswick::store_era StoreEra() const {
+    return options_.bug == injected_bug::kIgnoreStoreEra ? 1 : store_.era;
+  }
+
+  void ObserveEra(host& self, sassafraswick::store_era era) {
+    const bool is_new = self.eras.Observe(era, now_);
+    if (is_new && self.lease.id != 0) {
+      Trace(self.name + " drops its lease in era " + std::to_string(era));
+      self.lease = sassafraswick::held_lease();
+    }
+    if (self.registry.era < self.eras.Current()) {
+      ReadRegistry(self);
+    }
+  }
+
+  /// Reads the holder of the failover lease again in a new era.
+  void ReadRegistry(host& self) {
+    if (self.registry_read_pending) {
+      return;
+    }
+    self.registry_read_pending = true;
+    const std::shared_ptr<sassafraswick::store_page> page =
+        std::make_shared<sassafraswick::store_page>();
+    CallStore(
+        self,
+        [this, page] {
+          page->revision = {StoreEra(), store_.revision};
+          if (!store_.holder.empty()) {
+            page->items.push_back(HolderItem());
+          }
+          return true;
+        },
+        [this, &self, page](bool answered, bool) {
+          self.registry_read_pending = false;
+          const bool is_current =
+              answered && page->revision.era == self.eras.Current();
+          if (is_current && self.registry.era < page->revision.era) {
+            LoadRegistry(self.registry, *page, now_);
+          } else if (self.registry.era < self.eras.Current()) {
+            ReadRegistry(self);
+          }
+        });
+  }
+
+  /// Keeps copies of the store, from which `RestoreStore` restores it.
+  void CopyStore() {
+    constexpr std::size_t kMaxCopies = 10;
+    copies_.push_back({now_, store_});
+    if (copies_.size() > kMaxCopies) {
+      copies_.erase(copies_.begin());
+    }
+    After(milliseconds(500), [this] { CopyStore(); });
+  }
+
+  /// Restores the store from an older copy, after it was unavailable.
+  void RestoreStore(duration unavailable) {
+    store_.down = true;
+    store_.leases_frozen = true;
+    const store_copy restored = copies_[random_() % copies_.size()];
+    After(unavailable, [this, restored] {
+      const sassafraswick::store_era era = store_.era + 1;
+      store_ = restored.state;
+      store_.era = era;
+      store_.down = false;
+      for (std::pair<const std::uint64_t, time_point>& each : store_.leases) {
+        each.second += now_ - restored.made_at;
+      }
+      Trace("store restored from a copy, era " + std::to_string(era));
+    });
+  }
+
+  [[nodiscard]] sassafraswick::store_item HolderItem() const {
+    sassafraswick::store_item item;
+    item.key = std::string(sassafraswick::kFailoverKey);
+    item.value = store_.holder;
+    item.revision = {StoreEra(), store_.holder_revision};
+    item.lease = store_.holder_lease;
+    item.deleted = store_.holder.empty();
+    return item;
   }
 
   void MaintainLease(host& self) {
@@ -629,17 +738,20 @@
       self.registration_pending = true;
       const std::shared_ptr<std::uint64_t> lease_id =
           std::make_shared<std::uint64_t>(0);
+      const std::shared_ptr<sassafraswick::store_era> lease_era =
+          std::make_shared<sassafraswick::store_era>(0);
       CallStore(
           self,
-          [this, lease_id] {
+          [this, lease_id, lease_era] {
             *lease_id = store_.next_lease++;
+            *lease_era = StoreEra();
             store_.leases[*lease_id] = now_ + kLeaseTtl;
             return true;
           },
-          [&self, lease_id, sent_at](bool answered, bool) {
+          [&self, lease_id, lease_era, sent_at](bool answered, bool) {
             self.registration_pending = false;
-            if (answered) {
-              self.lease = {*lease_id, kLeaseTtl, sent_at};
+            if (answered && *lease_era == self.eras.Current()) {
+              self.lease = {*lease_id, *lease_era, kLeaseTtl, sent_at};
             }
           });
     } else if (self.lease.id != 0 && !self.renewal_pending &&
@@ -658,18 +770,39 @@
           [&self, sent_at, id](bool answered, bool kept) {
             self.renewal_pending = false;
             if (answered && self.lease.id == id) {
-              self.lease =
-                  kept ? sassafraswick::held_lease{id, kLeaseTtl, sent_at}
-                       : sassafraswick::held_lease();
+              self.lease = kept ? sassafraswick::held_lease{id, self.lease.era,
+                                                            kLeaseTtl, sent_at}
+                                : sassafraswick::held_lease();
             }
           });
     }
-    if (self.lease.id != 0 &&
+    if (IsStrayHolder(self.registry, self.name, self.lease, self.eras)) {
+      ReleaseStrayRecord(self);
+    }
+    if (self.lease.id != 0 && self.registry.era == self.eras.Current() &&
+        self.eras.HaveEarlierLeasesEnded(kLeaseTtl, now_) &&
         ShouldClaimFailover(self.registry, self.name, now_)) {
       ClaimFailover(self);
     }
   }
 
+  void ReleaseStrayRecord(host& self) {
+    const std::int64_t revision = self.registry.failover.fencing_token.number;
+    CallStore(
+        self,
+        [this, revision] {
+          const bool applies = store_.holder_revision == revision;
+          if (applies) {
+            store_.holder.clear();
+            store_.holder_lease = 0;
+            store_.holder_revision = ++store_.revision;
+            PublishHolder();
+          }
+          return applies;
+        },
+        [](bool, bool) {});
+  }
+
   void ClaimFailover(host& self) {
     const std::uint64_t lease = self.lease.id;
     // Allows one attempt at a time by deferring the next one as if the vacancy
@@ -695,13 +828,7 @@
   /// holder.
   void PublishHolder() {
     for (host& each : hosts_) {
-      sassafraswick::store_item item;
-      item.key = std::string(sassafraswick::kFailoverKey);
-      item.value = store_.holder;
-      item.revision = store_.holder_revision;
-      item.lease = store_.holder_lease;
-      item.deleted = store_.holder.empty();
-      Notify(each, item);
+      Notify(each, HolderItem());
     }
   }
 
@@ -711,7 +838,10 @@
         After(milliseconds(300), [this, &to, item] { Notify(to, item); });
         return;
       }
-      ApplyRegistryItem(to.registry, item, now_);
+      ObserveEra(to, item.revision.era);
+      if (item.revision.era == to.registry.era) {
+        ApplyRegistryItem(to.registry, item, now_);
+      }
     });
   }
 
@@ -963,11 +1093,17 @@
     instance& other = instances_[random_() % kInstanceCount];
     host& victim = hosts_[random_() % hosts_.size()];
     host& holder = Holder();
-    switch (std::uniform_int_distribution<int>(0, 11)(random_)) {
+    switch (std::uniform_int_distribution<int>(0, 12)(random_)) {
       case 0:
         return Crash(primary, length);
       case 11:
         return Crash(other, length);
+      case 12:
+        // A primary that crashes before or after the return makes the holders
+        // of both eras act.
+        After(RandomDuration(milliseconds(3000)),
+              [this, &primary, length] { Crash(primary, length); });
+        return RestoreStore(RandomDuration(milliseconds(800)));
       case 1:
         return InjectInstanceFault(unresponsive_, primary.id, length,
                                    "unresponsive:");
@@ -1083,6 +1219,7 @@
   term_number newest_term_ = 1;
   std::int64_t highest_token_ = 0;
   store_state store_;
+  std::vector<store_copy> copies_;
   bool store_loses_calls_ = false;
   std::multiset<std::pair<std::string, std::string>> partitions_;
   std::set<std::string> unresponsive_;
--- a/test/sassafraswick/failover/promotion_model.h
+++ b/test/sassafraswick/failover/promotion_model.h
@@ -11,8 +11,9 @@
 /// Deterministic simulation, in virtual time, of hosts, one database group, the
 /// store and promotions. Hosts decide with the production code. Messages are
 /// delayed or lost, hosts pause, instances crash, stop responding or are
-/// partitioned, and the store is unavailable. The simulation checks the results
-/// that callers received against the consistency guarantees.
+/// partitioned, and the store is unavailable or restored from an older copy.
+/// The simulation checks the results that callers received against the
+/// consistency guarantees.
 
 namespace promotion_model {
 
@@ -27,6 +28,8 @@
   kPromoteAnyInstance,
   /// A host continues to promote after its failover lease has expired.
   kIgnoreLeaseExpiry,
+  /// Hosts do not distinguish the eras of the store.
+  kIgnoreStoreEra,
 };
 
 struct model_options {
--- a/test/sassafraswick/failover/promotion_model_test.cc
+++ b/test/sassafraswick/failover/promotion_model_test.cc
@@ -50,9 +50,10 @@
 }
 
 TEST_CASE("the simulation detects each injected bug", "[promotion_model]") {
-  const injected_bug bug = GENERATE(
-      injected_bug::kIgnorePrimaryLease, injected_bug::kSkipLeaseWait,
-      injected_bug::kPromoteAnyInstance, injected_bug::kIgnoreLeaseExpiry);
+  const injected_bug bug =
+      GENERATE(injected_bug::kIgnorePrimaryLease, injected_bug::kSkipLeaseWait,
+               injected_bug::kPromoteAnyInstance,
+               injected_bug::kIgnoreLeaseExpiry, injected_bug::kIgnoreStoreEra);
   CAPTURE(static_cast<int>(bug));
   std::uint64_t seed = 1;
   while (seed <= kSeedCount && SimulateSeeds(seed, 1, bug).failed_seeds == 0) {
--- a/test/sassafraswick/fleet/store_change_log_test.cc
+++ b/test/sassafraswick/fleet/store_change_log_test.cc
@@ -14,44 +14,44 @@
   store_item item;
   item.key = key;
   item.value = "value of " + std::to_string(revision);
-  item.revision = revision;
+  item.revision = {1, revision};
   item.deleted = deleted;
   return item;
 }
 
 TEST_CASE("a log returns the newest change of each key", "[news_log]") {
   store_change_log log;
-  log.Reset(10);
+  log.Reset({1, 10});
   log.Add(Change("a", 11));
   log.Add(Change("a", 13, true));
   log.Add(Change("b", 12));
-  const std::optional<std::vector<store_item>> all = log.ChangesSince(10);
+  const std::optional<std::vector<store_item>> all = log.ChangesSince({1, 10});
   REQUIRE(all.has_value());
   REQUIRE(all->size() == 2);
   CHECK(all->front().deleted);
-  CHECK(log.ChangesSince(12)->size() == 1);
-  CHECK(log.ChangesSince(13)->empty());
+  CHECK(log.ChangesSince({1, 12})->size() == 1);
+  CHECK(log.ChangesSince({1, 13})->empty());
 }
 
 // Otherwise a late change would restore a server that has been removed.
 TEST_CASE("an older change does not replace a newer one", "[news_log]") {
   store_change_log log;
-  log.Reset(10);
+  log.Reset({1, 10});
   log.Add(Change("a", 13, true));
   log.Add(Change("a", 11));
-  REQUIRE(log.ChangesSince(10)->size() == 1);
-  CHECK(log.ChangesSince(10)->front().deleted);
+  REQUIRE(log.ChangesSince({1, 10})->size() == 1);
+  CHECK(log.ChangesSince({1, 10})->front().deleted);
 }
 
 TEST_CASE("a log that lacks changes after a revision returns nothing",
           "[news_log]") {
   store_change_log log;
-  CHECK_FALSE(log.ChangesSince(0).has_value());
-  log.Reset(10);
-  CHECK_FALSE(log.ChangesSince(9).has_value());
-  CHECK(log.ChangesSince(10).has_value());
-  log.Reset(20);
-  CHECK_FALSE(log.ChangesSince(19).has_value());
+  CHECK_FALSE(log.ChangesSince({1, 0}).has_value());
+  log.Reset({1, 10});
+  CHECK_FALSE(log.ChangesSince({1, 9}).has_value());
+  CHECK(log.ChangesSince({1, 10}).has_value());
+  log.Reset({1, 20});
+  CHECK_FALSE(log.ChangesSince({1, 19}).has_value());
 }
 
 TEST_CASE("few hosts of a large fleet watch the store, all of a small one",
--- a/test/sassafraswick/gateway/registry_test.cc
+++ b/test/sassafraswick/gateway/registry_test.cc
@@ -14,13 +14,13 @@
   store_item item;
   item.key = std::string(kHostsPrefix) + name;
   item.value = "127.0.0.1:7000";
-  item.revision = revision;
+  item.revision = {1, revision};
   return item;
 }
 
 store_item Deleted(store_item item, std::int64_t revision) {
   item.deleted = true;
-  item.revision = revision;
+  item.revision = {1, revision};
   return item;
 }
 
@@ -28,14 +28,14 @@
   store_item item;
   item.key = std::string(kFailoverKey);
   item.value = holder;
-  item.revision = revision;
+  item.revision = {1, revision};
   item.lease = 7;
   return item;
 }
 
 host_registry ThreeHosts() {
   host_registry registry;
-  LoadRegistry(registry, {{Host("a", 1), Host("b", 2), Host("c", 3)}, 3},
+  LoadRegistry(registry, {{Host("a", 1), Host("b", 2), Host("c", 3)}, {1, 3}},
                At(0));
   return registry;
 }
@@ -62,7 +62,7 @@
 
 TEST_CASE("hosts missing from a new read count as expired", "[registry]") {
   host_registry registry = ThreeHosts();
-  LoadRegistry(registry, {{Host("a", 1)}, 9}, At(1));
+  LoadRegistry(registry, {{Host("a", 1)}, {1, 9}}, At(1));
   CHECK(registry.names == std::vector<std::string>{"a"});
   CHECK(CountSharingHosts(registry, At(2)) == 3);
 }
@@ -73,7 +73,7 @@
   ApplyRegistryItem(registry, Lease("a/1", 10), At(1));
   ApplyRegistryItem(registry, Lease("b/1", 9), At(1));
   CHECK(registry.failover.holder == "a/1");
-  CHECK(registry.failover.fencing_token == 10);
+  CHECK(registry.failover.fencing_token == store_revision{1, 10});
   ApplyRegistryItem(registry, Deleted(Lease("a/1", 10), 12), At(2));
   CHECK(registry.failover.holder.empty());
 }
@@ -124,5 +124,34 @@
   CHECK(lease.ValidUntil() == At(13));
 }
 
+// A copy of the store may lack hosts that registered since. If they vanished
+// until they have registered again, all hubs would change meanwhile.
+TEST_CASE("hosts that a new era lacks stay until they had time to register",
+          "[registry][store_era]") {
+  host_registry registry = ThreeHosts();
+  LoadRegistry(registry, {{Host("a", 1)}, {2, 1}}, At(10));
+  CHECK(registry.names == std::vector<std::string>{"a", "b", "c"});
+  CHECK_FALSE(DropUnconfirmedHosts(registry, At(12)));
+  ApplyRegistryItem(registry, Host("b", 5), At(13));
+  CHECK(DropUnconfirmedHosts(registry, At(20)));
+  CHECK(registry.names == std::vector<std::string>{"a", "b"});
+  CHECK(CountSharingHosts(registry, At(21)) == 3);
+}
+
+TEST_CASE("a record under a lease that the host does not hold is stray",
+          "[registry][store_era]") {
+  host_registry registry = ThreeHosts();
+  store_era_tracker eras(false);
+  eras.Observe(1, At(0));
+  ApplyRegistryItem(registry, Lease("a/1", 10), At(1));
+  held_lease lease{7, 1, std::chrono::seconds(3), At(1)};
+  CHECK_FALSE(IsStrayHolder(registry, "a/1", lease, eras));
+  CHECK_FALSE(IsStrayHolder(registry, "b/1", held_lease(), eras));
+  CHECK(IsStrayHolder(registry, "a/1", held_lease(), eras));
+  // The registry of the earlier era says nothing about the new one.
+  eras.Observe(2, At(2));
+  CHECK_FALSE(IsStrayHolder(registry, "a/1", lease, eras));
+}
+
 }  // namespace
 }  // namespace sassafraswick
