Charge a hedged read to the organisation's rate

Change: the second run takes a token that is available at this host, or is not made. No test of its own; gateway_tests [long] passes.

--- a/src/sassafraswick/gateway/rate_limiter.cc
+++ b/src/sassafraswick/gateway/rate_limiter.cc
@@ -65,6 +65,13 @@
   return inserted.first->second;
 }
 
+bool rate_limiter::TryAdmit(const catalog_organisation& organisation) {
+  const time_point now = monotonic_clock::now();
+  local_rate_bucket& local_bucket = LocalBucket(organisation.name, now);
+  RefillLocalBucket(local_bucket, LimitOf(organisation), HostCount(), now);
+  return TrySpendToken(local_bucket);
+}
+
 boost::asio::awaitable<admission_result> rate_limiter::Admit(
     catalog_organisation organisation, duration max_wait) {
   const time_point deadline = monotonic_clock::now() + max_wait;
--- a/src/sassafraswick/gateway/rate_limiter.h
+++ b/src/sassafraswick/gateway/rate_limiter.h
@@ -56,6 +56,9 @@
   boost::asio::awaitable<admission_result> Admit(
       catalog_organisation organisation, duration max_wait);
 
+  /// Takes a token if one is available at this host now.
+  [[nodiscard]] bool TryAdmit(const catalog_organisation& organisation);
+
   /// Returns the token of an operation that was not run.
   void Refund(const std::string& organisation);
 
--- a/src/sassafraswick/gateway/read_race.h
+++ b/src/sassafraswick/gateway/read_race.h
@@ -194,7 +194,7 @@
     const std::shared_ptr<target_state<Codec>>& target = second.plan.target;
     const bool is_useful = target != nullptr && target.get() != &late &&
                            monotonic_clock::now() >= target->avoid_until;
-    if (!is_useful || !gateway_.hedge_budget.TryTake()) {
+    if (!is_useful || !gateway_.hedge_budget.TryTake() || !TakeToken()) {
       return;
     }
     Log(log_level::kInfo, "read_is_late",
@@ -209,6 +209,18 @@
            copy = state] { return self->RunSecond(second, copy); });
   }
 
+  /// Takes a token of the organisation's rate, which counts every run at an
+  /// instance. A read on an open route needs none.
+  [[nodiscard]] bool TakeToken() {
+    if (operation_.organisation.empty()) {
+      return true;
+    }
+    const catalog& current = *gateway_.current_catalog;
+    const auto found = current.organisations.find(operation_.organisation);
+    return found != current.organisations.end() &&
+           gateway_.limiter.TryAdmit(found->second);
+  }
+
   boost::asio::awaitable<void> RunSecond(read_attempt<Codec> attempt,
                                          session_state state) {
     if (attempt.plan.wait > duration::zero()) {
