--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -6,6 +6,7 @@
 #   control_cost      resource usage of idle hosts by fleet size
 #   fault_runs, gateway_soak [--first N] [--count N] [--parallel N]
 #                     random faults with a check of the recorded history
+#   compare_builds    two checkouts on the users' bench, pair by pair
 #   gateway_measures failover|replicas|organisations
 #                     measurements of gateways, with plots
 set -euo pipefail
@@ -16,7 +17,7 @@
 scenario="${1:?name a scenario, such as steady}"
 shift
 case "${scenario}" in
-  path_cost | control_cost | fault_runs | gateway_soak | gateway_measures)
+  path_cost | control_cost | fault_runs | gateway_soak | gateway_measures | compare_builds)
     exec "build/test/${scenario}" "$@" ;;
   *) exec build/test/sassafraswick_bench "${scenario}" "$@" ;;
 esac
