Move the sending of statements out of read_race.h

Cause: a newcomer looking for how a statement is sent found it in the header of the race between two reads.

--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -13,6 +13,7 @@
 #include "sassafraswick/gateway/read_plan.h"
 #include "sassafraswick/gateway/read_race.h"
 #include "sassafraswick/gateway/statement_batch.h"
+#include "sassafraswick/gateway/statement_sender.h"
 #include "sassafraswick/session/session_engine.h"
 
 /// @file
