--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -35,7 +35,7 @@
 /// Time after the store's return at which each instance writes its entry
 /// again. All are within two seconds.
 constexpr std::array<milliseconds, 3> kReturnDelay{
-    milliseconds(1700), milliseconds(50), milliseconds(1800)};
+    milliseconds(1850), milliseconds(50), milliseconds(1900)};
 
 /// A write that was acknowledged to its client.
 struct acknowledged_write {
