--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -57,7 +57,7 @@
   for (std::size_t turn = number; !state.stopped; ++turn) {
     line_client client(state.gateways[turn % kGateways]->Port(),
                        milliseconds(3000));
-    if (!client.Start("alta", "key-taller").starts_with("READY")) {
+    if (!client.Start("notice", "key-hauler").starts_with("READY")) {
       Pause(milliseconds(30));
       continue;
     }
@@ -79,14 +79,14 @@
         bool trouble) {
   recorder record(directory + "/record.txt");
   store shared(record);
-  database_group group("pedidos", group_options(), shared, record);
+  database_group group("notice", group_options(), shared, record);
   for (std::size_t i = 0; i < group.Size(); ++i) {
     group.SetReturnDelay(i, kReturnDelay.at(i));
   }
   shared.Put("op/config", MakeConfiguration(7, group.Name()));
   promotion_service promotions(group, record);
-  constexpr std::array<const char*, kGateways> kZones{"leon-a", "leon-b",
-                                                      "silao-a"};
+  constexpr std::array<const char*, kGateways> kZones{"ga-east-a", "ga-east-b",
+                                                      "ga-east-c"};
   std::vector<std::unique_ptr<gateway_process>> gateways;
   for (const char* const zone : kZones) {
     gateways.push_back(std::make_unique<gateway_process>(
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -25,7 +25,7 @@
 constexpr std::size_t kGateways = 2;
 constexpr milliseconds kGrace(6000);
 /// Sessions that begin on each gateway. Half of them read, the others write.
-constexpr std::size_t kSessions = 6;
+constexpr std::size_t kSessions = 8;
 /// Pause of a session between an answer and its next statement.
 constexpr milliseconds kThinkTime(20);
 
@@ -73,8 +73,8 @@
 void RunSession(shared_state& state, std::size_t gateway, bool writes) {
   while (!state.stopped) {
     line_client client(state.gateways[gateway]->Port());
-    const std::string database = writes ? "alta" : "consulta";
-    const std::string key = writes ? "key-galeria" : "key-taller";
+    const std::string database = writes ? "notice" : "board";
+    const std::string key = writes ? "key-county" : "key-hauler";
     bool open = client.Start(database, key).starts_with("READY");
     while (open && !state.stopped) {
       open = RunOne(state, client, gateway, writes);
@@ -103,15 +103,15 @@
   recorder record(directory + "/record.txt");
   store shared(record);
   group_options options;
-  options.read_time = milliseconds(40);
-  database_group group("pedidos", options, shared, record);
+  options.read_time = milliseconds(22);
+  database_group group("notice", options, shared, record);
   shared.Put("op/config", MakeConfiguration(7, group.Name()));
   promotion_service promotions(group, record);
   std::vector<std::unique_ptr<gateway_process>> gateways;
   for (std::size_t i = 0; i < kGateways; ++i) {
     gateways.push_back(std::make_unique<gateway_process>(
-        "front-leon-a-" + std::to_string(i + 1), "leon-a", temporary, shared,
-        promotions));
+        "front-ga-east-a-" + std::to_string(i + 1), "ga-east-a", temporary,
+        shared, promotions));
     gateways.back()->Start(true);
   }
   for (const std::unique_ptr<gateway_process>& each : gateways) {
--- a/review/standin/platform.cc
+++ b/review/standin/platform.cc
@@ -1039,18 +1039,18 @@
     return json::object{{"name", name},
                         {"api_keys", json::array{key}},
                         {"priority", 1},
-                        {"rate_per_s", 300},
-                        {"burst", 300}};
+                        {"rate_per_s", 400},
+                        {"burst", 400}};
   };
   const json::object document = {
       {"version", version},
       {"routes",
-       json::array{route("alta", "primary", 1000, 200, 0),
-                   route("consulta", "bounded_staleness", 2000, 600, 1500),
-                   route("hoja", "read_your_writes", 1000, 400, 2500)}},
+       json::array{route("notice", "primary", 800, 120, 0),
+                   route("board", "bounded_staleness", 1500, 400, 1500),
+                   route("route", "read_your_writes", 800, 200, 2500)}},
       {"services", json::array{json::object{{"name", service},
                                             {"health_path", "/health"},
-                                            {"max_connections", 21},
+                                            {"max_connections", 32},
                                             {"protocol", "h1"},
                                             {"tls", false},
                                             {"sync_replicas", 1}}}},
@@ -1059,8 +1059,8 @@
                               {"header_timeout_ms", 3000},
                               {"idle_timeout_ms", 15000},
                               {"tx_idle_ms", 3000}}},
-      {"tenants", json::array{tenant("taller", "key-taller"),
-                              tenant("galeria", "key-galeria")}}};
+      {"tenants", json::array{tenant("hauler", "key-hauler"),
+                              tenant("county", "key-county")}}};
   return json::serialize(document);
 }
 
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -107,18 +107,18 @@
 
 /// How a database group behaves.
 struct group_options {
-  std::size_t slots = 3;
+  std::size_t slots = 2;
   /// Statements that may wait for a slot.
-  std::size_t queue = 24;
-  std::size_t max_connections = 21;
+  std::size_t queue = 16;
+  std::size_t max_connections = 32;
   milliseconds connect_time{12};
   /// Time that a read, write or commit takes.
-  milliseconds read_time{24};
-  milliseconds write_time{8};
-  milliseconds replica_lag{20};
+  milliseconds read_time{14};
+  milliseconds write_time{5};
+  milliseconds replica_lag{8};
   milliseconds promotion_time{600};
   milliseconds heartbeat{1200};
-  std::vector<std::string> zones{"leon-a", "leon-b", "silao-a"};
+  std::vector<std::string> zones{"ga-east-a", "ga-east-b", "ga-east-c"};
 };
 
 /// One connection from the system to an instance.
@@ -304,9 +304,9 @@
   std::unique_ptr<child_process> process_;
 };
 
-/// A configuration with one route of each kind, `alta`, `consulta` and `hoja`,
-/// for a group. The tenants `taller` and `galeria` have the keys `key-taller`
-/// and `key-galeria`.
+/// A configuration with one route of each kind, `notice`, `board` and `route`,
+/// for a group. The tenants `hauler` and `county` have the keys `key-hauler`
+/// and `key-county`.
 std::string MakeConfiguration(int version, const std::string& service);
 
 }  // namespace review
