--- a/src/sassafraswick/fleet/fwd.h
+++ b/src/sassafraswick/fleet/fwd.h
@@ -3,6 +3,7 @@
 
 namespace sassafraswick {
 
+class entry_return_tracker;
 class hub_monitor;
 class evacuated_zones;
 class store_change_log;
--- a/src/sassafraswick/gateway/target_directory.h
+++ b/src/sassafraswick/gateway/target_directory.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "sassafraswick/core/log.h"
+#include "sassafraswick/fleet/entry_return.h"
 #include "sassafraswick/gateway/gateway_platform.h"
 #include "sassafraswick/gateway/gateway_state.h"
 #include "sassafraswick/gateway/shared_store.h"
@@ -18,10 +19,7 @@
 namespace sassafraswick {
 
 /// Time for which a target is kept after its entry disappeared from the store.
-/// Entries that expired during an outage of the store are back within two
-/// seconds of its return.
-inline constexpr duration kMissingEntryRetention =
-    std::chrono::milliseconds(2500);
+inline constexpr duration kMissingEntryRetention = kEntryReturnTime;
 
 /// Time for which a target that has left is remembered, so that a copy of the
 /// store does not list it again. Longer than the copy is old.
--- a/test/integration/gateway_test.cc
+++ b/test/integration/gateway_test.cc
@@ -558,6 +558,44 @@
   }
 }
 
+// The host took the first entry after the outage for the whole group, and
+// promoted a replica while the primary went on. Seen with: review/3.
+TEST_CASE("a host that starts during an outage waits for all instances",
+          "[gateway][restore]") {
+  constexpr milliseconds kRestartToReturn(3050);
+  constexpr milliseconds kLastEntryDelay(2000);
+  standin_platform platform(1);
+  REQUIRE(platform.WaitReady());
+  line_client client(platform.CallerPort(0));
+  client.Start("counter", "key-one");
+  REQUIRE(RunUntilDone(client, "WRITE before oak"));
+  const std::size_t primary = platform.Group().PrimaryIndex();
+  const std::size_t first_listed = (primary + 1) % platform.Group().Size();
+  platform.Store().SetDown(true);
+  for (std::size_t i = 0; i < platform.Group().Size(); ++i) {
+    platform.ExpireEntry(i);
+  }
+  platform.Gateway(0).Kill();
+  platform.RestartGateway(0);
+  Pause(kRestartToReturn);
+  platform.PublishEntry(first_listed);
+  platform.Store().SetDown(false);
+  Pause(kLastEntryDelay);
+  for (std::size_t i = 0; i < platform.Group().Size(); ++i) {
+    platform.PublishEntry(i);
+  }
+  line_client after(platform.CallerPort(0));
+  after.Start("counter", "key-one");
+  CHECK(RunUntilDone(after, "WRITE after ash"));
+  Pause(milliseconds(1500));
+  CHECK(platform.Group().PrimaryIndex() == primary);
+  CHECK(platform.GatewayLog(0).find("\"phase\":\"fencing\"") ==
+        std::string::npos);
+
+  platform.Crash(primary);
+  CHECK(RunUntilDone(after, "WRITE later elm"));
+}
+
 TEST_CASE("an evacuated zone receives nothing until the mark is removed",
           "[gateway][evacuation]") {
   standin_platform platform(2);
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -185,6 +185,10 @@
   store_.Put("servers/" + id, json::serialize(entry));
 }
 
+void standin_platform::ExpireEntry(std::size_t index) {
+  store_.Delete("servers/" + group_.Name() + "-" + std::to_string(index));
+}
+
 void standin_platform::PublishConfiguration(std::uint64_t version,
                                             const std::string& keys,
                                             std::size_t extra_routes) {
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -70,6 +70,11 @@
   /// instances write their keys again somewhat later.
   void RestoreStore();
 
+  /// Removes an instance's entry from the store, as if it had expired.
+  void ExpireEntry(std::size_t index);
+  /// Writes an instance's entry.
+  void PublishEntry(std::size_t index);
+
   /// Stops an instance: its port refuses connections.
   void Crash(std::size_t index);
   /// Starts a stopped instance at the same port.
@@ -99,7 +104,6 @@
   [[nodiscard]] std::string GatewayLog(std::size_t gateway) const;
 
  private:
-  void PublishEntry(std::size_t index);
   void ServeHttp(int descriptor);
   void ServeLineProtocol(std::size_t index, int descriptor);
   void Accept(const listening_socket& listener, std::size_t index,
