--- a/test/integration/gateway_test.cc
+++ b/test/integration/gateway_test.cc
@@ -440,6 +440,47 @@
   CHECK(RunUntilDone(client, "WRITE frame oak"));
 }
 
+// Reported by operators of similar systems.
+TEST_CASE("odd entries among those of the instances end nothing",
+          "[gateway][malformed]") {
+  constexpr std::size_t kDepth = 100'000;
+  const auto entry = [](const std::string& address, const std::string& more) {
+    return Joined({R"({"service":"orders-db","address":")", address,
+                   R"(","zone":"zone-0","state":"ready","db_role":"replica",)",
+                   more, "}"});
+  };
+  const std::string valid_address = "127.0.0.1:9";
+  const std::vector<std::string> odd = {
+      std::string(kDepth, '['),
+      entry("127.0.0.1:65536", R"("slots":3)"),
+      entry("127.0.0.1:99999999999999999999", R"("slots":3)"),
+      entry(valid_address, R"("slots":1e400)"),
+      entry(valid_address, R"("slots":3,"born":1e300)"),
+      entry(valid_address, R"("slots":3,"warmup_left_ms":9223372036854775807)"),
+      entry(valid_address, Joined({R"("slots":)", std::string(kDepth, '[')}))};
+  standin_platform platform(1);
+  for (std::size_t i = 0; i < odd.size(); ++i) {
+    platform.Store().Put("servers/early " + std::to_string(i), odd[i]);
+  }
+  REQUIRE(platform.WaitReady());
+  line_client client(platform.CallerPort(0));
+  client.Start("counter", "key-one");
+  REQUIRE(RunUntilDone(client, "WRITE frame oak"));
+  for (std::size_t i = 0; i < odd.size(); ++i) {
+    platform.Store().Put("servers/late-" + std::to_string(i), odd[i]);
+  }
+  const std::size_t replica = (platform.Group().PrimaryIndex() + 1) % 3;
+  platform.SetDraining(replica, true);
+  CHECK(WaitFor(kTimeout, [&platform] {
+    return platform.GatewayLog(0).find("\"leaving\":\"yes\"") !=
+           std::string::npos;
+  }));
+  CHECK(client.Run("WRITE frame ash").starts_with("COMPLETE"));
+  const std::string log = platform.GatewayLog(0);
+  CHECK(log.find("\"target\":\"early") == std::string::npos);
+  CHECK(log.find("\"target\":\"late") == std::string::npos);
+}
+
 TEST_CASE("callers are served during an outage of the store",
           "[gateway][store]") {
   standin_platform platform(2);
--- a/test/platform/documents_test.cc
+++ b/test/platform/documents_test.cc
@@ -58,6 +58,62 @@
   CHECK_FALSE(DecodeServerEntry("servers/", kEntry));
 }
 
+/// Returns `kEntry` with another text in place of one of its parts.
+std::string EntryWith(const std::string& part, const std::string& text) {
+  std::string entry = kEntry;
+  return entry.replace(entry.find(part), part.size(), text);
+}
+
+// Times that overflow, and ids that break a line of the protocol, were used.
+// Reported by operators of similar systems.
+TEST_CASE("an odd entry names no instance", "[documents]") {
+  constexpr std::size_t kDepth = 100'000;
+  const std::string nested(kDepth, '[');
+  const std::string objects = [] {
+    std::string text;
+    for (std::size_t i = 0; i < kDepth; ++i) {
+      text += "{\"a\":";
+    }
+    return text;
+  }();
+  for (const std::string& bad :
+       {nested,
+        objects,
+        EntryWith("3", nested),
+        EntryWith("8080", "65536"),
+        EntryWith("8080", "70000"),
+        EntryWith("8080", "-1"),
+        EntryWith("8080", "0"),
+        EntryWith("8080", "99999999999999999999"),
+        EntryWith("\"slots\":3", "\"slots\":65537"),
+        EntryWith("\"slots\":3", "\"slots\":1e400"),
+        EntryWith("\"slots\":3", "\"slots\":3.5"),
+        EntryWith("\"born\":17", "\"born\":1e300"),
+        EntryWith("\"born\":17", "\"born\":-1"),
+        EntryWith("\"born\":17", "\"born\":\"17\""),
+        EntryWith("\"born\":17", "\"born\":18446744073709551615"),
+        EntryWith("\"born\":17", "\"warmup_left_ms\":9223372036854775807"),
+        EntryWith("\"born\":17", "\"warmup_left_ms\":1e18"),
+        EntryWith("\"born\":17", "\"warmup_left_ms\":-5"),
+        EntryWith("\"orders\"", "\"orders x\\r\\nQUERY\""),
+        EntryWith("\"orders\"", "\"\"")}) {
+    CAPTURE(bad.substr(0, 200));
+    CHECK_FALSE(DecodeServerEntry("servers/i-1", bad));
+  }
+  CHECK_FALSE(DecodeServerEntry("servers/i 1", kEntry));
+  CHECK_FALSE(DecodeServerEntry("servers/i-1\r\nQUERY - STATUS", kEntry));
+  CHECK_FALSE(DecodeServerEntry(std::string("servers/i\0", 10), kEntry));
+}
+
+TEST_CASE("a time in a configuration that is too long keeps its default",
+          "[documents]") {
+  std::string text = kConfiguration;
+  text.replace(text.find("2000"), 4, "9223372036854775807");
+  const catalog decoded = *DecodeConfiguration(text).value();
+  CHECK(decoded.routes.at("counter").statement_timeout ==
+        catalog_route().statement_timeout);
+}
+
 TEST_CASE("decoders do not crash on corrupted documents", "[documents][fuzz]") {
   std::mt19937 random(5);
   for (int i = 0; i < 5000; ++i) {
