--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -216,10 +216,10 @@
     watched_prefix targets;
     targets.prefix = std::string(Platform::kTargetsPrefix);
     targets.apply_snapshot = [this](const store_page& page) {
-      targets_.Load(page);
+      targets_.Load(page, monotonic_clock::now());
     };
     targets.apply_changes = [this](const store_page& page) {
-      targets_.ApplyChanges(page);
+      targets_.ApplyChanges(page, monotonic_clock::now());
     };
     watcher_.AddPrefix(std::move(targets));
     watched_prefix evacuations;
--- a/src/sassafraswick/gateway/target_directory.h
+++ b/src/sassafraswick/gateway/target_directory.h
@@ -39,7 +39,7 @@
   /// store, entries may be older than what this host knows: an instance that
   /// has left stays unlisted and one that is leaving stays so until its entry
   /// changes.
-  void Load(const store_page& page) {
+  void Load(const store_page& page, time_point now) {
     const bool is_copy = is_loaded_ && page.revision.era != era_;
     era_ = page.revision.era;
     std::map<std::string, target_record> missing = std::move(targets_);
@@ -50,51 +50,55 @@
         targets_[item.key] = known->second;
         missing.erase(known);
       }
-      ApplyEntry(item, is_copy);
+      ApplyEntry(item, is_copy, now);
     }
     for (const std::pair<const std::string, target_record>& entry : missing) {
       targets_[entry.first] = entry.second;
-      missing_since_[entry.first] = monotonic_clock::now();
+      MarkMissing(entry.first, now);
     }
     is_loaded_ = true;
   }
 
   /// Applies changes of single entries.
-  void ApplyChanges(const store_page& page) {
+  void ApplyChanges(const store_page& page, time_point now) {
     for (const store_item& item : page.items) {
       if (!item.deleted) {
-        ApplyEntry(item, false);
-      } else if (targets_.contains(item.key)) {
-        missing_since_[item.key] = monotonic_clock::now();
+        ApplyEntry(item, false, now);
+      } else {
+        MarkMissing(item.key, now);
       }
     }
   }
 
-  /// Removes targets whose entries have been missing for longer than
-  /// `kMissingEntryRetention`. Runs until the process ends.
+  /// Removes missing targets until the process ends.
   boost::asio::awaitable<void> RemoveMissing() {
     constexpr duration kInterval = std::chrono::milliseconds(200);
     while (true) {
       co_await Sleep(kInterval);
-      const time_point now = monotonic_clock::now();
-      for (auto each = missing_since_.begin(); each != missing_since_.end();) {
-        if (now - each->second < kMissingEntryRetention) {
-          ++each;
-          continue;
-        }
-        Log(log_level::kInfo, "target_gone", {{"key", each->first}});
-        const target_record& record = targets_[each->first];
-        gateway_.RemoveTarget(record.id);
-        departed_[each->first] = {record.start_id, now};
-        targets_.erase(each->first);
-        each = missing_since_.erase(each);
+      RemoveMissing(monotonic_clock::now());
+    }
+  }
+
+  /// Removes targets whose entries have been missing for
+  /// `kMissingEntryRetention`.
+  void RemoveMissing(time_point now) {
+    for (auto each = missing_since_.begin(); each != missing_since_.end();) {
+      if (now - each->second < kMissingEntryRetention) {
+        ++each;
+        continue;
       }
-      std::erase_if(
-          departed_,
-          [now](const std::pair<const std::string, departed_target>& each) {
-            return now - each.second.at >= kDepartedRetention;
-          });
+      Log(log_level::kInfo, "target_gone", {{"key", each->first}});
+      const target_record& record = targets_[each->first];
+      gateway_.RemoveTarget(record.id);
+      departed_[each->first] = {record.start_id, now};
+      targets_.erase(each->first);
+      each = missing_since_.erase(each);
     }
+    std::erase_if(
+        departed_,
+        [now](const std::pair<const std::string, departed_target>& each) {
+          return now - each.second.at >= kDepartedRetention;
+        });
   }
 
   [[nodiscard]] bool IsLoaded() const { return is_loaded_; }
@@ -106,13 +110,22 @@
     time_point at;
   };
 
+  /// Starts the retention of a known target that the store no longer lists, or
+  /// whose entry another writer has made unreadable.
+  void MarkMissing(const std::string& key, time_point now) {
+    if (targets_.contains(key)) {
+      missing_since_.try_emplace(key, now);
+    }
+  }
+
   /// @param is_copy The entry may be older than what this host knows.
-  void ApplyEntry(const store_item& item, bool is_copy) {
+  void ApplyEntry(const store_item& item, bool is_copy, time_point now) {
     result<target_record> decoded =
         Platform::DecodeTarget(item.key, item.value);
     if (!decoded) {
       Log(log_level::kWarning, "target_entry_unreadable",
           {{"key", item.key}, {"reason", decoded.error().message}});
+      MarkMissing(item.key, now);
       return;
     }
     target_record& record = decoded.value();
