--- a/src/sassafraswick/net/http_client.cc
+++ b/src/sassafraswick/net/http_client.cc
@@ -38,6 +38,25 @@
 
 }  // namespace
 
+std::string PercentEncode(std::string_view bytes) {
+  constexpr std::string_view kUnreserved =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/";
+  constexpr std::string_view kHexDigits = "0123456789ABCDEF";
+  constexpr unsigned kHexBase = 16;
+  std::string encoded;
+  for (const char each : bytes) {
+    if (kUnreserved.find(each) != std::string_view::npos) {
+      encoded += each;
+      continue;
+    }
+    const unsigned byte = static_cast<unsigned char>(each);
+    encoded += '%';
+    encoded += kHexDigits[byte / kHexBase];
+    encoded += kHexDigits[byte % kHexBase];
+  }
+  return encoded;
+}
+
 std::string http_response::Header(std::string_view name) const {
   const auto found = std::find_if(
       headers.begin(), headers.end(), [name](const http_header& header) {
--- a/src/sassafraswick/net/http_client.h
+++ b/src/sassafraswick/net/http_client.h
@@ -22,6 +22,9 @@
 
 namespace sassafraswick {
 
+/// Encodes bytes for the query of a request target (RFC 3986).
+[[nodiscard]] std::string PercentEncode(std::string_view bytes);
+
 /// Default timeout for opening a connection.
 inline constexpr duration kHttpConnectTimeout = std::chrono::milliseconds(800);
 
