Check the failover lease right before an order is written

Cause: the lease was checked before a connection was opened; nothing bounded the time from the check to the write.

PAUSE, RESUME and STEPDOWN are guarded the same way; a RESUME of a former holder could have undone the fence of the next one.

A freeze of some microseconds between the answer and the write remains.

--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -2,6 +2,7 @@
 #define SASSAFRASWICK_GATEWAY_FAILOVER_AGENT_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +37,7 @@
   using codec = typename Platform::codec;
   using group_pointer = std::shared_ptr<target_group<codec>>;
   using target_pointer = typename target_group<codec>::target_pointer;
+  using promoter = typename Platform::promoter;
 
   failover_agent(const Platform& platform, gateway_state<codec>& gateway,
                  fleet_agent<Platform>& fleet)
@@ -63,6 +65,8 @@
     replacement_state state;
     /// When each instance was last sent a status request.
     std::map<std::string, time_point> status_requested_at;
+    /// Opened when the fence is complete.
+    std::shared_ptr<promoter> sender;
   };
 
   void CheckGroup(const group_pointer& group, time_point now) {
@@ -71,7 +75,7 @@
     const replacement_phase previous_phase = watched.state.phase;
     const std::vector<replacement_action> actions =
         AdvanceReplacement(watched.state, group->Health(), settings_, now);
-    LogPhase(*group, watched.state, previous_phase);
+    OnPhase(*group, watched, previous_phase);
     for (const replacement_action& action : actions) {
       Spawn(gateway_.context, "group",
             [this, group, action] { return ExecuteAction(group, action); });
@@ -110,12 +114,15 @@
             target.health.status->paused_term != 0);
   }
 
-  void LogPhase(const target_group<codec>& group,
-                const replacement_state& state,
-                replacement_phase previous_phase) {
+  void OnPhase(const target_group<codec>& group, watched_group& watched,
+               replacement_phase previous_phase) {
+    const replacement_state& state = watched.state;
     if (state.phase == previous_phase) {
       return;
     }
+    if (state.phase == replacement_phase::kWaiting) {
+      PreparePromotion(watched);
+    }
     Log(log_level::kInfo, "replacement",
         {{"pool", group.Name()},
          {"phase", std::string(PhaseName(state.phase))},
@@ -135,30 +142,34 @@
     if (target == nullptr) {
       co_return;
     }
+    const store_revision claim = fleet_.Registry().failover.fencing_token;
+    const std::function<bool()> may_send = [this, claim] {
+      return IsHeldSince(claim);
+    };
     const std::optional<instance_status> status = co_await group->SendControl(
-        target, StatementOf(action.kind), action.term);
+        target, StatementOf(action.kind), action.term, may_send);
     const auto watched = watched_.find(group->Name());
     if (status.has_value() && watched != watched_.end()) {
       const replacement_phase previous_phase = watched->second.state.phase;
       RecordFenced(watched->second.state, group->Health(), action, *status,
                    monotonic_clock::now());
-      LogPhase(*group, watched->second.state, previous_phase);
+      OnPhase(*group, watched->second, previous_phase);
     }
   }
 
   boost::asio::awaitable<void> Promote(group_pointer group,
                                        replacement_action action) {
-    // A promotion that is sent after the lease ended could arrive after one of
-    // the next holder.
-    if (!fleet_.HoldsFailover(monotonic_clock::now())) {
-      co_return;
-    }
-    ++gateway_.counters.promotions;
-    const std::int64_t token =
-        ToFencingToken(fleet_.Registry().failover.fencing_token);
-    const result<bool> accepted = co_await platform_.Promote(
-        gateway_.context.get_executor(), group->Name(), action.instance,
-        fleet_.Host(), token);
+    const store_revision claim = fleet_.Registry().failover.fencing_token;
+    const std::int64_t token = ToFencingToken(claim);
+    const std::function<bool()> may_send = [this, claim] {
+      return IsHeldSince(claim);
+    };
+    const std::shared_ptr<promoter> sender = TakePromoter(group->Name());
+    const result<bool> accepted = co_await sender->Promote(
+        group->Name(), action.instance, fleet_.Host(), token, may_send);
+    const bool was_sent =
+        accepted || accepted.error().kind != error_kind::kConflict;
+    gateway_.counters.promotions += was_sent ? 1 : 0;
     Log(log_level::kInfo, "promotion",
         {{"pool", group->Name()},
          {"target", action.instance},
@@ -172,6 +183,38 @@
     }
   }
 
+  /// Opens a connection for the order that follows once the primary lease has
+  /// expired, so that the lease of this host is checked right before the order
+  /// is sent.
+  void PreparePromotion(watched_group& watched) {
+    watched.sender = platform_.MakePromoter(gateway_.context.get_executor());
+    Spawn(gateway_.context, "promotion",
+          [sender = watched.sender]() -> boost::asio::awaitable<void> {
+            co_await sender->Connect();
+          });
+  }
+
+  /// Returns the prepared connection of a group, or a new one.
+  std::shared_ptr<promoter> TakePromoter(const std::string& group) {
+    const auto watched = watched_.find(group);
+    if (watched != watched_.end() && watched->second.sender != nullptr) {
+      const std::shared_ptr<promoter> prepared =
+          std::exchange(watched->second.sender, nullptr);
+      if (prepared->IsConnected()) {
+        return prepared;
+      }
+    }
+    return platform_.MakePromoter(gateway_.context.get_executor());
+  }
+
+  /// Returns whether this host still holds the failover lease that it claimed
+  /// at a revision. What it sends in the name of the lease after its end could
+  /// arrive after something that the next holder sent.
+  [[nodiscard]] bool IsHeldSince(const store_revision& claim) const {
+    return fleet_.HoldsFailover(monotonic_clock::now()) &&
+           fleet_.Registry().failover.fencing_token == claim;
+  }
+
   static control_statement StatementOf(replacement_action_kind kind) {
     switch (kind) {
       case replacement_action_kind::kStepDown:
--- a/src/sassafraswick/gateway/gateway_platform.h
+++ b/src/sassafraswick/gateway/gateway_platform.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -19,13 +20,28 @@
 
 namespace sassafraswick {
 
+/// Sends requests for promotions, one at a time.
+template <typename Promoter>
+concept promotion_sender = requires(Promoter promoter, std::string text,
+                                    std::int64_t token,
+                                    std::function<bool()> may_send) {
+  /// Opens the connection for the next request.
+  { promoter.Connect() } -> std::same_as<boost::asio::awaitable<result<void>>>;
+  { promoter.IsConnected() } -> std::same_as<bool>;
+  /// Requests the promotion of an instance; false if the instance is not
+  /// running. Asks `may_send` right before the request is sent.
+  {
+    promoter.Promote(text, text, text, token, may_send)
+    } -> std::same_as<boost::asio::awaitable<result<bool>>>;
+};
+
 /// Operations that a platform provides in addition to its codec.
 template <typename Platform>
 concept gateway_platform = session_codec<typename Platform::codec> &&
     shared_store<typename Platform::store> &&
     requires(Platform platform, std::string text, std::int64_t token,
-             boost::asio::any_io_executor executor,
-             store_era_observer observer) {
+             boost::asio::any_io_executor executor, store_era_observer observer,
+             std::function<bool()> may_send) {
   {
     platform.MakeStore(executor, observer)
     } -> std::same_as<std::unique_ptr<typename Platform::store>>;
@@ -37,11 +53,9 @@
   { Platform::kTargetsPrefix } -> std::convertible_to<std::string_view>;
   /// Prefix of the marks of evacuated zones; the rest of a key is the zone.
   { Platform::kEvacuationPrefix } -> std::convertible_to<std::string_view>;
-  /// Requests the promotion of an instance; false if the instance is not
-  /// running.
   {
-    platform.Promote(executor, text, text, text, token)
-    } -> std::same_as<boost::asio::awaitable<result<bool>>>;
+    platform.MakePromoter(executor)
+    } -> std::same_as<std::shared_ptr<typename Platform::promoter>>;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -359,9 +359,13 @@
 
   /// Sends a control statement. The response to each contains the instance's
   /// status.
-  /// @return Nothing if there was no connection or no valid response.
+  /// @param may_send Asked once there is a connection, right before the
+  /// statement is sent. May be empty.
+  /// @return Nothing if there was no connection or no valid response, or if
+  /// `may_send` returned false.
   boost::asio::awaitable<std::optional<instance_status>> SendControl(
-      target_pointer target, control_statement control, term_number term) {
+      target_pointer target, control_statement control, term_number term,
+      std::function<bool()> may_send = {}) {
     const time_point requested_at = monotonic_clock::now();
     ++counters_.status_questions;
     const pooled_connection_lease<Codec> lease =
@@ -372,6 +376,10 @@
       }
       co_return std::nullopt;
     }
+    if (may_send && !may_send()) {
+      Release(lease, true);
+      co_return std::nullopt;
+    }
     const std::string bytes = Codec::FormatControl(control, term);
     const exchange_outcome outcome =
         co_await lease.connection->Exchange(bytes, 1, kControlTimeout);
--- a/src/sassafraswick/net/http_client.cc
+++ b/src/sassafraswick/net/http_client.cc
@@ -19,6 +19,8 @@
 /// The largest response is a page of the store: about 1 MB, and a third more in
 /// Base64.
 constexpr std::uint64_t kMaxResponseBytes = 4'194'304;
+/// Length of a request target in an error message.
+constexpr std::size_t kMaxLoggedTarget = 60;
 
 http::request<http::string_body> MakeRequest(const endpoint& address,
                                              const http_request& request) {
@@ -105,14 +107,33 @@
   co_return failure;
 }
 
+asio::awaitable<result<void>> http_client::Connect() {
+  const boost::system::error_code failure = co_await Open();
+  connected_ = !failure;
+  if (failure) {
+    stream_.reset();
+    co_return MakeError(error_kind::kUnavailable,
+                        FormatEndpoint(address_) + ": " + failure.message());
+  }
+  stream_->expires_never();
+  co_return boost::outcome_v2::success();
+}
+
 asio::awaitable<result<http_response>> http_client::Call(http_request request) {
+  const http::request<http::string_body> message =
+      MakeRequest(address_, request);
   boost::system::error_code failure = co_await Open();
+  connected_ = false;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponseBytes);
+  if (!failure && request.may_send && !request.may_send()) {
+    co_return MakeError(error_kind::kConflict,
+                        FormatEndpoint(address_) +
+                            request.target.substr(0, kMaxLoggedTarget) +
+                            ": no longer valid, not sent");
+  }
   if (!failure) {
     stream_->expires_after(request.timeout);
-    const http::request<http::string_body> message =
-        MakeRequest(address_, request);
     co_await http::async_write(
         *stream_, message, asio::redirect_error(asio::use_awaitable, failure));
   }
@@ -123,7 +144,7 @@
     stream_.reset();
     co_return MakeError(error_kind::kUnavailable,
                         FormatEndpoint(address_) +
-                            request.target.substr(0, 60) + ": " +
+                            request.target.substr(0, kMaxLoggedTarget) + ": " +
                             failure.message());
   }
   stream_->expires_never();
@@ -131,6 +152,7 @@
   if (!response.keep_alive()) {
     stream_.reset();
   }
+  connected_ = stream_.has_value();
   http_response received;
   received.status = response.result_int();
   for (const http::response<http::string_body>::value_type& field : response) {
--- a/src/sassafraswick/net/http_client.h
+++ b/src/sassafraswick/net/http_client.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -43,6 +44,10 @@
   /// Timeout for sending and, separately, until the first byte of the response.
   /// The rest of the response is bounded by `transfer_deadline`.
   duration timeout = std::chrono::seconds(1);
+  /// Asked once the connection is open, right before the first byte is sent:
+  /// the process may have been suspended since the request was made. If it
+  /// returns false, nothing is sent. May be empty.
+  std::function<bool()> may_send;
 };
 
 struct http_response {
@@ -66,9 +71,18 @@
         address_(std::move(address)),
         connect_timeout_(connect_timeout) {}
 
+  /// Opens the connection unless it is open, so that the next request is sent
+  /// at once.
+  /// @return `error_kind::kUnavailable` if the connection cannot be opened.
+  boost::asio::awaitable<result<void>> Connect();
+
+  /// Returns whether a connection is open and no request is in flight on it.
+  [[nodiscard]] bool IsConnected() const noexcept { return connected_; }
+
   /// Sends a request and receives the response.
-  /// @return The response of any status, or `error_kind::kUnavailable` if none
-  /// was received.
+  /// @return The response of any status, `error_kind::kConflict` if
+  /// `http_request::may_send` returned false, or `error_kind::kUnavailable` if
+  /// no response was received.
   boost::asio::awaitable<result<http_response>> Call(http_request request);
 
   /// Closes the connection. A request in flight fails.
@@ -85,6 +99,7 @@
   endpoint address_;
   duration connect_timeout_;
   std::optional<boost::beast::tcp_stream> stream_;
+  bool connected_ = false;
   boost::beast::flat_buffer buffer_;
 };
 
