Keep a group fenced until its promotion takes effect

Cause: the fence was a moment. Between the order and its effect nothing was sent, so that a primary that was back under a new id got its waiting writes confirmed by an instance of a release that had just started. Ruled out: the wait for the primary lease, as those writes were sent after the fence was complete.

Change: every check fences each instance that is not fenced yet, also while an order is under way, the first time at once: one that claims to be the primary steps down, any other pauses. A replica that restarts meanwhile is paused again.

--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -77,30 +77,56 @@
   return actions;
 }
 
+/// Returns the request that fences an instance. A primary, even one of an old
+/// term, cannot pause replication and must step down first.
+replacement_action MakeFenceRequest(const replacement_state& state,
+                                    const instance_health& instance) {
+  const bool is_primary = instance.status.has_value()
+                              ? instance.status->is_primary
+                              : instance.claims_primary;
+  const bool steps_down = instance.id == state.primary || is_primary;
+  return {steps_down ? replacement_action_kind::kStepDown
+                     : replacement_action_kind::kPauseReplication,
+          instance.id, state.term};
+}
+
+/// Returns whether a fencing request has not been sent yet, or was sent
+/// `retry_interval` ago.
+bool IsRequestDue(const replacement_state& state,
+                  const replacement_action& request,
+                  const replacement_settings& settings, time_point now) {
+  const auto last = state.fence_requests.find(request.instance);
+  return last == state.fence_requests.end() ||
+         last->second.kind != request.kind ||
+         now - last->second.sent_at >= settings.retry_interval;
+}
+
+/// Fences every instance that is not fenced yet, also those that appeared after
+/// the fence was complete: until the promotion takes effect, an old primary
+/// that returns and a new replica could acknowledge writes.
 action_list Fence(replacement_state& state, const group_health& group,
                   const replacement_settings& settings, time_point now) {
   action_list actions;
-  if (now - state.last_action_at < settings.retry_interval) {
-    return actions;
-  }
   // Replicas of a leaving primary continue to replicate at first, so that one
   // of them receives all of its entries.
   const bool pause_others = state.cause != replacement_cause::kLeaving ||
+                            state.phase == replacement_phase::kPromoting ||
                             now - state.since >= settings.retry_interval;
   for (const instance_health& instance : group) {
-    // A primary, even one of an old term, cannot pause replication and must
-    // step down first.
-    const bool is_primary =
-        instance.status.has_value() && instance.status->is_primary;
-    if (instance.id == state.primary || is_primary) {
-      actions.push_back(
-          {replacement_action_kind::kStepDown, instance.id, state.term});
-    } else if (pause_others && !state.paused.contains(instance.id)) {
-      actions.push_back({replacement_action_kind::kPauseReplication,
-                         instance.id, state.term});
+    const replacement_action request = MakeFenceRequest(state, instance);
+    const bool pauses =
+        request.kind == replacement_action_kind::kPauseReplication;
+    const bool is_fenced =
+        pauses && (!pause_others || state.paused.contains(instance.id));
+    const bool is_promoted = state.phase == replacement_phase::kPromoting &&
+                             instance.id == state.chosen;
+    if (is_fenced || is_promoted ||
+        !IsRequestDue(state, request, settings, now)) {
+      continue;
     }
+    state.fence_requests[instance.id] = {request.kind, now};
+    actions.push_back(request);
   }
-  state.last_action_at = now;
   return actions;
 }
 
@@ -129,6 +155,7 @@
   state.term = HighestTerm(group) + 1;
   state.stepped_down_position.reset();
   state.paused.clear();
+  state.fence_requests.clear();
   EnterPhase(state, replacement_phase::kFencing, now);
   return Fence(state, group, settings, now);
 }
@@ -161,6 +188,7 @@
                                    instance.status->term) < state.term;
     if (receives) {
       state.paused.erase(paused);
+      state.fence_requests.erase(instance.id);
     }
   }
 }
@@ -270,9 +298,9 @@
                            time_point now) {
   if (now - state.since >= settings.promotion_timeout) {
     EnterPhase(state, replacement_phase::kFencing, now);
-    return Fence(state, group, settings, now);
   }
-  return {};
+  DropResumedReplicas(state, group);
+  return Fence(state, group, settings, now);
 }
 
 }  // namespace
@@ -345,9 +373,8 @@
 void RecordFenced(replacement_state& state, const group_health& group,
                   const replacement_action& action,
                   const instance_status& status, time_point now) {
-  const bool fencing = state.phase == replacement_phase::kFencing ||
-                       state.phase == replacement_phase::kWaiting;
-  if (!fencing || action.term != state.term) {
+  if (state.phase == replacement_phase::kWatching ||
+      action.term != state.term) {
     return;
   }
   if (action.kind == replacement_action_kind::kStepDown &&
--- a/src/sassafraswick/failover/replacement.h
+++ b/src/sassafraswick/failover/replacement.h
@@ -39,6 +39,8 @@
   std::string id;
   /// The instance announced that it will stop, or is no longer listed.
   bool leaving = false;
+  /// The instance's own entry says that it is the primary.
+  bool claims_primary = false;
   std::optional<instance_status> status;
   /// When the request that returned `status` was sent.
   time_point requested_at;
@@ -119,6 +121,20 @@
   time_point since;
 };
 
+/// Kinds of requests that fence and promote.
+enum class replacement_action_kind : std::uint8_t {
+  kStepDown,
+  kPauseReplication,
+  kResumeReplication,
+  kPromote,
+};
+
+/// The last fencing request to an instance.
+struct fence_request {
+  replacement_action_kind kind = replacement_action_kind::kPauseReplication;
+  time_point sent_at;
+};
+
 /// Progress of the replacement of one group's primary.
 struct replacement_state {
   replacement_phase phase = replacement_phase::kWatching;
@@ -135,6 +151,7 @@
   std::optional<log_point> stepped_down_position;
   /// Instances that paused replication.
   std::map<std::string, replica_pause> paused;
+  std::map<std::string, fence_request> fence_requests;
   /// When the fence was complete. The primary has acknowledged no write since.
   time_point fenced_at;
   std::string chosen;
@@ -146,13 +163,6 @@
   time_point unreplicated_since;
 };
 
-enum class replacement_action_kind : std::uint8_t {
-  kStepDown,
-  kPauseReplication,
-  kResumeReplication,
-  kPromote,
-};
-
 /// A request to be sent to an instance or, for `kPromote`, to the platform.
 struct replacement_action {
   replacement_action_kind kind = replacement_action_kind::kPauseReplication;
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -64,6 +64,7 @@
       target->claim_order = ++last_claim_order_;
     }
     target->record = record;
+    target->health.claims_primary = record.claims_primary;
     target->listed = true;
     target->warm_at = monotonic_clock::now() + record.warmup_left;
     ApplyEvacuation(*target);
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -319,5 +319,74 @@
   CHECK_FALSE(Contains(again, replacement_action_kind::kPromote, "c"));
 }
 
+/// Returns a state in which the promotion of `c` was requested at 3000 ms.
+replacement_state Promoting(group_health& group) {
+  replacement_state state = Watching();
+  group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 11, 2465);
+  RecordPause(state, group, 2, 12, 2470);
+  const std::vector<replacement_action> promote =
+      AdvanceReplacement(state, group, kSettings, At(3000));
+  CHECK(Contains(promote, replacement_action_kind::kPromote, "c"));
+  return state;
+}
+
+// Between the order and its effect nothing was fenced: a primary that was back
+// got its writes confirmed by an instance that had just started. Seen with:
+// review/2.
+TEST_CASE("instances that appear during a promotion are fenced at once",
+          "[replacement]") {
+  group_health group;
+  replacement_state state = Promoting(group);
+  CHECK(AdvanceReplacement(state, group, kSettings, At(3050)).size() <= 1);
+  instance_health returned;
+  returned.id = "a-again";
+  returned.claims_primary = true;
+  group.push_back(returned);
+  instance_health started;
+  started.id = "d";
+  group.push_back(started);
+  const std::vector<replacement_action> actions =
+      AdvanceReplacement(state, group, kSettings, At(3100));
+  CHECK(Contains(actions, replacement_action_kind::kStepDown, "a-again"));
+  CHECK(Contains(actions, replacement_action_kind::kPauseReplication, "d"));
+  CHECK_FALSE(
+      Contains(actions, replacement_action_kind::kPauseReplication, "c"));
+  CHECK(state.phase == replacement_phase::kPromoting);
+
+  // Once it has stepped down, it must not follow another primary either.
+  group[3].status = instance_status{1, false, {1, 12}, 0};
+  const std::vector<replacement_action> then =
+      AdvanceReplacement(state, group, kSettings, At(3150));
+  CHECK(Contains(then, replacement_action_kind::kPauseReplication, "a-again"));
+  CHECK_FALSE(Contains(then, replacement_action_kind::kPauseReplication, "d"));
+}
+
+TEST_CASE("a replica that restarts during a promotion is paused again",
+          "[replacement]") {
+  group_health group;
+  replacement_state state = Promoting(group);
+  group[1].status->paused_term = 0;
+  group[1].requested_at = At(3040);
+  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(3050)),
+                 replacement_action_kind::kPauseReplication, "b"));
+}
+
+TEST_CASE("an instance that appears before the order is fenced first",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 11, 2465);
+  RecordPause(state, group, 2, 12, 2470);
+  instance_health returned;
+  returned.id = "a-again";
+  returned.claims_primary = true;
+  group.push_back(returned);
+  const std::vector<replacement_action> actions =
+      AdvanceReplacement(state, group, kSettings, At(3000));
+  CHECK(Contains(actions, replacement_action_kind::kStepDown, "a-again"));
+  CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "c"));
+}
+
 }  // namespace
 }  // namespace sassafraswick
