Complete a fence also when the last unfenced instance has left

Cause: only the confirmation of a pause completed a fence. Two instances of an earlier release that had ended were remembered for 10 s and kept the fence incomplete; when they were forgotten, nothing was left to be confirmed. The logs couldn't part an instance that is never paused from a fence that is never found complete; the new line fence_incomplete named the two until 35 s and none from then on.

Change: each check completes a fence that nothing keeps incomplete any more.

Test: "a fence is complete when the last unfenced instance has left".

--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -163,17 +163,11 @@
 /// Returns whether every instance except the old primary paused replication.
 bool AllOthersPaused(const replacement_state& state,
                      const group_health& group) {
-  std::size_t others = 0;
-  for (const instance_health& instance : group) {
-    if (instance.id == state.primary) {
-      continue;
-    }
-    ++others;
-    if (!state.paused.contains(instance.id)) {
-      return false;
-    }
-  }
-  return others > 0;
+  const bool has_others = std::any_of(group.begin(), group.end(),
+                                      [&state](const instance_health& each) {
+                                        return each.id != state.primary;
+                                      });
+  return has_others && ListUnfenced(state, group).empty();
 }
 
 /// Removes instances that replicate again because they were restarted or told
@@ -198,6 +192,15 @@
          AllOthersPaused(state, group);
 }
 
+/// Enters the next phase once the fence is complete.
+void CompleteFence(replacement_state& state, const group_health& group,
+                   time_point now) {
+  if (state.phase == replacement_phase::kFencing && IsFenced(state, group)) {
+    EnterPhase(state, replacement_phase::kWaiting, now);
+    state.fenced_at = now;
+  }
+}
+
 /// Returns whether a primary that was presumed lost responds again, so that the
 /// replacement can be abandoned. If no primary was known, any instance that
 /// responds as primary counts.
@@ -357,6 +360,8 @@
   if (replaced || (fencing && HasRecovered(state, group))) {
     ResetToWatching(state, now);
   }
+  // An instance that kept the fence from being complete may have left.
+  CompleteFence(state, group, now);
   switch (state.phase) {
     case replacement_phase::kWatching:
       return Watch(state, group, settings, now);
@@ -370,6 +375,17 @@
   return {};
 }
 
+std::vector<std::string> ListUnfenced(const replacement_state& state,
+                                      const group_health& group) {
+  std::vector<std::string> unfenced;
+  for (const instance_health& instance : group) {
+    if (instance.id != state.primary && !state.paused.contains(instance.id)) {
+      unfenced.push_back(instance.id);
+    }
+  }
+  return unfenced;
+}
+
 void RecordFenced(replacement_state& state, const group_health& group,
                   const replacement_action& action,
                   const instance_status& status, time_point now) {
@@ -385,10 +401,7 @@
       status.paused_term >= state.term) {
     state.paused[action.instance] = {status.received, now};
   }
-  if (state.phase == replacement_phase::kFencing && IsFenced(state, group)) {
-    EnterPhase(state, replacement_phase::kWaiting, now);
-    state.fenced_at = now;
-  }
+  CompleteFence(state, group, now);
 }
 
 void RecordPromoted(replacement_state& state, const replacement_action& action,
--- a/src/sassafraswick/failover/replacement.h
+++ b/src/sassafraswick/failover/replacement.h
@@ -183,6 +183,11 @@
                                const replacement_settings& settings,
                                time_point now);
 
+/// Returns the instances, except the old primary, that have not confirmed that
+/// they paused replication.
+[[nodiscard]] std::vector<std::string> ListUnfenced(
+    const replacement_state& state, const group_health& group);
+
 /// Records an instance's response to `kStepDown` or `kPauseReplication`.
 void RecordFenced(replacement_state& state, const group_health& group,
                   const replacement_action& action,
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -65,6 +65,7 @@
     replacement_state state;
     /// When each instance was last sent a status request.
     std::map<std::string, time_point> status_requested_at;
+    time_point fence_logged_at;
     /// Opened when the fence is complete.
     std::shared_ptr<promoter> sender;
   };
@@ -76,6 +77,7 @@
     const std::vector<replacement_action> actions =
         AdvanceReplacement(watched.state, group->Health(), settings_, now);
     OnPhase(*group, watched, previous_phase);
+    LogIncompleteFence(*group, watched, now);
     for (const replacement_action& action : actions) {
       Spawn(gateway_.context, "group",
             [this, group, action] { return ExecuteAction(group, action); });
@@ -132,6 +134,29 @@
          {"chosen", state.chosen}});
   }
 
+  /// Logs which instances keep a fence from being complete.
+  static void LogIncompleteFence(const target_group<codec>& group,
+                                 watched_group& watched, time_point now) {
+    constexpr duration kInterval = std::chrono::seconds(1);
+    const replacement_state& state = watched.state;
+    const bool is_due = state.phase == replacement_phase::kFencing &&
+                        now - state.since >= kInterval &&
+                        now - watched.fence_logged_at >= kInterval;
+    if (!is_due) {
+      return;
+    }
+    watched.fence_logged_at = now;
+    std::string unfenced;
+    for (const std::string& id : ListUnfenced(state, group.Health())) {
+      unfenced += id + " ";
+    }
+    Log(log_level::kInfo, "fence_incomplete",
+        {{"pool", group.Name()},
+         {"cause", std::string(CauseName(state.cause))},
+         {"primary", state.primary},
+         {"unfenced", unfenced}});
+  }
+
   boost::asio::awaitable<void> ExecuteAction(group_pointer group,
                                              replacement_action action) {
     if (action.kind == replacement_action_kind::kPromote) {
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -388,5 +388,19 @@
   CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "c"));
 }
 
+// Only a confirmation completed a fence, so that the group had no primary for
+// good once the last instance to confirm was forgotten. Seen in the day of
+// review/2, in its second half.
+TEST_CASE("a fence is complete when the last unfenced instance has left",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 11, 2465);
+  CHECK(state.phase == replacement_phase::kFencing);
+  group.pop_back();
+  CHECK(AdvanceReplacement(state, group, kSettings, At(2500)).empty());
+  CHECK(state.phase == replacement_phase::kWaiting);
+}
+
 }  // namespace
 }  // namespace sassafraswick
