Do not replace a primary that may have the only copy of acknowledged writes

Cause: "are the replicas cut off" and "are all log positions known" were answered by what is listed or remembered just now. Replicas that had confirmed the writes had left; the new ones were behind after a cut, so that the primary was stepped down, the others were taken for all after 10 s, and the one that had everything was left out of the choice. Ruled out: the cut (healed by then), the fence and the wait for the primary lease (complete).

Change: the members of a term are tracked. One that has left stays a member until a remaining replica has what the primary had after that. While one is missing, a primary isn't replaced because its replicas are behind, and the most advanced other is no proof. A primary that stepped down and responds is promoted again if no other is proved within 1.5 s; without it, one is promoted unproved after 10 s, logged with all positions and counted. The proof of a choice is logged.

Known gap: the holder of the failover lease knows the members since it took the lease.

--- a/src/sassafraswick/failover/loss_detection.h
+++ b/src/sassafraswick/failover/loss_detection.h
@@ -28,6 +28,18 @@
 void TrackReplication(replacement_state& state, const group_health& group,
                       const std::string& primary, time_point now);
 
+/// Tracks which instances may have confirmed writes of the current term. One
+/// that has left is kept, for however long, until a remaining replica has what
+/// the primary had after that, or a higher term begins.
+void TrackMembers(replacement_state& state, const group_health& group,
+                  time_point now);
+
+/// Returns whether only an instance that has left may have a write that the
+/// primary acknowledged.
+/// @param primary The primary, which confirms no writes of its own.
+[[nodiscard]] bool IsMemberMissing(const replacement_state& state,
+                                   const std::string& primary);
+
 /// Returns why the primary must be replaced, or `kNone`.
 [[nodiscard]] replacement_cause FindReplacementCause(
     const replacement_state& state, const group_health& group,
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -23,6 +23,7 @@
   state.stepped_down_position.reset();
   state.paused.clear();
   state.chosen.clear();
+  state.proof = choice_proof::kNone;
   state.unreplicated = log_point();
   state.unreplicated_since = now;
 }
@@ -253,28 +254,71 @@
   return found;
 }
 
-/// Chooses the instance to promote. Leaving instances are chosen only after
-/// `catch_up_timeout`.
-/// @return Empty if no instance provably has every acknowledged write yet.
-std::string ChooseInstance(const replacement_state& state,
-                           const group_health& group,
-                           const replacement_settings& settings,
-                           time_point now) {
-  const std::vector<candidate> candidates = CollectCandidates(state, group);
+/// An instance to promote, and why it was chosen.
+struct promotion_choice {
+  /// Empty if no instance is to be promoted yet.
+  std::string id;
+  choice_proof proof = choice_proof::kNone;
+};
+
+/// Chooses among instances that provably have every acknowledged write. Leaving
+/// instances are chosen only after `catch_up_timeout`.
+promotion_choice ChooseProved(const replacement_state& state,
+                              const group_health& group,
+                              const std::vector<candidate>& candidates,
+                              bool timed_out) {
   const std::size_t others =
       group.size() - (FindInstance(group, state.primary) == nullptr ? 0 : 1);
-  const bool all_known = !candidates.empty() && candidates.size() >= others;
+  const bool all_known = !candidates.empty() && candidates.size() >= others &&
+                         !IsMemberMissing(state, state.primary);
   for (const candidate& each : candidates) {
-    const bool holds_all =
-        (state.stepped_down_position.has_value() &&
-         !IsBehind(each.end, *state.stepped_down_position)) ||
-        (all_known && !IsBehind(each.end, candidates.front().end));
-    if (holds_all && !each.leaving) {
-      return each.id;
+    if (each.leaving) {
+      continue;
+    }
+    if (state.stepped_down_position.has_value() &&
+        !IsBehind(each.end, *state.stepped_down_position)) {
+      return {each.id, choice_proof::kHasPrimaryLog};
+    }
+    if (all_known && !IsBehind(each.end, candidates.front().end)) {
+      return {each.id, choice_proof::kMostAdvanced};
     }
   }
-  const bool timed_out = now - state.fenced_at >= settings.catch_up_timeout;
-  return all_known && timed_out ? candidates.front().id : std::string();
+  if (all_known && timed_out) {
+    return {candidates.front().id, choice_proof::kMostAdvanced};
+  }
+  return {};
+}
+
+/// Returns whether the old primary stepped down and still responds. It has
+/// every acknowledged write.
+bool CanPromoteOldPrimary(const replacement_state& state,
+                          const group_health& group) {
+  const instance_health* const primary = FindInstance(group, state.primary);
+  return state.stepped_down_position.has_value() && primary != nullptr &&
+         primary->listed && IsResponsive(*primary);
+}
+
+promotion_choice ChooseInstance(const replacement_state& state,
+                                const group_health& group,
+                                const replacement_settings& settings,
+                                time_point now) {
+  const std::vector<candidate> candidates = CollectCandidates(state, group);
+  const duration waited =
+      std::chrono::duration_cast<duration>(now - state.fenced_at);
+  const bool timed_out = waited >= settings.catch_up_timeout;
+  promotion_choice chosen = ChooseProved(state, group, candidates, timed_out);
+  if (!chosen.id.empty() || !timed_out) {
+    return chosen;
+  }
+  if (CanPromoteOldPrimary(state, group)) {
+    return {state.primary, choice_proof::kOldPrimary};
+  }
+  const bool gives_up = waited >= settings.unproved_choice_after &&
+                        IsMemberMissing(state, state.primary);
+  if (gives_up && !candidates.empty()) {
+    return {candidates.front().id, choice_proof::kUnproved};
+  }
+  return chosen;
 }
 
 action_list Wait(replacement_state& state, const group_health& group,
@@ -287,7 +331,9 @@
   if (now - state.fenced_at < kPrimaryLeaseDuration) {
     return {};
   }
-  state.chosen = ChooseInstance(state, group, settings, now);
+  const promotion_choice choice = ChooseInstance(state, group, settings, now);
+  state.chosen = choice.id;
+  state.proof = choice.proof;
   if (state.chosen.empty()) {
     return Fence(state, group, settings, now);
   }
@@ -326,6 +372,22 @@
   return "unknown";
 }
 
+std::string_view ProofName(choice_proof proof) noexcept {
+  switch (proof) {
+    case choice_proof::kNone:
+      return "none";
+    case choice_proof::kHasPrimaryLog:
+      return "has_primary_log";
+    case choice_proof::kMostAdvanced:
+      return "most_advanced";
+    case choice_proof::kOldPrimary:
+      return "old_primary";
+    case choice_proof::kUnproved:
+      return "unproved";
+  }
+  return "unknown";
+}
+
 std::string_view PhaseName(replacement_phase phase) noexcept {
   switch (phase) {
     case replacement_phase::kWatching:
@@ -353,6 +415,7 @@
     state.observation_started_at = now;
     state.unreplicated_since = now;
   }
+  TrackMembers(state, group, now);
   const bool fencing = state.phase == replacement_phase::kFencing ||
                        state.phase == replacement_phase::kWaiting;
   const bool replaced = state.phase != replacement_phase::kWatching &&
--- a/src/sassafraswick/failover/replacement.h
+++ b/src/sassafraswick/failover/replacement.h
@@ -39,6 +39,7 @@
   std::string id;
   /// The instance announced that it will stop, or is no longer listed.
   bool leaving = false;
+  bool listed = true;
   /// The instance's own entry says that it is the primary.
   bool claims_primary = false;
   std::optional<instance_status> status;
@@ -78,6 +79,10 @@
   duration promotion_timeout = std::chrono::milliseconds(2500);
   /// Time that the successor of a leaving primary has to receive all entries.
   duration catch_up_timeout = std::chrono::milliseconds(1500);
+  /// Time after which an instance is promoted though an instance that has left
+  /// may have confirmed writes that it lacks. Their loss is certain by then, as
+  /// neither the primary nor the instance that left responds.
+  duration unproved_choice_after = std::chrono::milliseconds(10'000);
   /// Time for which a new holder of the failover lease only observes, so that a
   /// promotion requested by the previous holder takes effect first. A promotion
   /// takes about 640 ms. A holder that loses its lease stops a quarter of the
@@ -121,6 +126,31 @@
   time_point since;
 };
 
+/// Why an instance was chosen.
+enum class choice_proof : std::uint8_t {
+  kNone,
+  /// It has every entry that the primary had when it stepped down.
+  kHasPrimaryLog,
+  /// It is the most advanced of all instances that may have confirmed writes.
+  kMostAdvanced,
+  /// It is the primary that stepped down; no other instance is proved to have
+  /// every acknowledged write.
+  kOldPrimary,
+  /// It is not proved to have every acknowledged write.
+  kUnproved,
+};
+
+/// Returns the name of a proof as written to logs.
+[[nodiscard]] std::string_view ProofName(choice_proof proof) noexcept;
+
+/// An instance that may have confirmed writes of the current term.
+struct group_member {
+  /// When it was found to have left.
+  std::optional<time_point> left_at;
+  /// Log position that covers every write that it may have confirmed.
+  std::optional<log_point> bound;
+};
+
 /// Kinds of requests that fence and promote.
 enum class replacement_action_kind : std::uint8_t {
   kStepDown,
@@ -155,6 +185,11 @@
   /// When the fence was complete. The primary has acknowledged no write since.
   time_point fenced_at;
   std::string chosen;
+  choice_proof proof = choice_proof::kNone;
+  /// Instances listed in `members_term`, except those that have left and whose
+  /// confirmed writes another instance is known to have.
+  std::map<std::string, group_member> members;
+  term_number members_term = 0;
   /// When actions were last sent in this phase.
   time_point last_action_at;
   /// Log entry of the primary that no replica has received yet, and when it was
--- a/src/sassafraswick/gateway/counters.h
+++ b/src/sassafraswick/gateway/counters.h
@@ -47,6 +47,8 @@
   std::uint64_t connections_opened = 0;
   std::uint64_t store_calls = 0;
   std::uint64_t promotions = 0;
+  /// Promotions of instances that may lack acknowledged writes.
+  std::uint64_t unproved_promotions = 0;
   std::uint64_t retries = 0;
   /// Reads that also ran on a second instance, as the first one was late.
   std::uint64_t hedged_reads = 0;
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -131,7 +131,17 @@
          {"cause", std::string(CauseName(state.cause))},
          {"primary", state.primary},
          {"term", std::to_string(state.term)},
-         {"chosen", state.chosen}});
+         {"chosen", state.chosen},
+         {"proof", std::string(ProofName(state.proof))}});
+    if (state.proof == choice_proof::kUnproved) {
+      ++gateway_.counters.unproved_promotions;
+      LogUnproved(group, state);
+    }
+  }
+
+  static std::string FormatPosition(const log_point& position) {
+    return std::to_string(position.term) + "." +
+           std::to_string(position.position);
   }
 
   /// Logs which instances keep a fence from being complete.
@@ -157,6 +167,29 @@
          {"unfenced", unfenced}});
   }
 
+  /// Logs what is known of each instance when none is proved to have every
+  /// acknowledged write.
+  static void LogUnproved(const target_group<codec>& group,
+                          const replacement_state& state) {
+    std::string positions;
+    for (const instance_health& instance : group.Health()) {
+      positions += instance.id + "=";
+      positions += instance.status.has_value()
+                       ? FormatPosition(instance.status->received)
+                       : std::string("unknown");
+      positions += instance.listed ? " " : "(left) ";
+    }
+    std::string missing;
+    for (const std::pair<const std::string, group_member>& member :
+         state.members) {
+      missing += member.second.left_at.has_value() ? member.first + " " : "";
+    }
+    Log(log_level::kWarning, "promotion_unproved",
+        {{"pool", group.Name()},
+         {"positions", positions},
+         {"missing", missing}});
+  }
+
   boost::asio::awaitable<void> ExecuteAction(group_pointer group,
                                              replacement_action action) {
     if (action.kind == replacement_action_kind::kPromote) {
--- a/src/sassafraswick/gateway/report.cc
+++ b/src/sassafraswick/gateway/report.cc
@@ -50,6 +50,7 @@
   AddLine(text, "connections_opened", counters.connections_opened);
   AddLine(text, "store_calls", counters.store_calls);
   AddLine(text, "promotions", counters.promotions);
+  AddLine(text, "unproved_promotions", counters.unproved_promotions);
   AddLine(text, "retries", counters.retries);
   AddLine(text, "hedged_reads", counters.hedged_reads);
   AddLine(text, "log_lines_left_out", LogLinesDropped());
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -66,6 +66,7 @@
     target->record = record;
     target->health.claims_primary = record.claims_primary;
     target->listed = true;
+    target->health.listed = true;
     target->warm_at = monotonic_clock::now() + record.warmup_left;
     ApplyEvacuation(*target);
     if (record.claims_primary && view_.primary != record.id) {
@@ -89,6 +90,7 @@
     const target_pointer target = Find(id);
     if (target != nullptr && target->listed) {
       target->listed = false;
+      target->health.listed = false;
       target->health.leaving = true;
       target->unlisted_at = monotonic_clock::now();
       target->idle.clear();
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -388,6 +388,93 @@
   CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "c"));
 }
 
+/// Returns a state after `d`, which confirmed the writes of `a`, has left. Its
+/// writes have not reached `b` and `c`.
+replacement_state AfterDeparture(group_health& group) {
+  replacement_state state;
+  group = Healthy(0);
+  group.push_back(Instance("d", false, 10, At(0)));
+  CHECK(AdvanceReplacement(state, group, kSettings, At(0)).empty());
+  group[0].status->received = {1, 20};
+  group[3].status->received = {1, 20};
+  CHECK(AdvanceReplacement(state, group, kSettings, At(2000)).empty());
+  group.pop_back();
+  return state;
+}
+
+/// Advances a replacement while all instances respond.
+std::vector<replacement_action> AdvanceResponsive(replacement_state& state,
+                                                  group_health& group, int from,
+                                                  int to) {
+  constexpr int kTick = 50;
+  std::vector<replacement_action> all;
+  for (int now = from; now < to; now += kTick) {
+    for (instance_health& instance : group) {
+      instance.requested_at = At(now - 1);
+    }
+    const std::vector<replacement_action> actions =
+        AdvanceReplacement(state, group, kSettings, At(now));
+    all.insert(all.end(), actions.begin(), actions.end());
+  }
+  return all;
+}
+
+// A primary that had the only copy of acknowledged writes was stepped down
+// because its replicas were behind, and one of them was promoted. Seen with:
+// review/1.
+TEST_CASE("a primary whose confirming replica has left is not replaced",
+          "[replacement]") {
+  group_health group;
+  replacement_state state = AfterDeparture(group);
+  CHECK(AdvanceResponsive(state, group, 2050, 30'000).empty());
+
+  SECTION("until another replica has what it confirmed") {
+    group[0].status->received = {1, 40};
+    group[1].status->received = {1, 25};
+    CHECK(AdvanceResponsive(state, group, 30'050, 30'100).empty());
+    const std::vector<replacement_action> actions =
+        AdvanceResponsive(state, group, 30'100, 33'000);
+    CHECK(Contains(actions, replacement_action_kind::kStepDown, "a"));
+  }
+}
+
+// The primary that had stepped down was left out of the choice.
+TEST_CASE("a primary that stepped down is promoted if no other has every write",
+          "[replacement]") {
+  group_health group;
+  replacement_state state = AfterDeparture(group);
+  group[0].leaving = true;
+  CHECK_FALSE(AdvanceResponsive(state, group, 2050, 2100).empty());
+  group[0].status = instance_status{1, false, {1, 20}, 0};
+  RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
+               *group[0].status, At(2110));
+  group[0].leaving = false;
+  const std::vector<replacement_action> actions =
+      AdvanceResponsive(state, group, 2150, 4000);
+  CHECK(Contains(actions, replacement_action_kind::kPromote, "a"));
+  CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "b"));
+  CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "c"));
+  CHECK(state.proof == choice_proof::kOldPrimary);
+}
+
+TEST_CASE("without the primary an unproved instance is promoted late",
+          "[replacement]") {
+  group_health group;
+  replacement_state state = AfterDeparture(group);
+  group[0].refused_since = At(2000);
+  group[0].refused_at = At(2400);
+  CHECK_FALSE(AdvanceReplacement(state, group, kSettings, At(2450)).empty());
+  RecordPause(state, group, 1, 10, 2460);
+  RecordPause(state, group, 2, 11, 2470);
+  const std::vector<replacement_action> early =
+      AdvanceResponsive(state, group, 2500, 12'400);
+  CHECK_FALSE(Contains(early, replacement_action_kind::kPromote, "c"));
+  const std::vector<replacement_action> late =
+      AdvanceResponsive(state, group, 12'400, 12'600);
+  CHECK(Contains(late, replacement_action_kind::kPromote, "c"));
+  CHECK(state.proof == choice_proof::kUnproved);
+}
+
 // Only a confirmation completed a fence, so that the group had no primary for
 // good once the last instance to confirm was forgotten. Seen in the day of
 // review/2, in its second half.
