Handle the outcome of opening the connection for an order ahead

A failure is logged now (promotion_connect_failed); the order then opens a connection itself, as before.

--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -248,7 +248,11 @@
     watched.sender = platform_.MakePromoter(gateway_.context.get_executor());
     Spawn(gateway_.context, "promotion",
           [sender = watched.sender]() -> boost::asio::awaitable<void> {
-            co_await sender->Connect();
+            const result<void> connected = co_await sender->Connect();
+            if (!connected) {
+              Log(log_level::kInfo, "promotion_connect_failed",
+                  {{"reason", connected.error().message}});
+            }
           });
   }
 
@@ -256,7 +260,7 @@
   std::shared_ptr<promoter> TakePromoter(const std::string& group) {
     const auto watched = watched_.find(group);
     if (watched != watched_.end() && watched->second.sender != nullptr) {
-      const std::shared_ptr<promoter> prepared =
+      std::shared_ptr<promoter> prepared =
           std::exchange(watched->second.sender, nullptr);
       if (prepared->IsConnected()) {
         return prepared;
--- a/test/sassafraswick/fleet/entry_return_test.cc
+++ b/test/sassafraswick/fleet/entry_return_test.cc
@@ -19,8 +19,8 @@
 TEST_CASE("failed calls do not count towards the return of entries",
           "[entry_return]") {
   entry_return_tracker tracker;
-  for (int i = 0; i < 40; ++i) {
-    tracker.RecordCall(false, At(100 * i));
+  for (std::int64_t at = 0; at < 4000; at += 100) {
+    tracker.RecordCall(false, At(at));
   }
   CHECK_FALSE(tracker.HaveReturned(At(4000)));
   tracker.RecordCall(true, At(4000));
