Wait for a member by when it left, and let a leaving primary lead meanwhile

The wait before an unproved choice ran from the complete fence; as an instance that has left keeps the fence incomplete for 10 s, a group that lost its primary and a replica for good would have waited twice as long as before. And a leaving primary whose confirming replica had left was stepped down and promoted again by turns, so that its replicas could not receive what only it had.

Change: the wait runs from when the member left; a leaving primary leads until a remaining replica has every write.

--- a/src/sassafraswick/failover/loss_detection.cc
+++ b/src/sassafraswick/failover/loss_detection.cc
@@ -168,13 +168,15 @@
   }
 }
 
-bool IsMemberMissing(const replacement_state& state,
-                     const std::string& primary) {
-  return std::any_of(
-      state.members.begin(), state.members.end(),
-      [&primary](const std::pair<const std::string, group_member>& each) {
-        return each.first != primary && each.second.left_at.has_value();
-      });
+std::optional<time_point> LastMemberLeftAt(const replacement_state& state,
+                                           const std::string& primary) {
+  std::optional<time_point> last;
+  for (const std::pair<const std::string, group_member>& each : state.members) {
+    if (each.first != primary) {
+      last = std::max(last, each.second.left_at);
+    }
+  }
+  return last;
 }
 
 replacement_cause FindReplacementCause(const replacement_state& state,
@@ -199,15 +201,15 @@
   if (IsSilent(*current_primary, settings, now)) {
     return replacement_cause::kSilent;
   }
-  if (current_primary->leaving &&
-      HasRemainingInstance(group, current_primary->id)) {
-    return replacement_cause::kLeaving;
-  }
   // The primary may have the only copy of what an instance that has left
   // confirmed. Its replicas can receive it only while it leads.
-  if (IsMemberMissing(state, current_primary->id)) {
+  if (LastMemberLeftAt(state, current_primary->id).has_value()) {
     return replacement_cause::kNone;
   }
+  if (current_primary->leaving &&
+      HasRemainingInstance(group, current_primary->id)) {
+    return replacement_cause::kLeaving;
+  }
   const duration stalled_after = others > 1
                                      ? settings.cut_off_after
                                      : settings.single_replica_cut_off_after;
--- a/src/sassafraswick/failover/loss_detection.h
+++ b/src/sassafraswick/failover/loss_detection.h
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASWICK_FAILOVER_LOSS_DETECTION_H_
 #define SASSAFRASWICK_FAILOVER_LOSS_DETECTION_H_
 
+#include <optional>
 #include <string>
 
 #include "sassafraswick/failover/replacement.h"
@@ -34,11 +35,11 @@
 void TrackMembers(replacement_state& state, const group_health& group,
                   time_point now);
 
-/// Returns whether only an instance that has left may have a write that the
-/// primary acknowledged.
+/// Returns when the last of the members left that may have confirmed writes
+/// which no remaining replica has; nothing if there is none.
 /// @param primary The primary, which confirms no writes of its own.
-[[nodiscard]] bool IsMemberMissing(const replacement_state& state,
-                                   const std::string& primary);
+[[nodiscard]] std::optional<time_point> LastMemberLeftAt(
+    const replacement_state& state, const std::string& primary);
 
 /// Returns why the primary must be replaced, or `kNone`.
 [[nodiscard]] replacement_cause FindReplacementCause(
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -270,7 +270,7 @@
   const std::size_t others =
       group.size() - (FindInstance(group, state.primary) == nullptr ? 0 : 1);
   const bool all_known = !candidates.empty() && candidates.size() >= others &&
-                         !IsMemberMissing(state, state.primary);
+                         !LastMemberLeftAt(state, state.primary).has_value();
   for (const candidate& each : candidates) {
     if (each.leaving) {
       continue;
@@ -313,8 +313,10 @@
   if (CanPromoteOldPrimary(state, group)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
-  const bool gives_up = waited >= settings.unproved_choice_after &&
-                        IsMemberMissing(state, state.primary);
+  const std::optional<time_point> last_left_at =
+      LastMemberLeftAt(state, state.primary);
+  const bool gives_up = last_left_at.has_value() &&
+                        now - *last_left_at >= settings.member_return_timeout;
   if (gives_up && !candidates.empty()) {
     return {candidates.front().id, choice_proof::kUnproved};
   }
--- a/src/sassafraswick/failover/replacement.h
+++ b/src/sassafraswick/failover/replacement.h
@@ -79,10 +79,9 @@
   duration promotion_timeout = std::chrono::milliseconds(2500);
   /// Time that the successor of a leaving primary has to receive all entries.
   duration catch_up_timeout = std::chrono::milliseconds(1500);
-  /// Time after which an instance is promoted though an instance that has left
-  /// may have confirmed writes that it lacks. Their loss is certain by then, as
-  /// neither the primary nor the instance that left responds.
-  duration unproved_choice_after = std::chrono::milliseconds(10'000);
+  /// Time to wait for an instance that has left and may have confirmed writes
+  /// that no other has. After it, an instance is promoted without proof.
+  duration member_return_timeout = std::chrono::milliseconds(10'000);
   /// Time for which a new holder of the failover lease only observes, so that a
   /// promotion requested by the previous holder takes effect first. A promotion
   /// takes about 640 ms. A holder that loses its lease stops a quarter of the
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -438,19 +438,36 @@
   }
 }
 
-// The primary that had stepped down was left out of the choice.
-TEST_CASE("a primary that stepped down is promoted if no other has every write",
+TEST_CASE("a leaving primary leads until another replica has every write",
           "[replacement]") {
   group_health group;
   replacement_state state = AfterDeparture(group);
   group[0].leaving = true;
-  CHECK_FALSE(AdvanceResponsive(state, group, 2050, 2100).empty());
+  CHECK(AdvanceResponsive(state, group, 2050, 6000).empty());
+  group[1].status->received = {1, 20};
+  CHECK(Contains(AdvanceResponsive(state, group, 6000, 6200),
+                 replacement_action_kind::kStepDown, "a"));
+}
+
+// The primary that had stepped down was left out of the choice.
+TEST_CASE("a primary that stepped down is promoted if no other has every write",
+          "[replacement]") {
+  replacement_state state;
+  group_health group = Healthy(0);
+  group.push_back(Instance("d", false, 10, At(0)));
+  CHECK(AdvanceReplacement(state, group, kSettings, At(0)).empty());
+  group[0].status->received = {1, 20};
+  group[0].leaving = true;
+  CHECK(Contains(AdvanceResponsive(state, group, 2000, 2050),
+                 replacement_action_kind::kStepDown, "a"));
   group[0].status = instance_status{1, false, {1, 20}, 0};
   RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
-               *group[0].status, At(2110));
+               *group[0].status, At(2060));
+  // `d` may have confirmed what `b` and `c` lack.
+  group.pop_back();
   group[0].leaving = false;
   const std::vector<replacement_action> actions =
-      AdvanceResponsive(state, group, 2150, 4000);
+      AdvanceResponsive(state, group, 2100, 4000);
   CHECK(Contains(actions, replacement_action_kind::kPromote, "a"));
   CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "b"));
   CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "c"));
@@ -470,7 +487,7 @@
       AdvanceResponsive(state, group, 2500, 12'400);
   CHECK_FALSE(Contains(early, replacement_action_kind::kPromote, "c"));
   const std::vector<replacement_action> late =
-      AdvanceResponsive(state, group, 12'400, 12'600);
+      AdvanceResponsive(state, group, 12'400, 12'550);
   CHECK(Contains(late, replacement_action_kind::kPromote, "c"));
   CHECK(state.proof == choice_proof::kUnproved);
 }
