Make a second crash of a stand-in instance harmless

Cause: two crashes of the same primary overlapped, as PrimaryIndex is the crashed one until the promotion; both ends of the fault started the instance, which opened its port twice, and the first listener was never closed. Ruled out: the gateways (ended).

Change: a stopped instance isn't crashed again, a running one isn't started.

--- a/test/integration/soak_test.cc
+++ b/test/integration/soak_test.cc
@@ -11,7 +11,9 @@
 
 TEST_CASE("gateways keep the consistency guarantees under faults",
           "[gateway][soak]") {
-  const std::uint64_t seed = GENERATE(1, 2, 3);
+  // 3036: two crashes of the same primary overlapped, and the stand-in opened
+  // its port twice, so that the run never ended.
+  const std::uint64_t seed = GENERATE(1, 2, 3, 3036);
   const soak_report report = RunSoak(seed, std::chrono::milliseconds(4000));
   INFO("seed " << seed << ": " << Describe(report));
   CHECK(report.Passed());
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -417,7 +417,13 @@
 }
 
 void standin_platform::Crash(std::size_t index) {
-  group_.Modify(index, [](group_instance& each) { each.running = false; });
+  bool was_running = false;
+  group_.Modify(index, [&was_running](group_instance& each) {
+    was_running = std::exchange(each.running, false);
+  });
+  if (!was_running) {
+    return;
+  }
   shutdown(instances_.at(index).descriptor, SHUT_RDWR);
   close(instances_.at(index).descriptor);
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -427,6 +433,9 @@
 }
 
 void standin_platform::Restart(std::size_t index) {
+  if (group_.IsRunning(group_.Name() + "-" + std::to_string(index))) {
+    return;
+  }
   group_.Restart(index);
   const listening_socket listener = Listen(instances_.at(index).port);
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -75,9 +75,9 @@
   /// Writes an instance's entry.
   void PublishEntry(std::size_t index);
 
-  /// Stops an instance: its port refuses connections.
+  /// Stops an instance, unless it is stopped: its port refuses connections.
   void Crash(std::size_t index);
-  /// Starts a stopped instance at the same port.
+  /// Starts an instance at the same port, unless it runs.
   void Restart(std::size_t index);
   /// Publishes whether an instance is about to stop.
   void SetDraining(std::size_t index, bool draining);
