--- a/src/sassafraswick/gateway/client_session.h
+++ b/src/sassafraswick/gateway/client_session.h
@@ -79,9 +79,12 @@
   /// Closes the session if it is idle outside a transaction, and either the
   /// host is shutting down or the configuration no longer admits the caller.
   void CloseIfIdle(time_point now) {
-    const bool may_close = is_idle_ && connection_.IsOpen() && MustClose() &&
-                           (now - idle_since_ >= kMinIdleBeforeClose ||
-                            Phase() >= shutdown_phase::kFinishing);
+    const std::optional<shutdown_phase> phase = Phase();
+    const bool awaits_no_operation =
+        phase.has_value() && *phase >= shutdown_phase::kFinishing;
+    const bool may_close =
+        is_idle_ && connection_.IsOpen() && MustClose() &&
+        (now - idle_since_ >= kMinIdleBeforeClose || awaits_no_operation);
     if (may_close && !connection_.HasInput()) {
       Close();
     }
--- a/src/sassafraswick/gateway/gateway_platform.h
+++ b/src/sassafraswick/gateway/gateway_platform.h
@@ -39,9 +39,10 @@
 template <typename Platform>
 concept gateway_platform = session_codec<typename Platform::codec> &&
     shared_store<typename Platform::store> &&
-    requires(Platform platform, std::string text, std::int64_t token,
-             boost::asio::any_io_executor executor, store_era_observer observer,
-             std::function<bool()> may_send) {
+    promotion_sender<typename Platform::promoter> &&
+    requires(Platform platform, std::string text,
+             boost::asio::any_io_executor executor,
+             store_era_observer observer) {
   {
     platform.MakeStore(executor, observer)
     } -> std::same_as<std::unique_ptr<typename Platform::store>>;
--- a/src/sassafraswick/gateway/registration.h
+++ b/src/sassafraswick/gateway/registration.h
@@ -171,8 +171,8 @@
         registry_.era == eras_.Current() &&
         eras_.HaveEarlierLeasesEnded(kFailoverLeaseTtl,
                                      monotonic_clock::now()) &&
-        // A replacement is safe only if all instances are known. The first call
-        // of the claim shows that the store is still available.
+        // A replacement is safe only if all instances are known. The claim
+        // fails if the store is unavailable again.
         calls_.HaveEntriesReturned(monotonic_clock::now()) &&
         ShouldClaimFailover(registry_, host_, monotonic_clock::now());
     if (claim) {
--- a/src/sassafraswick/session/shutdown_schedule.h
+++ b/src/sassafraswick/session/shutdown_schedule.h
@@ -48,10 +48,10 @@
   duration grace_;
 };
 
-/// Returns whether a session is closed right after the response to a statement.
-/// The caller then learns of the close together with the response, before it
-/// sends another statement. Callers often send several statements that only
-/// change the session in a row, so these do not count.
+/// Returns whether a session is closed right after the response to a statement,
+/// so that the caller learns of the close before it sends another one. Callers
+/// often send several statements in a row that only change the session; the
+/// session stays open between these.
 /// @param state State of the session after the statement.
 [[nodiscard]] bool ClosesSession(shutdown_phase phase, statement_kind kind,
                                  transaction_state state) noexcept;
