Test the rate of reads that also run elsewhere, and instances that warm up

"late reads that also run elsewhere stay within the rate" guards the charge of the second run, which had no test of its own; "an instance that warms up serves reads only if no other can" the choice of readers.

--- a/test/integration/gateway_test.cc
+++ b/test/integration/gateway_test.cc
@@ -40,6 +40,31 @@
   });
 }
 
+/// Sets the time that reads take on all instances.
+void SetReadTime(standin_platform& platform, milliseconds read_time) {
+  for (std::size_t i = 0; i < platform.Group().Size(); ++i) {
+    platform.Group().Modify(
+        i, [read_time](group_instance& each) { each.read_time = read_time; });
+  }
+}
+
+/// Returns the number of reads that an instance has run.
+std::uint64_t ReadsAt(standin_platform& platform, std::size_t index) {
+  std::uint64_t reads = 0;
+  platform.Group().Modify(
+      index, [&reads](group_instance& each) { reads = each.reads; });
+  return reads;
+}
+
+/// Returns the number of reads that all instances have run.
+std::uint64_t ReadsAtAll(standin_platform& platform) {
+  std::uint64_t reads = 0;
+  for (std::size_t i = 0; i < platform.Group().Size(); ++i) {
+    reads += ReadsAt(platform, i);
+  }
+  return reads;
+}
+
 TEST_CASE("a session's transcript matches the golden file",
           "[gateway][session]") {
   standin_platform platform(1);
@@ -342,20 +367,11 @@
   line_client client(platform.CallerPort(0));
   client.Start("workshop", "key-one");
   REQUIRE(RunUntilDone(client, "WRITE frame oak"));
-  for (std::size_t i = 0; i < platform.Group().Size(); ++i) {
-    platform.Group().Modify(i, [](group_instance& each) {
-      each.read_time = milliseconds(400);
-      each.reads = 0;
-    });
-  }
+  SetReadTime(platform, milliseconds(400));
+  const std::uint64_t reads_before = ReadsAtAll(platform);
   CHECK(client.Run("READ frame").starts_with("ROW oak"));
   CHECK(client.Run("READ frame").starts_with("ROW oak"));
-  std::uint64_t reads = 0;
-  for (std::size_t i = 0; i < platform.Group().Size(); ++i) {
-    platform.Group().Modify(
-        i, [&reads](group_instance& each) { reads += each.reads; });
-  }
-  CHECK(reads == 2);
+  CHECK(ReadsAtAll(platform) - reads_before == 2);
 }
 
 TEST_CASE("a read at an instance that stops responding is answered by another",
@@ -384,6 +400,40 @@
   }
 }
 
+// Every run of a read at an instance counts for the rate of its organisation.
+// Found by reading the code.
+TEST_CASE("late reads that also run elsewhere stay within the rate",
+          "[gateway][long]") {
+  constexpr std::int64_t kRate = 10;
+  standin_options options;
+  options.limited_rate = kRate;
+  standin_platform platform(options);
+  REQUIRE(platform.WaitReady());
+  line_client writer(platform.CallerPort(0));
+  writer.Start("counter", "key-one");
+  REQUIRE(RunUntilDone(writer, "WRITE frame oak"));
+  // Shows the host how long reads usually take.
+  line_client unlimited(platform.CallerPort(0));
+  unlimited.Start("status", "key-one");
+  for (int i = 0; i < 100; ++i) {
+    CHECK(unlimited.Run("READ frame").starts_with("ROW"));
+  }
+  SetReadTime(platform, milliseconds(80));
+  line_client limited(platform.CallerPort(0));
+  limited.Start("status", "key-three");
+  const std::uint64_t reads_before = ReadsAtAll(platform);
+  constexpr std::chrono::seconds kLength(4);
+  const sassafraswick::time_point started_at =
+      sassafraswick::monotonic_clock::now();
+  while (sassafraswick::monotonic_clock::now() - started_at < kLength) {
+    static_cast<void>(limited.Run("READ frame"));
+  }
+  const std::chrono::duration<double> took =
+      sassafraswick::monotonic_clock::now() - started_at;
+  const double allowed = static_cast<double>(kRate) * (took.count() + 1.0);
+  CHECK(static_cast<double>(ReadsAtAll(platform) - reads_before) <= allowed);
+}
+
 /// Runs the operators' command line tool.
 /// @param exit_code Set to its exit code.
 std::string RunTool(const std::string& arguments, int& exit_code) {
--- a/test/sassafraswick/gateway/read_plan_test.cc
+++ b/test/sassafraswick/gateway/read_plan_test.cc
@@ -68,5 +68,25 @@
   CHECK_FALSE(plan.awaits_proof);
 }
 
+TEST_CASE("an instance that warms up serves reads only if no other can",
+          "[read_plan]") {
+  boost::asio::io_context context;
+  gateway_counters counters;
+  const std::shared_ptr<group> known = GroupWithoutProof(context, counters);
+  target_record record = known->Find("b")->record;
+  record.warmup_left = std::chrono::seconds(10);
+  known->Update(record);
+  constexpr int kReads = 100;
+  const time_point deadline = monotonic_clock::now() + std::chrono::seconds(1);
+  for (int i = 0; i < kReads; ++i) {
+    const group::read_target chosen =
+        known->PickReadTarget("gallery", {}, deadline, {});
+    REQUIRE(chosen.target != nullptr);
+    CHECK(chosen.target->record.id != "b");
+  }
+  CHECK(known->PickReadTarget("gallery", {}, deadline, {"a", "c"})
+            .target->record.id == "b");
+}
+
 }  // namespace
 }  // namespace sassafraswick
