--- a/src/sassafraswick/config/catalog.h
+++ b/src/sassafraswick/config/catalog.h
@@ -36,6 +36,8 @@
   duration statement_timeout = std::chrono::seconds(1);
   /// Latency objective of a whole operation.
   duration target_latency = std::chrono::milliseconds(200);
+  /// Urgency of the route's operations; 0 is the most urgent.
+  std::uint32_t priority = 1;
   /// Callers need no key.
   bool open = false;
 };
--- a/src/sassafraswick/gateway/connection_pool.h
+++ b/src/sassafraswick/gateway/connection_pool.h
@@ -10,6 +10,7 @@
 
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/gateway/counters.h"
+#include "sassafraswick/gateway/lease_request.h"
 #include "sassafraswick/gateway/target_state.h"
 
 /// @file
@@ -53,14 +54,12 @@
     hosts_ = hosts;
   }
 
-  /// Leases a connection for an organisation.
-  /// @param deadline Time until which to wait for a free connection.
+  /// Leases a connection for an operation.
   boost::asio::awaitable<pooled_connection_lease<Codec>> Acquire(
-      target_pointer target, std::string organisation, session_number session,
-      time_point deadline) {
+      target_pointer target, lease_request request) {
     const time_point requested_at = monotonic_clock::now();
     pooled_connection_lease<Codec> lease =
-        co_await AcquireWithin(target, organisation, session, deadline);
+        co_await AcquireWithin(target, request);
     lease.waited = std::chrono::duration_cast<duration>(monotonic_clock::now() -
                                                         requested_at);
     co_return lease;
@@ -200,18 +199,18 @@
   }
 
   boost::asio::awaitable<pooled_connection_lease<Codec>> AcquireWithin(
-      target_pointer target, std::string organisation, session_number session,
-      time_point deadline) {
+      target_pointer target, lease_request request) {
     pooled_connection_lease<Codec> lease;
     lease.target = target;
     while (true) {
-      lease.connection = TakeIdle(*target, organisation, session);
+      lease.connection =
+          TakeIdle(*target, request.organisation, request.session);
       if (lease.connection != nullptr) {
         ++target->busy;
         co_return lease;
       }
       if (PrepareToOpen(*target)) {
-        lease = co_await Open(target, organisation);
+        lease = co_await Open(target, request.organisation);
         const bool wait_instead =
             lease.failure == failure_code::kTooManyConnections &&
             target->busy > 0;
@@ -220,12 +219,12 @@
         }
       }
       const time_point now = monotonic_clock::now();
-      if (now >= deadline) {
+      if (now >= request.deadline) {
         lease.failure = failure_code::kBusy;
         co_return lease;
       }
       const duration left =
-          std::chrono::duration_cast<duration>(deadline - now);
+          std::chrono::duration_cast<duration>(request.deadline - now);
       co_await target->connection_released.Wait(
           std::min(left, kCapacityBackoff));
     }
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -54,7 +54,7 @@
       return ReadOn(query, chosen_plan, lease);
     };
     const statement_result response = co_await DispatchWithRetries(
-        query.id, operation_.Deadline(), plan, run);
+        query.id, lease_use::kSingleRead, operation_.Deadline(), plan, run);
     co_return response;
   }
 
@@ -72,9 +72,10 @@
         }
         co_return ToCallerFailure(response);
       }
-      const pooled_connection_lease<Codec> lease = co_await group_->Acquire(
-          primary, operation_.organisation, operation_.session,
-          operation_.DispatchDeadline());
+      const lease_request request = MakeLeaseRequest(
+          operation_, lease_use::kSingleWrite, operation_.DispatchDeadline());
+      const pooled_connection_lease<Codec> lease =
+          co_await group_->Acquire(primary, request);
       RecordLease(lease);
       if (lease.connection == nullptr) {
         response = MakeBusy("no connection to the primary is free");
@@ -113,8 +114,9 @@
       begun.needs_primary_lease = chosen_plan.needs_primary_lease;
       return BeginOn(begin, chosen_plan, lease);
     };
-    const statement_result response = co_await DispatchWithRetries(
-        begin.id, operation_.DispatchDeadline(), plan, run);
+    const statement_result response =
+        co_await DispatchWithRetries(begin.id, lease_use::kTransaction,
+                                     operation_.DispatchDeadline(), plan, run);
     if (response.failure == failure_code::kNone) {
       begun.term = group_->View().term;
       transaction = begun;
@@ -177,6 +179,7 @@
 
  private:
   /// Dispatches an operation to one instance after another until one runs it.
+  /// @param request_id Identifier of the operation in the log.
   /// @param deadline Time after which no further attempt is made.
   /// @param plan Chooses an instance, given the identifiers of those already
   /// tried.
@@ -184,7 +187,8 @@
   /// began on it, releases the connection.
   template <typename Plan, typename Run>
   boost::asio::awaitable<statement_result> DispatchWithRetries(
-      std::string request, time_point deadline, Plan plan, Run run) {
+      std::string request_id, lease_use use, time_point deadline, Plan plan,
+      Run run) {
     std::vector<std::string> tried;
     std::vector<std::string> lagged;
     statement_result response = MakeBusy("no instance is ready");
@@ -200,9 +204,10 @@
       if (chosen_plan.wait > duration::zero()) {
         co_await Sleep(chosen_plan.wait);
       }
-      const pooled_connection_lease<Codec> lease = co_await group_->Acquire(
-          chosen_plan.target, operation_.organisation, operation_.session,
-          operation_.DispatchDeadline());
+      const lease_request request =
+          MakeLeaseRequest(operation_, use, operation_.DispatchDeadline());
+      const pooled_connection_lease<Codec> lease =
+          co_await group_->Acquire(chosen_plan.target, request);
       RecordLease(lease);
       if (lease.connection == nullptr) {
         response = MakeBusy("no connection to an instance is free");
@@ -212,7 +217,7 @@
           co_return response;
         }
       }
-      RecordRetry(request, chosen_plan, response);
+      RecordRetry(request_id, chosen_plan, response);
       const std::string& id = chosen_plan.target->record.id;
       if (Contains(tried, id) || monotonic_clock::now() >= deadline) {
         co_return ToCallerFailure(response);
--- a/src/sassafraswick/gateway/read_plan.h
+++ b/src/sassafraswick/gateway/read_plan.h
@@ -43,6 +43,17 @@
   }
 };
 
+[[nodiscard]] inline lease_request MakeLeaseRequest(
+    const operation_context& operation, lease_use use, time_point deadline) {
+  lease_request request;
+  request.organisation = operation.organisation;
+  request.session = operation.session;
+  request.use = use;
+  request.priority = operation.route.priority;
+  request.deadline = deadline;
+  return request;
+}
+
 /// An instance for an operation, and the conditions under which its results
 /// count.
 template <session_codec Codec>
--- a/src/sassafraswick/gateway/read_race.h
+++ b/src/sassafraswick/gateway/read_race.h
@@ -140,9 +140,10 @@
     if (attempt.plan.wait > duration::zero()) {
       co_await Sleep(attempt.plan.wait);
     }
-    attempt.lease =
-        co_await group_->Acquire(attempt.plan.target, operation_.organisation,
-                                 operation_.session, operation_.Deadline());
+    attempt.lease = co_await group_->Acquire(
+        attempt.plan.target,
+        MakeLeaseRequest(operation_, lease_use::kSingleRead,
+                         operation_.Deadline()));
     const bool has_connection = attempt.lease.connection != nullptr;
     if (has_connection && is_over_) {
       group_->Release(attempt.lease, true);
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -174,12 +174,10 @@
     return claiming;
   }
 
-  /// Leases a connection for an organisation.
-  /// @param deadline Time until which to wait for a free connection.
+  /// Leases a connection for an operation.
   boost::asio::awaitable<pooled_connection_lease<Codec>> Acquire(
-      const target_pointer& target, const std::string& organisation,
-      session_number session, time_point deadline) {
-    return connection_pool_.Acquire(target, organisation, session, deadline);
+      const target_pointer& target, const lease_request& request) {
+    return connection_pool_.Acquire(target, request);
   }
 
   /// Releases a connection.
