Send no more requests to a primary that has been leaving for too long

Cause: a primary that is the last instance with every acknowledged write isn't replaced, rightly, and a host uses the primary for as long as the group has no other.

Writes stop, so the replicas can catch up and one of them be promoted. The test fails without the guard (null primary expected).

--- a/src/sassafraswick/config/setting_map.cc
+++ b/src/sassafraswick/config/setting_map.cc
@@ -47,6 +47,16 @@
           }};
 }
 
+setting OptionalDurationSetting(duration& out) {
+  return {false, [&out](const std::string& value) -> result<void> {
+            const result<duration> read = ParseDuration(value);
+            if (read) {
+              out = read.value();
+            }
+            return boost::outcome_v2::success();
+          }};
+}
+
 setting LogLevelSetting(log_level& out) {
   return {false, [&out](const std::string& value) -> result<void> {
             if (value != "debug" && value != "info" && value != "warning" &&
--- a/src/sassafraswick/config/setting_map.h
+++ b/src/sassafraswick/config/setting_map.h
@@ -38,6 +38,8 @@
 [[nodiscard]] setting EndpointSetting(endpoint& out);
 [[nodiscard]] setting DurationSetting(duration& out);
 [[nodiscard]] setting LogLevelSetting(log_level& out);
+/// An optional time; an invalid value is ignored, so that the default remains.
+[[nodiscard]] setting OptionalDurationSetting(duration& out);
 /// A positive number; an invalid value is ignored, so that the default remains.
 [[nodiscard]] setting RateSetting(double& out);
 
--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -50,7 +50,9 @@
         link_(context, {settings.host, boot, settings.peers}, std::string()),
         state_(context, settings.availability_zone, LimiterEnvironment()),
         fleet_(platform, state_, link_, settings),
-        failover_(platform, state_, fleet_) {}
+        failover_(platform, state_, fleet_) {
+    state_.leave_within = settings.leave_within;
+  }
 
   /// Opens the listening sockets and starts all background tasks.
   [[nodiscard]] result<void> Start() {
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -53,6 +53,8 @@
   /// collector; see `target_group::SetProofSource`.
   std::function<bool(const std::string& pool)> proof_source;
   std::uint32_t host_count = 1;
+  /// Time after which a leaving instance gets no more requests.
+  duration leave_within = kDefaultLeaveWithin;
   /// Empty while the host runs normally.
   std::optional<shutdown_schedule> shutdown;
 
@@ -88,6 +90,7 @@
             context, entry.first, availability_zone, counters);
         group->SetProofSource(proof_source);
         group->SetEvacuatedZones(evacuated);
+        group->SetLeaveWithin(leave_within);
       }
       group->SetSyncReplicas(entry.second.sync_replicas);
       group->SetBudget(entry.second.max_connections, host_count);
--- a/src/sassafraswick/gateway/read_plan.h
+++ b/src/sassafraswick/gateway/read_plan.h
@@ -88,15 +88,17 @@
                           operation.min_position);
 }
 
-/// Returns the primary, or null if it is unknown, currently unresponsive or in
-/// an evacuated zone.
+/// Returns the primary, or null if it is unknown, currently unresponsive, in an
+/// evacuated zone, or has been leaving for too long.
 template <session_codec Codec>
 [[nodiscard]] std::shared_ptr<target_state<Codec>> AvailablePrimary(
     const target_group<Codec>& group) {
   const std::shared_ptr<target_state<Codec>> primary = group.Primary();
   const time_point now = monotonic_clock::now();
-  const bool unavailable = primary != nullptr && (primary->IsSuspect(now) ||
-                                                  primary->IsEvacuated(now));
+  const bool unavailable =
+      primary != nullptr &&
+      (primary->IsSuspect(now) || primary->IsEvacuated(now) ||
+       primary->HasOverstayed(group.LeaveWithin(), now));
   return unavailable ? nullptr : primary;
 }
 
--- a/src/sassafraswick/gateway/settings.h
+++ b/src/sassafraswick/gateway/settings.h
@@ -12,6 +12,9 @@
 
 namespace sassafraswick {
 
+/// Leaves an instance in service for as long as it runs.
+inline constexpr duration kDefaultLeaveWithin = std::chrono::hours(24);
+
 struct gateway_settings {
   std::string host;
   std::string availability_zone;
@@ -25,6 +28,9 @@
   double link_mbps = 1000.0;
   /// Time between SIGTERM and SIGKILL.
   duration stop_grace = std::chrono::seconds(6);
+  /// Time after which an instance that announced its stop gets no more
+  /// requests, even if no other can run them.
+  duration leave_within = kDefaultLeaveWithin;
   log_level level = log_level::kInfo;
 };
 
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -17,6 +17,7 @@
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/gateway/connection_pool.h"
 #include "sassafraswick/gateway/counters.h"
+#include "sassafraswick/gateway/settings.h"
 #include "sassafraswick/net/async_event.h"
 #include "sassafraswick/net/spawn.h"
 #include "sassafraswick/routing/choose_target.h"
@@ -68,6 +69,11 @@
     target->listed = true;
     target->health.listed = true;
     target->warm_at = monotonic_clock::now() + record.warmup_left;
+    if (!record.leaving) {
+      target->leaving_since.reset();
+    } else if (!target->leaving_since.has_value()) {
+      target->leaving_since = monotonic_clock::now();
+    }
     ApplyEvacuation(*target);
     if (record.claims_primary && view_.primary != record.id) {
       CheckPrimaryClaim(target);
@@ -93,6 +99,9 @@
       target->health.listed = false;
       target->health.leaving = true;
       target->unlisted_at = monotonic_clock::now();
+      if (!target->leaving_since.has_value()) {
+        target->leaving_since = target->unlisted_at;
+      }
       target->idle.clear();
       changed_.NotifyAll();
     }
@@ -105,6 +114,10 @@
 
   void SetSyncReplicas(std::uint32_t replicas) { sync_replicas_ = replicas; }
 
+  /// Sets the time after which a leaving instance gets no more requests.
+  void SetLeaveWithin(duration leave_within) { leave_within_ = leave_within; }
+  [[nodiscard]] duration LeaveWithin() const noexcept { return leave_within_; }
+
   /// Removes instances that have been unlisted for `kUnlistedRetention`, and
   /// closes excess idle connections.
   void Sweep() {
@@ -627,6 +640,7 @@
   const evacuated_zones* evacuated_zones_ = nullptr;
   std::uint64_t last_claim_order_ = 0;
   std::uint32_t sync_replicas_ = 0;
+  duration leave_within_ = kDefaultLeaveWithin;
   std::function<bool(const std::string& pool)> proof_source_;
   bool resolving_primary_ = false;
   bool requesting_proof_ = false;
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASWICK_GATEWAY_TARGET_STATE_H_
 #define SASSAFRASWICK_GATEWAY_TARGET_STATE_H_
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <cstdint>
 #include <memory>
@@ -46,6 +47,10 @@
 /// Idle time after which a host closes its last connection to an instance that
 /// accepts too few connections for every host to keep one.
 inline constexpr duration kScarceIdleTimeout = std::chrono::milliseconds(300);
+/// Time before the end of a leaving instance's service at which it gets no more
+/// requests. Covers the way of the news that it leaves, and requests that wait
+/// for a connection to it.
+inline constexpr duration kLeaveMargin = std::chrono::milliseconds(2000);
 /// Time for which no connection is opened to an instance that rejected one
 /// because it is at its connection limit.
 inline constexpr duration kCapacityBackoff = std::chrono::milliseconds(120);
@@ -60,6 +65,8 @@
   bool listed = true;
   /// When this host learned that the instance's zone is evacuated.
   std::optional<time_point> evacuated_since;
+  /// When this host learned that the instance leaves or is no longer listed.
+  std::optional<time_point> leaving_since;
   /// When the instance has warmed up after its start.
   time_point warm_at;
   time_point unlisted_at;
@@ -94,6 +101,16 @@
            now - *evacuated_since >= kEvacuationHandover;
   }
 
+  /// Returns whether nothing may be sent to the instance any more, because it
+  /// has been leaving for too long.
+  /// @param leave_within Time after which a leaving instance gets no requests.
+  [[nodiscard]] bool HasOverstayed(duration leave_within,
+                                   time_point now) const {
+    const duration limit =
+        std::max(leave_within - kLeaveMargin, leave_within / 2);
+    return leaving_since.has_value() && now - *leaving_since >= limit;
+  }
+
   /// Returns whether the instance warms up after its start, so that it serves
   /// reads only if no other can.
   [[nodiscard]] bool IsCold(time_point now) const { return now < warm_at; }
--- a/test/sassafraswick/gateway/read_plan_test.cc
+++ b/test/sassafraswick/gateway/read_plan_test.cc
@@ -68,6 +68,46 @@
   CHECK_FALSE(plan.awaits_proof);
 }
 
+// A leaving primary that is the last one with every write leads on, since a
+// replacement would lose writes. Its requests have to end before it does.
+TEST_CASE("a primary that has been leaving for too long gets no requests",
+          "[read_plan]") {
+  boost::asio::io_context context;
+  gateway_counters counters;
+  const std::shared_ptr<group> known = GroupWithoutProof(context, counters);
+  known->SetLeaveWithin(std::chrono::seconds(10));
+  target_record record = known->Find("a")->record;
+  record.leaving = true;
+  known->Update(record);
+  CHECK(AvailablePrimary(*known) != nullptr);
+  const time_point now = monotonic_clock::now();
+  known->Find("a")->leaving_since = now - std::chrono::milliseconds(7900);
+  CHECK(AvailablePrimary(*known) != nullptr);
+  known->Find("a")->leaving_since = now - std::chrono::milliseconds(8001);
+  known->Update(record);
+  CHECK(AvailablePrimary(*known) == nullptr);
+  const read_plan<platform::line_codec> plan =
+      PlanRead(*known, MakeOperation(read_consistency::kPrimary), {});
+  CHECK(plan.target == nullptr);
+  // It has started again under its identifier.
+  record.leaving = false;
+  known->Update(record);
+  CHECK(AvailablePrimary(*known) != nullptr);
+}
+
+TEST_CASE("an instance that is gone gets no requests after the same time",
+          "[read_plan]") {
+  boost::asio::io_context context;
+  gateway_counters counters;
+  const std::shared_ptr<group> known = GroupWithoutProof(context, counters);
+  known->SetLeaveWithin(std::chrono::seconds(10));
+  known->Unlist("a");
+  REQUIRE(known->Find("a")->leaving_since.has_value());
+  known->Find("a")->leaving_since =
+      monotonic_clock::now() - std::chrono::seconds(9);
+  CHECK(AvailablePrimary(*known) == nullptr);
+}
+
 TEST_CASE("an instance that warms up serves reads only if no other can",
           "[read_plan]") {
   boost::asio::io_context context;
