--- a/src/sassafraswick/lending/fwd.h
+++ b/src/sassafraswick/lending/fwd.h
@@ -8,7 +8,9 @@
 
 namespace sassafraswick {
 
+class home_directory;
 struct home_candidate;
+struct host_capacity;
 
 }  // namespace sassafraswick
 
