Register the processor capacity and zone of each host

To choose homes in proportion to capacity, hosts have to know each other's capacity and availability zone. The host's entry cannot carry them: earlier builds read its whole value as an address and would drop a host whose entry says more. So each host writes a second key, `sassafraswick/capacity/NAME`, with the same lease and in the same transaction as its entry, and removes both together: no call more. Earlier builds ignore the key, and relay hosts of either build forward it like any other. Its value is a list of fields that later builds can extend; an unreadable one counts as missing.

A host can lend only if its address and its capacity have the same lease of the same era. So a host that crashed and was restarted with an earlier build is not asked for connections until its lease has expired, nor is one whose lease number was given out again in a new era. In a new era, capacities stay as long as the entries of their hosts do.

`host.cores` is filled from the processor share that the platform grants. Every host computes homes now, but nothing asks for them.

Tests: registry, entries, settings.

--- a/src/sassafraswick/fleet/store_change_log.cc
+++ b/src/sassafraswick/fleet/store_change_log.cc
@@ -8,8 +8,8 @@
 namespace sassafraswick {
 namespace {
 
-/// Maximum number of keys in a log; the oldest changes are evicted first. Four
-/// times the number of hosts and instances of a fleet of 1,200.
+/// Maximum number of keys in a log; the oldest changes are evicted first. Twice
+/// the number of entries of hosts and instances in a fleet of 1,200.
 constexpr std::size_t kMaxChanges = 8192;
 
 std::vector<std::string> RelayHosts(const std::vector<std::string>& ranked) {
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -60,7 +60,8 @@
             platform, gateway, registry_, eras_, calls_,
             [this](store_era era) { ObserveEra(era); }, host_,
             host_ + "/" + std::to_string(link_.Identity().boot),
-            link_.Identity().listen),
+            link_.Identity().listen,
+            host_capacity{settings.capacity, settings.availability_zone}),
         watcher_(platform, gateway, calls_, WatcherEnvironment()) {
     AddOwnHost();
     gateway_.proof_source = [this](const std::string& pool) {
@@ -405,6 +406,7 @@
       AddOwnHost();
     }
     gateway_.hubs.Retain(registry_.names);
+    gateway_.homes.SetCandidates(HomeCandidates(registry_));
     const std::uint32_t count =
         CountSharingHosts(registry_, monotonic_clock::now());
     if (count != gateway_.host_count && gateway_.current_catalog != nullptr) {
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -14,6 +14,7 @@
 #include "sassafraswick/gateway/counters.h"
 #include "sassafraswick/gateway/rate_limiter.h"
 #include "sassafraswick/gateway/target_group.h"
+#include "sassafraswick/lending/home_directory.h"
 #include "sassafraswick/routing/attempt.h"
 #include "sassafraswick/routing/response_times.h"
 #include "sassafraswick/session/shutdown_schedule.h"
@@ -42,6 +43,8 @@
   /// Targets whose pool is not in the configuration yet, by target id.
   std::map<std::string, target_record> unassigned_targets;
   rate_limiter limiter;
+  /// Hosts that hold the connections to instances which hosts share.
+  home_directory homes;
   gateway_counters counters;
   /// Zones whose instances receive no more statements.
   evacuated_zones evacuated;
--- a/src/sassafraswick/gateway/registration.h
+++ b/src/sassafraswick/gateway/registration.h
@@ -17,8 +17,8 @@
 #include "sassafraswick/net/async_event.h"
 
 /// @file
-/// Maintains a host's own keys in the store: its entry in the host list, and
-/// the failover lease while the host holds it.
+/// Maintains a host's own keys in the store: its entry in the host list, its
+/// capacity, and the failover lease while the host holds it.
 
 namespace sassafraswick {
 
@@ -37,11 +37,13 @@
   using codec = typename Platform::codec;
   using store_type = typename Platform::store;
 
+  /// @param capacity What the host registers about its capacity.
   /// @param identity Host name and boot id, as written into the failover lease.
   registration(const Platform& platform, gateway_state<codec>& gateway,
                host_registry& registry, const store_era_tracker& eras,
                store_call_recorder& calls, store_era_observer observe_era,
-               std::string host, std::string identity, endpoint listen)
+               std::string host, std::string identity, endpoint listen,
+               host_capacity capacity)
       : platform_(platform),
         gateway_(gateway),
         registry_(registry),
@@ -50,7 +52,8 @@
         observe_era_(std::move(observe_era)),
         host_(std::move(host)),
         identity_(std::move(identity)),
-        listen_(std::move(listen)) {}
+        listen_(std::move(listen)),
+        capacity_(std::move(capacity)) {}
 
   /// Renews the leases, keeps the host registered, and claims the failover
   /// lease when it is vacant.
@@ -97,6 +100,7 @@
     store_change removal;
     removal.key = std::string(kHostsPrefix) + host_;
     removal.remove = true;
+    removal.companions.push_back(CapacityEntry());
     const result<store_commit> removed = co_await store->Commit(removal);
     calls_.RecordCall("unregister", removed);
   }
@@ -197,6 +201,11 @@
     co_return lease;
   }
 
+  [[nodiscard]] store_entry CapacityEntry() const {
+    return {std::string(kCapacityPrefix) + host_,
+            FormatCapacityEntry(capacity_)};
+  }
+
   boost::asio::awaitable<bool> Register(store_type& store) {
     const held_lease lease = co_await AcquireLease(store, kHostLeaseTtl);
     if (lease.id == 0) {
@@ -206,6 +215,7 @@
     entry.key = std::string(kHostsPrefix) + host_;
     entry.value = FormatEndpoint(listen_);
     entry.lease = lease.id;
+    entry.companions.push_back(CapacityEntry());
     const result<store_commit> written = co_await store.Commit(entry);
     calls_.RecordCall("register", written);
     const bool registered =
@@ -289,6 +299,7 @@
   std::string host_;
   std::string identity_;
   endpoint listen_;
+  host_capacity capacity_;
   held_lease lease_;
   held_lease failover_lease_;
   /// Time of the registration in a new era.
--- a/src/sassafraswick/gateway/registry.cc
+++ b/src/sassafraswick/gateway/registry.cc
@@ -26,6 +26,10 @@
   }
 }
 
+lease_reference LeaseOf(const store_item& item) {
+  return {item.revision.era, item.lease};
+}
+
 void ApplyHost(host_registry& registry, const store_item& item,
                time_point now) {
   const std::string name = item.key.substr(kHostsPrefix.size());
@@ -33,14 +37,26 @@
   registry.unconfirmed.erase(name);
   if (item.deleted || !address) {
     registry.hosts.erase(name);
+    registry.leases.erase(name);
     registry.expired[name] = now;
   } else {
     registry.hosts[name] = address.value();
+    registry.leases[name] = LeaseOf(item);
     registry.expired.erase(name);
   }
   RefreshNames(registry);
 }
 
+void ApplyCapacity(host_registry& registry, const store_item& item) {
+  const std::string name = item.key.substr(kCapacityPrefix.size());
+  const result<host_capacity> capacity = ParseCapacityEntry(item.value);
+  if (item.deleted || !capacity) {
+    registry.capacities.erase(name);
+  } else {
+    registry.capacities[name] = {capacity.value(), LeaseOf(item)};
+  }
+}
+
 void ApplyFailover(failover_lease& failover, const store_item& item,
                    time_point now) {
   if (item.revision < failover.fencing_token) {
@@ -56,6 +72,28 @@
   }
 }
 
+/// Removes the capacity of a host unless it is of the current era.
+void DropEarlierCapacity(host_registry& registry, const std::string& name) {
+  const auto found = registry.capacities.find(name);
+  if (found != registry.capacities.end() &&
+      found->second.lease.era != registry.era) {
+    registry.capacities.erase(found);
+  }
+}
+
+/// Keeps what a host registered about its capacity in an earlier era.
+void KeepCapacity(host_registry& registry, const host_registry& previous,
+                  const std::string& name) {
+  const auto lease = previous.leases.find(name);
+  if (lease != previous.leases.end()) {
+    registry.leases[name] = lease->second;
+  }
+  const auto capacity = previous.capacities.find(name);
+  if (capacity != previous.capacities.end()) {
+    registry.capacities[name] = capacity->second;
+  }
+}
+
 }  // namespace
 
 void LoadRegistry(host_registry& registry, const store_page& page,
@@ -70,6 +108,7 @@
     if (is_new_era) {
       registry.hosts[name] = previous.hosts.find(name)->second;
       registry.unconfirmed[name] = now;
+      KeepCapacity(registry, previous, name);
     } else {
       registry.expired[name] = now;
     }
@@ -90,6 +129,8 @@
                        time_point now) {
   if (item.key.starts_with(kHostsPrefix)) {
     ApplyHost(registry, item, now);
+  } else if (item.key.starts_with(kCapacityPrefix)) {
+    ApplyCapacity(registry, item);
   } else if (item.key == kFailoverKey) {
     ApplyFailover(registry.failover, item, now);
   }
@@ -106,6 +147,8 @@
       continue;
     }
     registry.hosts.erase(each->first);
+    registry.leases.erase(each->first);
+    DropEarlierCapacity(registry, each->first);
     registry.expired[each->first] = now;
     each = registry.unconfirmed.erase(each);
     dropped = true;
@@ -114,6 +157,20 @@
   return dropped;
 }
 
+std::vector<home_candidate> HomeCandidates(const host_registry& registry) {
+  std::vector<home_candidate> candidates;
+  for (const std::string& name : registry.names) {
+    const auto lease = registry.leases.find(name);
+    const auto found = registry.capacities.find(name);
+    if (lease != registry.leases.end() && found != registry.capacities.end() &&
+        found->second.lease == lease->second) {
+      const host_capacity& capacity = found->second.capacity;
+      candidates.push_back({name, capacity.availability_zone, capacity.cores});
+    }
+  }
+  return candidates;
+}
+
 std::uint32_t CountSharingHosts(const host_registry& registry, time_point now) {
   std::uint32_t count = static_cast<std::uint32_t>(registry.hosts.size());
   for (const std::pair<const std::string, time_point>& host :
--- a/src/sassafraswick/gateway/registry.h
+++ b/src/sassafraswick/gateway/registry.h
@@ -12,6 +12,8 @@
 #include "sassafraswick/core/time.h"
 #include "sassafraswick/fleet/store_era.h"
 #include "sassafraswick/gateway/shared_store.h"
+#include "sassafraswick/lending/capacity_entry.h"
+#include "sassafraswick/lending/instance_home.h"
 
 /// @file
 /// The registered hosts and the holder of the failover lease, as stored under
@@ -22,6 +24,7 @@
 /// Prefix of all keys that gateways write.
 inline constexpr std::string_view kRegistryPrefix = "sassafraswick/";
 inline constexpr std::string_view kHostsPrefix = "sassafraswick/host/";
+inline constexpr std::string_view kCapacityPrefix = "sassafraswick/capacity/";
 inline constexpr std::string_view kFailoverKey = "sassafraswick/failover";
 
 /// The lease whose holder may replace primaries.
@@ -38,11 +41,30 @@
   std::string last_holder_host;
 };
 
+/// Lease under which a key was written. Unlike its number, it is unique over
+/// eras.
+struct lease_reference {
+  store_era era = 0;
+  std::uint64_t id = 0;
+
+  bool operator==(const lease_reference&) const = default;
+};
+
+/// What a host registered about its capacity.
+struct registered_capacity {
+  host_capacity capacity;
+  lease_reference lease;
+};
+
 /// The registry as this host knows it.
 struct host_registry {
   std::map<std::string, endpoint, std::less<>> hosts;
   /// Sorted names of `hosts`.
   std::vector<std::string> names;
+  /// Leases of the entries in `hosts`.
+  std::map<std::string, lease_reference, std::less<>> leases;
+  /// Capacities by host; may name hosts that are not in `hosts`.
+  std::map<std::string, registered_capacity, std::less<>> capacities;
   /// Hosts whose entries were removed or expired, and when. Such a host may
   /// still be serving and only be unable to reach the store, so limits keep
   /// counting it for some time.
@@ -69,6 +91,13 @@
 /// @return Whether there were any.
 bool DropUnconfirmedHosts(host_registry& registry, time_point now);
 
+/// Returns the hosts that can lend connections: those whose address and
+/// capacity were registered together. A host that restarts with a build that
+/// registers no capacity is none, though its earlier capacity may still be
+/// listed.
+[[nodiscard]] std::vector<home_candidate> HomeCandidates(
+    const host_registry& registry);
+
 /// Returns the number of hosts that share limits: those registered, and those
 /// that were until recently.
 [[nodiscard]] std::uint32_t CountSharingHosts(const host_registry& registry,
--- a/src/sassafraswick/gateway/settings.h
+++ b/src/sassafraswick/gateway/settings.h
@@ -23,6 +23,8 @@
   endpoint peers;
   /// Bandwidth of the host's network link, in Mbit/s.
   double link_mbps = 1000.0;
+  /// Processor capacity of the host, in cores.
+  double capacity = 1.0;
   /// Time between SIGTERM and SIGKILL.
   duration stop_grace = std::chrono::seconds(6);
   log_level level = log_level::kInfo;
--- a/src/sassafraswick/gateway/shared_store.h
+++ b/src/sassafraswick/gateway/shared_store.h
@@ -39,6 +39,11 @@
   store_revision revision;
 };
 
+struct store_entry {
+  std::string key;
+  std::string value;
+};
+
 /// A write or removal of one key, optionally conditional on its revision.
 struct store_change {
   std::string key;
@@ -51,6 +56,9 @@
   bool conditional = false;
   /// Number of a revision of the current era.
   std::int64_t expected_revision = 0;
+  /// Further keys that are written with the same lease, or removed, in the same
+  /// transaction.
+  std::vector<store_entry> companions;
 };
 
 struct store_commit {
--- a/test/platform/documents_test.cc
+++ b/test/platform/documents_test.cc
@@ -144,5 +144,21 @@
   CHECK(bad.error().message.find("[listen] callers") != std::string::npos);
 }
 
+TEST_CASE("a host's capacity is read, and 1 core if it is unusable",
+          "[settings]") {
+  const std::string path = "/tmp/sassafraswick_capacity_test.ini";
+  const std::string common =
+      "[listen]\ncallers = 1.2.3.4:1\npeers = 1.2.3.4:2\nprobe = 1.2.3.4:3\n"
+      "[platform]\nstore = 1.2.3.4:4\npromotions = 1.2.3.4:5\n"
+      "[stop]\ngrace = 6s\n[host]\nname = a\navailability_zone = z\n";
+  std::ofstream(path) << common + "cores = 0.084\n";
+  CHECK(LoadSettings(path).value().gateway.capacity == 0.084);
+  const std::string odd = GENERATE(
+      as<std::string>(), "", "cores =\n", "cores = 0\n", "cores = -1\n",
+      "cores = x\n", "cores = inf\n", "cores = nan\n", "cores = 1e9\n");
+  std::ofstream(path) << common + odd;
+  CHECK(LoadSettings(path).value().gateway.capacity == 1.0);
+}
+
 }  // namespace
 }  // namespace sassafraswick::platform
--- a/test/sassafraswick/gateway/registry_test.cc
+++ b/test/sassafraswick/gateway/registry_test.cc
@@ -33,6 +33,23 @@
   return item;
 }
 
+store_item Capacity(const std::string& name, const std::string& value,
+                    const store_item& host) {
+  store_item item = host;
+  item.key = std::string(kCapacityPrefix) + name;
+  item.value = value;
+  return item;
+}
+
+/// Names of the hosts that can lend connections.
+std::vector<std::string> Lenders(const host_registry& registry) {
+  std::vector<std::string> names;
+  for (const home_candidate& candidate : HomeCandidates(registry)) {
+    names.push_back(candidate.host);
+  }
+  return names;
+}
+
 host_registry ThreeHosts() {
   host_registry registry;
   LoadRegistry(registry, {{Host("a", 1), Host("b", 2), Host("c", 3)}, {1, 3}},
@@ -153,5 +170,58 @@
   CHECK_FALSE(IsStrayHolder(registry, "a/1", lease, eras));
 }
 
+TEST_CASE("hosts with an address and a capacity can lend connections",
+          "[registry][capacity]") {
+  host_registry registry = ThreeHosts();
+  ApplyRegistryItem(registry, Capacity("a", "cores=0.25 zone=A", Host("a", 4)),
+                    At(1));
+  ApplyRegistryItem(registry, Capacity("b", "cores=much", Host("b", 5)), At(1));
+  ApplyRegistryItem(registry, Capacity("d", "cores=1 zone=A", Host("d", 6)),
+                    At(1));
+  const std::vector<home_candidate> candidates = HomeCandidates(registry);
+  REQUIRE(candidates.size() == 1);
+  CHECK(candidates[0] == home_candidate{"a", "A", 0.25});
+  CHECK(registry.names == std::vector<std::string>{"a", "b", "c"});
+  ApplyRegistryItem(
+      registry, Deleted(Capacity("a", "cores=0.25 zone=A", Host("a", 4)), 7),
+      At(2));
+  CHECK(Lenders(registry).empty());
+}
+
+// A process of an earlier build registers its address over the entry of a
+// process that crashed. The crashed one's capacity expires only with its lease.
+TEST_CASE("a capacity of an earlier process of the host does not count",
+          "[registry][capacity]") {
+  host_registry registry;
+  store_item crashed = Host("a", 4);
+  crashed.lease = 7;
+  ApplyRegistryItem(registry, crashed, At(1));
+  ApplyRegistryItem(registry, Capacity("a", "cores=1 zone=A", crashed), At(1));
+  CHECK(Lenders(registry) == std::vector<std::string>{"a"});
+  store_item restarted = Host("a", 5);
+  restarted.lease = 8;
+  ApplyRegistryItem(registry, restarted, At(2));
+  CHECK(Lenders(registry).empty());
+  // Lease numbers are given out again in a new era.
+  restarted.lease = 7;
+  restarted.revision = {2, 1};
+  ApplyRegistryItem(registry, restarted, At(3));
+  CHECK(Lenders(registry).empty());
+}
+
+TEST_CASE("a capacity that a new era lacks stays as long as the host",
+          "[registry][capacity][store_era]") {
+  host_registry registry;
+  LoadRegistry(
+      registry,
+      {{Host("a", 1), Capacity("a", "cores=1 zone=A", Host("a", 1))}, {1, 3}},
+      At(0));
+  LoadRegistry(registry, {{}, {2, 1}}, At(10));
+  CHECK(Lenders(registry) == std::vector<std::string>{"a"});
+  CHECK(DropUnconfirmedHosts(registry, At(20)));
+  CHECK(Lenders(registry).empty());
+  CHECK(registry.capacities.empty());
+}
+
 }  // namespace
 }  // namespace sassafraswick
