--- a/src/sassafraswick/gateway/target_directory.h
+++ b/src/sassafraswick/gateway/target_directory.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/fleet/entry_return.h"
@@ -57,6 +58,7 @@
       MarkMissing(entry.first, now);
     }
     is_loaded_ = true;
+    UpdateHomes();
   }
 
   /// Applies changes of single entries.
@@ -68,6 +70,7 @@
         MarkMissing(item.key, now);
       }
     }
+    UpdateHomes();
   }
 
   /// Removes missing targets until the process ends.
@@ -93,6 +96,7 @@
       departed_[each->first] = {record.start_id, now};
       targets_.erase(each->first);
       each = missing_since_.erase(each);
+      UpdateHomes();
     }
     std::erase_if(
         departed_,
@@ -110,6 +114,15 @@
     time_point at;
   };
 
+  /// Tells the directory of homes which instances there are.
+  void UpdateHomes() {
+    std::vector<instance_location> instances;
+    for (const std::pair<const std::string, target_record>& entry : targets_) {
+      instances.push_back({entry.second.id, entry.second.availability_zone});
+    }
+    gateway_.homes.SetInstances(std::move(instances));
+  }
+
   /// Starts the retention of a known target that the store no longer lists, or
   /// whose entry another writer has made unreadable.
   void MarkMissing(const std::string& key, time_point now) {
--- a/src/sassafraswick/lending/fwd.h
+++ b/src/sassafraswick/lending/fwd.h
@@ -11,6 +11,7 @@
 class home_directory;
 struct home_candidate;
 struct host_capacity;
+struct instance_location;
 
 }  // namespace sassafraswick
 
