Test an upgrade and a rollback with two builds side by side

Whether an earlier build reads what this one writes was checked by hand, once a release.

The stand-in runs a program of its own for each gateway, spreads gateways over zones and rejects connections beyond an instance's limit where asked to. A gateway's dump names the hosts that can lend.

--- a/src/sassafraswick/gateway/report.h
+++ b/src/sassafraswick/gateway/report.h
@@ -75,6 +75,12 @@
     hosts.push_back(boost::json::value(name));
   }
   dump["hosts"] = hosts;
+  boost::json::array lenders;
+  for (const home_candidate& each :
+       HomeCandidates(process.Fleet().Registry())) {
+    lenders.push_back(boost::json::value(each.host));
+  }
+  dump["lenders"] = lenders;
   boost::json::object groups;
   for (const std::pair<const std::string, std::shared_ptr<target_group<codec>>>&
            entry : process.State().groups) {
--- a/test/platform/line_workload.cc
+++ b/test/platform/line_workload.cc
@@ -69,6 +69,38 @@
   return caller * kRowsPerCaller + value;
 }
 
+void AddFinalState(standin_platform& platform, std::size_t callers,
+                   test_support::history& recorded) {
+  recorded.rows_per_write = 2;
+  for (const log_entry& entry :
+       platform.Group().Log(platform.Group().PrimaryIndex())) {
+    for (std::uint64_t caller = 0; caller < callers; ++caller) {
+      const bool first = entry.item == ItemName(caller, false);
+      if (!first && entry.item != ItemName(caller, true)) {
+        continue;
+      }
+      const std::uint64_t value = std::stoull(entry.data);
+      ++recorded.final_rows[RowId(caller, value)];
+      if (first) {
+        recorded.final_values[caller] = value;
+      }
+    }
+  }
+}
+
+bool WaitUntilServing(const standin_platform& platform, std::size_t gateway,
+                      milliseconds timeout) {
+  int attempt = 0;
+  return test_support::WaitFor(timeout, [&platform, gateway, &attempt] {
+    line_client client(platform.CallerPort(gateway));
+    client.Start("counter", "key-one");
+    return client
+        .Run("WRITE after" + std::to_string(gateway) + " " +
+             std::to_string(++attempt))
+        .starts_with("COMPLETE");
+  });
+}
+
 line_workload::line_workload(const standin_platform& platform,
                              std::size_t gateways, std::size_t callers,
                              std::uint64_t seed)
--- a/test/platform/line_workload.h
+++ b/test/platform/line_workload.h
@@ -2,6 +2,7 @@
 #define TEST_PLATFORM_LINE_WORKLOAD_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <thread>
@@ -57,6 +58,17 @@
 /// Identifier of a caller's write, unique among all callers.
 [[nodiscard]] std::uint64_t RowId(std::uint64_t caller, std::uint64_t value);
 
+/// Adds the final content of the primary's log to the history.
+/// @param callers Number of callers of the workload.
+void AddFinalState(standin_platform& platform, std::size_t callers,
+                   test_support::history& recorded);
+
+/// Waits until a gateway serves a write.
+/// @return False after the timeout.
+[[nodiscard]] bool WaitUntilServing(const standin_platform& platform,
+                                    std::size_t gateway,
+                                    std::chrono::milliseconds timeout);
+
 }  // namespace test_platform
 
 #endif  // TEST_PLATFORM_LINE_WORKLOAD_H_
--- a/test/platform/soak.cc
+++ b/test/platform/soak.cc
@@ -230,39 +230,6 @@
   return description;
 }
 
-/// Waits until a gateway serves a write.
-bool WaitUntilServing(const standin_platform& platform, std::size_t gateway) {
-  int attempt = 0;
-  return WaitFor(kRecoveryTimeout, [&platform, gateway, &attempt] {
-    line_client client(platform.CallerPort(gateway));
-    client.Start("counter", "key-one");
-    return client
-        .Run("WRITE after" + std::to_string(gateway) + " " +
-             std::to_string(++attempt))
-        .starts_with("COMPLETE");
-  });
-}
-
-/// Adds the final content of the primary's log to the history.
-void AddFinalState(standin_platform& platform,
-                   test_support::history& recorded) {
-  recorded.rows_per_write = 2;
-  for (const log_entry& entry :
-       platform.Group().Log(platform.Group().PrimaryIndex())) {
-    for (std::uint64_t caller = 0; caller < kCallers; ++caller) {
-      const bool first = entry.item == ItemName(caller, false);
-      if (!first && entry.item != ItemName(caller, true)) {
-        continue;
-      }
-      const std::uint64_t value = std::stoull(entry.data);
-      ++recorded.final_rows[RowId(caller, value)];
-      if (first) {
-        recorded.final_values[caller] = value;
-      }
-    }
-  }
-}
-
 }  // namespace
 
 soak_report RunSoak(std::uint64_t seed, milliseconds fault_period) {
@@ -281,11 +248,12 @@
   Pause(kWarmUpTime);
   report.faults = RunFaults(platform, random, fault_period);
   for (std::size_t i = 0; i < kGateways; ++i) {
-    report.stuck_gateways += WaitUntilServing(platform, i) ? 0 : 1;
+    report.stuck_gateways +=
+        WaitUntilServing(platform, i, kRecoveryTimeout) ? 0 : 1;
   }
   callers.Stop();
   test_support::history recorded = callers.Take();
-  AddFinalState(platform, recorded);
+  AddFinalState(platform, kCallers, recorded);
   report.violations = CheckHistory(recorded);
   for (const test_support::write_record& write : recorded.writes) {
     const bool done = write.result == test_support::outcome::kAcknowledged;
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -96,6 +96,8 @@
 
 }  // namespace
 
+std::string GatewayProgram() { return BuildPath("sassafraswick_gateway"); }
+
 standin_platform::standin_platform(const standin_options& options)
     : options_(options), group_(kPoolName, 3, options.replica_lag) {
   std::array<char, 32> name{"/tmp/sassafraswick-XXXXXX"};
@@ -119,6 +121,7 @@
   }
   StartFaultProxy();
   gateways_.resize(options.gateways);
+  options_.programs.resize(options.gateways, GatewayProgram());
   for (std::size_t i = 0; i < options.gateways; ++i) {
     RestartGateway(i);
   }
@@ -224,9 +227,10 @@
   const json::object document = {
       {"version", version},
       {"routes", routes},
-      {"services", json::array{json::object{{"name", group_.Name()},
-                                            {"max_connections", 40},
-                                            {"sync_replicas", 1}}}},
+      {"services",
+       json::array{json::object{{"name", group_.Name()},
+                                {"max_connections", options_.max_connections},
+                                {"sync_replicas", 1}}}},
       {"limits", json::object{{"tx_idle_ms", 3000}}},
       {"tenants", tenants}};
   configured_version_ = version;
@@ -312,6 +316,12 @@
   }
 }
 
+bool standin_platform::IsAtCapacity(std::size_t index) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return options_.limits_connections &&
+         instance_connections_.at(index).size() > options_.max_connections;
+}
+
 void standin_platform::ServeLineProtocol(std::size_t index, int descriptor) {
   line_connection connection;
   std::string input;
@@ -328,6 +338,10 @@
     if (line == "TERMINATE") {
       return;
     }
+    if (line.starts_with("START ") && IsAtCapacity(index)) {
+      SendAll(descriptor, "ERROR TOOMANY\r\n");
+      return;
+    }
     SendAll(descriptor, group_.HandleLine(index, connection, line));
   }
 }
@@ -379,7 +393,8 @@
       MakeProxiedPort("store-" + std::to_string(index), http_listener_.port);
   std::ofstream settings(SettingsPath(directory_, index));
   settings << "[host]\nname = gateway-" << index
-           << "\navailability_zone = zone-0\n[listen]\ncallers = "
+           << "\navailability_zone = zone-" << index % options_.zones
+           << "\ncores = 0.25\n[listen]\ncallers = "
            << Address(caller_ports_.back())
            << "\nprobe = " << Address(probe_ports_.back())
            << "\npeers = " << Address(test_support::FreePort())
@@ -390,11 +405,16 @@
 
 void standin_platform::RestartGateway(std::size_t index) {
   gateways_.at(index) = test_support::child_process(
-      {BuildPath("sassafraswick_gateway"), "--settings",
+      {options_.programs.at(index), "--settings",
        SettingsPath(directory_, index)},
       directory_ + "/gateway" + std::to_string(index) + ".log");
 }
 
+void standin_platform::SetProgram(std::size_t index,
+                                  const std::string& program) {
+  options_.programs.at(index) = program;
+}
+
 bool standin_platform::IsReady(std::size_t gateway) const {
   const int descriptor = ConnectWithReceiveTimeout(probe_ports_.at(gateway));
   if (descriptor < 0) {
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -38,8 +38,19 @@
   /// Rate and burst of the organisations `joinery` (key-three) and `glazier`
   /// (key-four); at zero they are not configured.
   std::int64_t limited_rate = 0;
+  /// Program that each gateway runs; those without one run this build's.
+  std::vector<std::string> programs;
+  /// Connections that an instance is configured to accept.
+  std::size_t max_connections = 40;
+  /// Rejects connections beyond `max_connections`.
+  bool limits_connections = false;
+  /// Number of availability zones over which gateways are spread.
+  std::size_t zones = 1;
 };
 
+/// Path of the gateway program of this build.
+[[nodiscard]] std::string GatewayProgram();
+
 class standin_platform {
  public:
   explicit standin_platform(const standin_options& options);
@@ -84,6 +95,8 @@
 
   /// Restarts a gateway with the same settings.
   void RestartGateway(std::size_t index);
+  /// Sets the program that a gateway runs from its next restart on.
+  void SetProgram(std::size_t index, const std::string& program);
   /// Sends a command to the control port of the fault proxy.
   void SendFaultCommand(const std::string& line) const;
   /// Keeps the directory with settings and logs for an investigation.
@@ -105,6 +118,8 @@
 
  private:
   void ServeHttp(int descriptor);
+  /// @return Whether an instance has more connections than it accepts.
+  [[nodiscard]] bool IsAtCapacity(std::size_t index);
   void ServeLineProtocol(std::size_t index, int descriptor);
   void Accept(const listening_socket& listener, std::size_t index,
               bool line_protocol);
