--- a/test/sassafraswick/limits/token_exchange_test.cc
+++ b/test/sassafraswick/limits/token_exchange_test.cc
@@ -116,6 +116,34 @@
   CHECK(fleet.shared_bucket.level == 20.0);
 }
 
+// Regression (bayanihan-auction-grown trouble-3): for four seconds after all
+// hosts were killed, most requests within the rate were rejected. Every host
+// that had rejected one held a token for the next, and few came in time.
+TEST_CASE("a large fleet serves the rate within a second after a mass start",
+          "[token_exchange]") {
+  for (const rate_limit limit : {rate_limit{12, 12}, rate_limit{20, 20}}) {
+    token_fleet fleet(131, limit);
+    std::mt19937 random(3);
+    int requests = 0;
+    int rejected = 0;
+    for (int now = 0; now < 6000; now += 10) {
+      if (now % 100 == 0) {
+        fleet.Exchange(now);
+      }
+      const int arriving =
+          std::poisson_distribution<int>(0.9 * limit.rate * 0.01)(random);
+      for (int i = 0; i < arriving; ++i) {
+        const std::size_t host = random() % fleet.Hosts();
+        const bool admitted = fleet.TryAdmitWithSharedBucket(host, now);
+        requests += now >= 1000 ? 1 : 0;
+        rejected += now >= 1000 && !admitted ? 1 : 0;
+      }
+    }
+    CHECK(requests >= 50);
+    CHECK(rejected * 20 <= requests);
+  }
+}
+
 TEST_CASE("no window admits more than rate and burst plus a tolerance",
           "[token_exchange]") {
   for (const std::uint32_t hosts : {1U, 7U, 11U, 90U}) {
