Keep no fractions of tokens at the hosts of a large fleet

Every host that had seen a request of an organisation kept a second of its share of the rate, a fraction that is worth no token. After a mass start these were filled first, which took the fleet's first second of tokens. A host now keeps whole tokens only. In the model of the test 100 of 131 hosts have demand; it rejected twice as many tries as there were requests, now under a twelfth.

--- a/src/sassafraswick/limits/token_exchange.cc
+++ b/src/sassafraswick/limits/token_exchange.cc
@@ -32,17 +32,17 @@
 
 /// Returns the tokens to hold: the expected demand, its square root to cover
 /// random variation, and one for the next request. If one token for each host
-/// would exceed the burst, a host holds its part of the burst or what it will
-/// surely use: requests that wait at other hosts would lack the rest.
+/// would exceed the burst, a host holds only whole tokens that it will surely
+/// use: requests that wait at other hosts would lack the rest.
 double PrefetchTokens(const local_rate_bucket& bucket, const rate_limit& limit,
                       std::uint32_t hosts) {
   if (bucket.demand < kMinDemandPerSecond) {
     return 0.0;
   }
   const double expected = bucket.demand * Seconds(kPrefetchHorizon);
-  const double burst_share = 2.0 * LocalBurstShare(limit, hosts);
-  return burst_share < 1.0 ? std::max(burst_share, std::floor(expected))
-                           : expected + std::sqrt(expected) + 1.0;
+  const bool one_for_each = 2.0 * LocalBurstShare(limit, hosts) >= 1.0;
+  return one_for_each ? expected + std::sqrt(expected) + 1.0
+                      : std::floor(expected);
 }
 
 double MinDeposit(const rate_limit& limit, std::uint32_t hosts) {
@@ -103,11 +103,7 @@
   token_transfer transfer;
   const double surplus = bucket.level - prefetch - bucket.waiting;
   if (surplus < 0.0) {
-    // A fraction of a token is worth no whole one if no request waits for it.
-    const double needed = std::ceil(bucket.waiting - bucket.level);
-    const double deficit =
-        prefetch < 1.0 ? std::floor(-surplus) : std::ceil(-surplus);
-    transfer.wanted = std::max({needed, deficit, 0.0});
+    transfer.wanted = std::ceil(-surplus);
   } else if (surplus >= MinDeposit(limit, hosts)) {
     transfer.deposit = surplus;
     bucket.level -= surplus;
--- a/test/sassafraswick/limits/token_exchange_test.cc
+++ b/test/sassafraswick/limits/token_exchange_test.cc
@@ -144,6 +144,37 @@
   }
 }
 
+// Regression (the same day): hosts that had seen requests of an organisation
+// kept a second of their share of its rate, which was too little for one token.
+TEST_CASE("a large fleet of which most hosts have demand keeps no tokens back",
+          "[token_exchange]") {
+  for (const rate_limit limit : {rate_limit{12, 12}, rate_limit{20, 20}}) {
+    token_fleet fleet(131, limit);
+    std::mt19937 random(3);
+    int requests = 0;
+    int rejected = 0;
+    for (int now = 0; now < 6000; now += 10) {
+      if (now % 500 == 0) {
+        for (std::size_t host = 0; host < 100; ++host) {
+          RecordDemand(fleet.local_buckets.at(host), At(now));
+        }
+      }
+      if (now % 100 == 0) {
+        fleet.Exchange(now);
+      }
+      const int arriving =
+          std::poisson_distribution<int>(0.9 * limit.rate * 0.01)(random);
+      for (int i = 0; i < arriving; ++i) {
+        const std::size_t host = random() % fleet.Hosts();
+        ++requests;
+        rejected += fleet.TryAdmitWithSharedBucket(host, now) ? 0 : 1;
+      }
+    }
+    CHECK(requests >= 50);
+    CHECK(rejected * 12 <= requests);
+  }
+}
+
 TEST_CASE("no window admits more than rate and burst plus a tolerance",
           "[token_exchange]") {
   for (const std::uint32_t hosts : {1U, 7U, 11U, 90U}) {
