--- a/src/sassafraswick/limits/token_exchange.cc
+++ b/src/sassafraswick/limits/token_exchange.cc
@@ -31,16 +31,18 @@
 }
 
 /// Returns the tokens to hold: the expected demand, its square root to cover
-/// random variation, and one for the next request, or less if one for each host
-/// would exceed the burst.
+/// random variation, and one for the next request. If one token for each host
+/// would exceed the burst, a host holds only whole tokens that it will surely
+/// use: requests that wait at other hosts would lack the rest.
 double PrefetchTokens(const local_rate_bucket& bucket, const rate_limit& limit,
                       std::uint32_t hosts) {
   if (bucket.demand < kMinDemandPerSecond) {
     return 0.0;
   }
   const double expected = bucket.demand * Seconds(kPrefetchHorizon);
-  const double spare = std::min(1.0, 2.0 * LocalBurstShare(limit, hosts));
-  return expected + std::sqrt(expected) + spare;
+  const bool one_for_each = 2.0 * LocalBurstShare(limit, hosts) >= 1.0;
+  return one_for_each ? expected + std::sqrt(expected) + 1.0
+                      : std::floor(expected);
 }
 
 double MinDeposit(const rate_limit& limit, std::uint32_t hosts) {
