Receive messages at once that arrived before another was sent

A host that sends often received messages up to 50 ms late: ZeroMQ's descriptor is edge-triggered, and sending consumes the notification of a message that has arrived meanwhile. It was then seen at the next poll only. The socket is now checked after each send.

The number of connections that a host opens to others rises from 64 to 80, since it will also send to the homes of all instances; the test of replies to more hosts than that goes along.

Measured: the new test, whose receiver never polls, stops at its second message without the change and passes with it.

--- a/src/sassafraswick/peer/peer_link.cc
+++ b/src/sassafraswick/peer/peer_link.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,11 +19,10 @@
 
 constexpr std::size_t kSignatureBytes = 16;
 constexpr int kMaxQueuedMessages = 1000;
-constexpr std::size_t kMaxOutgoingConnections = 64;
+/// Enough for the homes of all instances and some hubs. Pending responses are
+/// lost when the least recently used connection is closed.
+constexpr std::size_t kMaxOutgoingConnections = 80;
 constexpr std::int64_t kMaxMessageBytes = 4'194'304;
-/// ZeroMQ's descriptor is edge-triggered, so the socket is also polled at this
-/// interval in case a notification was missed.
-constexpr duration kMaxPollInterval = std::chrono::milliseconds(50);
 
 /// Heartbeat interval and timeout, which detect connections that stop carrying
 /// data without a reset. A hub that does not respond is bypassed after 250 ms,
@@ -108,7 +108,8 @@
       authenticator_(secret),
       router_(zmq_context_, zmq::socket_type::router) {}
 
-result<void> peer_link::Start(handler on_message) {
+result<void> peer_link::Start(handler on_message, duration poll_interval) {
+  poll_interval_ = poll_interval;
   on_message_ = std::move(on_message);
   router_.set(zmq::sockopt::linger, 0);
   router_.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
@@ -132,7 +133,7 @@
   asio::steady_timer poll_timer(context_);
   while (true) {
     ReceivePending();
-    poll_timer.expires_after(kMaxPollInterval);
+    poll_timer.expires_after(poll_interval_);
     poll_timer.async_wait(
         [&descriptor](const boost::system::error_code& stopped) {
           if (!stopped) {
@@ -166,6 +167,19 @@
   }
 }
 
+void peer_link::ReceiveIfPending() {
+  const bool has_message =
+      (router_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0;
+  if (!has_message || receive_posted_) {
+    return;
+  }
+  receive_posted_ = true;
+  asio::post(context_, [this] {
+    receive_posted_ = false;
+    ReceivePending();
+  });
+}
+
 void peer_link::Handle(const message::envelope& received,
                        const std::string& route) {
   // A message whose handler fails must not end the receive loop.
@@ -233,6 +247,7 @@
   if (routed.has_value()) {
     SendSigned(router_, authenticator_.Sign(payload), payload);
   }
+  ReceiveIfPending();
 }
 
 result<message::envelope> QueryHost(const endpoint& host,
--- a/src/sassafraswick/peer/peer_link.h
+++ b/src/sassafraswick/peer/peer_link.h
@@ -25,6 +25,10 @@
 
 namespace sassafraswick {
 
+/// Interval at which the socket is polled. ZeroMQ's descriptor is
+/// edge-triggered, and any use of the socket may consume a notification.
+inline constexpr duration kMaxPollInterval = std::chrono::milliseconds(50);
+
 /// Signs and verifies messages with a key derived from the fleet's secret.
 class message_authenticator {
  public:
@@ -60,7 +64,10 @@
                                      const std::string& route)>;
 
   /// Binds the socket and starts the receive loop.
-  [[nodiscard]] result<void> Start(handler on_message);
+  /// @param poll_interval Longest time until a message is received whose
+  /// notification was missed.
+  [[nodiscard]] result<void> Start(handler on_message,
+                                   duration poll_interval = kMaxPollInterval);
 
   /// Sends to the address that a host listens on.
   void Send(const endpoint& to, message::envelope envelope);
@@ -85,6 +92,9 @@
 
   boost::asio::awaitable<void> Receive();
   void ReceivePending();
+  /// Receives soon if a message has arrived. Must be called after every use of
+  /// the socket except `ReceivePending`: it may have consumed the notification.
+  void ReceiveIfPending();
   void Handle(const message::envelope& received, const std::string& route);
   [[nodiscard]] std::string EncodeEnvelope(message::envelope& envelope);
   [[nodiscard]] std::string Connect(const endpoint& to);
@@ -98,6 +108,8 @@
   zmq::socket_t router_;
   std::map<endpoint, outgoing_connection> outgoing_;
   handler on_message_;
+  duration poll_interval_ = kMaxPollInterval;
+  bool receive_posted_ = false;
   std::uint64_t sequence_ = 0;
   std::uint64_t connections_opened_ = 0;
   std::uint64_t messages_sent_ = 0;
--- a/test/integration/peer_test.cc
+++ b/test/integration/peer_test.cc
@@ -142,12 +142,43 @@
   CHECK(received >= 3);
 }
 
+TEST_CASE("a message that arrived before another was sent is received at once",
+          "[gateway][peer]") {
+  constexpr int kRounds = 20;
+  constexpr duration kNever = std::chrono::hours(1);
+  asio::io_context near_context;
+  asio::io_context far_context;
+  const endpoint near = Loopback(test_support::FreePort());
+  const endpoint far = Loopback(test_support::FreePort());
+  peer_link receiver(near_context, {"near", 1, near}, "secret");
+  peer_link sender(far_context, {"far", 1, far}, "secret");
+  int received = 0;
+  REQUIRE(receiver.Start(
+      [&](const message::envelope&, const std::string&) {
+        ++received;
+        near_context.stop();
+      },
+      kNever));
+  REQUIRE(sender.Start([](const message::envelope&, const std::string&) {}));
+  message::envelope envelope;
+  envelope.mutable_configuration_request();
+  for (int round = 1; round <= kRounds; ++round) {
+    sender.Send(near, envelope);
+    // The message arrives while the receiver is busy, which then sends one.
+    test_support::Pause(std::chrono::milliseconds(20));
+    receiver.Send(far, envelope);
+    near_context.restart();
+    near_context.run_for(std::chrono::seconds(5));
+    REQUIRE(received == round);
+  }
+}
+
 // Guards against lost replies, found in run mdb-pedidos-large quiet-1: a host
 // that replied to a whole fleet opened a connection for each reply and closed
 // the oldest one with messages still queued.
 TEST_CASE("a host replies to more hosts than it opens connections to",
           "[gateway][peer]") {
-  constexpr int kHosts = 80;
+  constexpr int kHosts = 90;
   asio::io_context context;
   const endpoint listen = Loopback(test_support::FreePort());
   peer_link hub(context, {"hub", 1, listen}, "secret");
