Order the statements before an instance, and reject at once

What callers saw: an instance served statements by arrival, and one that could not be served waited until half of its objective had passed.

Cause: nobody ordered the statements before an instance or forecast their start.

Change: admission_queue bounds how many statements run at an instance. Open transactions come first, then priority, then the organisation with the least work done, then time left; a statement past half of its time may overtake within an eighth of the work. The forecast simulates that order, so that a statement without room is rejected on arrival or displaced by half of its time. Rejected callers get return times one after another. Measured work by class of statement gives the expected work. Not used by the gateway yet.

--- a/src/sassafraswick/admission/admission_queue.h
+++ b/src/sassafraswick/admission/admission_queue.h
@@ -1,49 +1,26 @@
 #ifndef SASSAFRASWICK_ADMISSION_ADMISSION_QUEUE_H_
 #define SASSAFRASWICK_ADMISSION_ADMISSION_QUEUE_H_
 
+#include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "sassafraswick/admission/admission_request.h"
+#include "sassafraswick/admission/start_sequence.h"
 #include "sassafraswick/core/time.h"
 
 /// @file
 /// Orders the statements that one host sends to one instance: bounds how many
 /// run at a time, and rejects at once those that cannot be served in time.
+///
+/// The forecast simulates the order of `start_sequence` over the slots, so a
+/// statement is rejected for the same reasons for which it would start late.
 
 namespace sassafraswick {
 
-/// Identifies a statement within its queue.
-using ticket_id = std::uint64_t;
-
-/// A statement that asks to run at an instance.
-struct admission_request {
-  ticket_id id = 0;
-  /// Urgency; 0 is the most urgent.
-  std::uint32_t priority = 1;
-  /// The statement belongs to a transaction that is open on the instance.
-  bool in_transaction = false;
-  std::string organisation;
-  /// Time for which the statement is expected to occupy a slot.
-  duration expected_work = duration::zero();
-  /// Latest useful time to start.
-  time_point latest_start;
-};
-
-/// A statement that will not run, and when to come back.
-struct admission_rejection {
-  ticket_id id = 0;
-  duration retry_after = duration::zero();
-};
-
-/// What a call changed.
-struct admission_change {
-  /// Statements to send now, in this order.
-  std::vector<ticket_id> started;
-  std::vector<admission_rejection> rejected;
-};
-
 class admission_queue {
  public:
   /// @param slots Statements that the instance runs concurrently.
@@ -51,7 +28,8 @@
 
   void SetSlots(std::uint32_t slots) { slots_ = slots; }
 
-  /// Adds a statement.
+  /// Adds a statement. It starts, waits, or is rejected at once. Less urgent
+  /// ones that can no longer start in time are rejected in its favour.
   [[nodiscard]] admission_change Submit(const admission_request& request,
                                         time_point now);
 
@@ -68,8 +46,57 @@
   [[nodiscard]] duration ExpectedWait(std::uint32_t priority,
                                       time_point now) const;
 
+  /// Records that the instance had no free slot for a statement. Fewer run at a
+  /// time for a while.
+  void RecordFull(time_point now);
+
+  [[nodiscard]] std::size_t Waiting() const noexcept { return waiting_.size(); }
+  [[nodiscard]] std::size_t Running() const noexcept { return running_.size(); }
+  /// Number of statements that may run at a time.
+  [[nodiscard]] std::uint32_t Limit() const noexcept;
+
  private:
+  struct running_statement {
+    admission_request request;
+    time_point started_at;
+  };
+
+  struct start_forecast {
+    std::size_t index = 0;
+    time_point start;
+  };
+
+  /// Slots that the forecast assumes.
+  [[nodiscard]] std::uint32_t UsableSlots() const noexcept {
+    return std::max<std::uint32_t>(std::min(slots_, Limit()), 1);
+  }
+
+  void RestoreLimit(time_point now);
+  void Start(const admission_request& request, bool overtakes, time_point now);
+  void StartNext(admission_change& change, time_point now);
+  void RejectExpired(admission_change& change, time_point now);
+  void MakeRoom(ticket_id arrival, admission_change& change, time_point now);
+  void Reject(std::size_t index, rejection_reason reason, duration until_room,
+              admission_change& change, time_point now);
+  [[nodiscard]] duration ReserveReturn(const admission_request& request,
+                                       duration until_room, time_point now);
+
+  /// Forecasts the starts of waiting statements, in their order.
+  [[nodiscard]] std::vector<start_forecast> Forecast(
+      const std::vector<waiting_statement>& waiting, time_point now) const;
+  /// Times at which slots become free, as a heap with the earliest first.
+  [[nodiscard]] std::vector<time_point> SlotEnds(time_point now) const;
+
   std::uint32_t slots_;
+  /// Reduction of the limit, because the instance was full.
+  std::uint32_t reduction_ = 0;
+  time_point limit_changed_at_;
+  std::vector<waiting_statement> waiting_;
+  std::vector<running_statement> running_;
+  priority_shares shares_;
+  ageing_debt debt_;
+  /// When the next rejected statement of each priority is to come back.
+  std::map<std::uint32_t, time_point> next_returns_;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/admission/fwd.h
+++ b/src/sassafraswick/admission/fwd.h
@@ -8,7 +8,11 @@
 namespace sassafraswick {
 
 struct admission_request;
+struct admission_rejection;
+struct admission_change;
 class admission_queue;
+class start_sequence;
+class work_estimate;
 
 }  // namespace sassafraswick
 
--- a/src/sassafraswick/limits/fair_scheduler.h
+++ b/src/sassafraswick/limits/fair_scheduler.h
@@ -30,20 +30,35 @@
   /// Charges one request to an organisation.
   /// @param weight Relative share of the organisation, at least 1.
   void Charge(const std::string& organisation, std::uint32_t weight) {
+    ChargeWork(organisation, kVirtualTimeUnit / weight);
+  }
+
+  /// Charges the start of work to an organisation.
+  /// @param work Expected amount, in a unit that all calls share.
+  void ChargeWork(const std::string& organisation, std::uint64_t work) {
     const std::uint64_t start = StartTime(organisation);
     virtual_time_ = std::max(virtual_time_, start);
-    finish_times_[organisation] = start + kVirtualTimeUnit / weight;
+    finish_times_[organisation] = start + work;
     if (finish_times_.size() > kIdlePurgeThreshold) {
       PurgeIdle();
     }
   }
 
- private:
-  static constexpr std::uint64_t kVirtualTimeUnit = 1'000'000;
-  static constexpr std::size_t kIdlePurgeThreshold = 10'000;
+  /// Corrects the charge for work that has ended.
+  /// @param difference Actual minus expected amount.
+  void CorrectWork(const std::string& organisation, std::int64_t difference) {
+    const auto found = finish_times_.find(organisation);
+    if (found != finish_times_.end()) {
+      const std::int64_t corrected =
+          static_cast<std::int64_t>(found->second) + difference;
+      found->second =
+          static_cast<std::uint64_t>(std::max<std::int64_t>(corrected, 0));
+    }
+  }
 
-  /// An idle organisation resumes at the current virtual time, so it
-  /// accumulates no credit.
+  /// Virtual start time of the organisation's next request. An idle
+  /// organisation resumes at the current virtual time, so it accumulates no
+  /// credit.
   [[nodiscard]] std::uint64_t StartTime(const std::string& organisation) const {
     const auto found = finish_times_.find(organisation);
     return found == finish_times_.end()
@@ -51,6 +66,15 @@
                : std::max(virtual_time_, found->second);
   }
 
+  /// Virtual start time of the request that was started last.
+  [[nodiscard]] std::uint64_t VirtualTime() const noexcept {
+    return virtual_time_;
+  }
+
+ private:
+  static constexpr std::uint64_t kVirtualTimeUnit = 1'000'000;
+  static constexpr std::size_t kIdlePurgeThreshold = 10'000;
+
   void PurgeIdle() {
     std::erase_if(
         finish_times_,
