Borrow connections from the home of an instance

Where the instances of a pool accept fewer connections than there are hosts, nearly every statement opened a connection: each belongs to one host and one organisation. Such an instance now has a home, the best ranked host. It opens and keeps the connections, orders all statements to the instance by the admission queue, and lends connections to the other hosts over the peer link.

A single read goes to the home together with the request. The home ends a lease when no transaction is open after a batch, when its holder gives it up or has restarted, or when the holder has been silent for longer than a transaction may be idle. A failure of a home says nothing about the instance and is not recorded as such. Status and control statements stay direct. `connections.shared = off` keeps all as before.

--- a/src/sassafraswick/gateway/client_session.h
+++ b/src/sassafraswick/gateway/client_session.h
@@ -303,8 +303,10 @@
     return std::chrono::ceil<std::chrono::milliseconds>(span).count();
   }
 
-  [[nodiscard]] operation_context MakeOperationContext() const {
+  [[nodiscard]] operation_context MakeOperationContext(
+      const statement& first) const {
     operation_context operation;
+    operation.request = first.id;
     operation.session = number_;
     operation.route = admission_.route;
     operation.organisation = admission_.organisation.name;
@@ -319,7 +321,8 @@
     if (admitted.failure != failure_code::kNone) {
       co_return admitted;
     }
-    operation_runner<Codec> runner(gateway_, engine_, MakeOperationContext());
+    operation_runner<Codec> runner(gateway_, engine_,
+                                   MakeOperationContext(query));
     if (runner.Group() == nullptr) {
       co_return MakeFailure(failure_code::kBusy, "the pool is not known yet");
     }
@@ -351,8 +354,8 @@
       co_return admitted;
     }
     open_transaction opened;
+    opened.operation = MakeOperationContext(query);
     opened.begin = std::move(query);
-    opened.operation = MakeOperationContext();
     opened.group = gateway_.FindGroup(opened.operation.route.pool);
     transaction_ = std::move(opened);
     engine_.OnTransactionOpened(false);
--- a/src/sassafraswick/gateway/connection_pool.h
+++ b/src/sassafraswick/gateway/connection_pool.h
@@ -7,11 +7,13 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/gateway/counters.h"
 #include "sassafraswick/gateway/lease_request.h"
 #include "sassafraswick/gateway/target_state.h"
+#include "sassafraswick/lending/home_directory.h"
 
 /// @file
 /// One host's pooled connections to the instances of a group: leases them to
@@ -51,15 +53,72 @@
   /// Sets this host's share of each instance's connection limit.
   void SetBudget(std::uint32_t connections, std::uint32_t hosts) {
     budget_ = ShareConnections(connections, hosts);
+    home_budget_ = ShareOfHome(connections);
+    connections_ = connections;
     hosts_ = hosts;
   }
 
+  /// Allows to share connections with other hosts. The arguments must outlive
+  /// this pool.
+  void SetHomes(home_directory& homes, connection_borrower& borrower) {
+    homes_ = &homes;
+    borrower_ = &borrower;
+  }
+
+  /// Returns whether hosts share the connections to the group's instances.
+  [[nodiscard]] bool IsShared() const {
+    return borrower_ != nullptr && borrower_->IsEnabled() &&
+           SharesConnections(connections_, hosts_);
+  }
+
+  /// Leases a connection as a home of the instance: once the statement is
+  /// admitted, so that a connection is not held by one that waits.
+  boost::asio::awaitable<pooled_connection_lease<Codec>> AcquireAsHome(
+      target_pointer target, lease_request request) {
+    target->gate->SetSlots(std::max<std::uint32_t>(target->record.slots, 1));
+    while (true) {
+      target->lends_until = monotonic_clock::now() + kHomeRetention;
+      admission_outcome admitted =
+          co_await target->gate->Admit(MakeAdmission(*target, request));
+      pooled_connection_lease<Codec> lease;
+      lease.target = target;
+      if (admitted.ticket == nullptr) {
+        lease.failure = failure_code::kBusy;
+        lease.rejected = true;
+        lease.retry_after = admitted.retry_after;
+        co_return lease;
+      }
+      lease = co_await TryAcquire(target, request);
+      if (lease.connection != nullptr) {
+        connection_admission& admission = lease.connection->admission;
+        admission.gate = target->gate;
+        admission.ticket = std::move(admitted.ticket);
+        admission.priority = request.priority;
+        admission.expected_work = target->latency;
+      }
+      if (lease.connection != nullptr || lease.failure != failure_code::kNone) {
+        co_return lease;
+      }
+      admitted.ticket.reset();
+      const bool in_time = co_await WaitForRelease(*target, request.deadline);
+      if (!in_time) {
+        lease.failure = failure_code::kBusy;
+        lease.rejected = true;
+        co_return lease;
+      }
+    }
+  }
+
   /// Leases a connection for an operation.
   boost::asio::awaitable<pooled_connection_lease<Codec>> Acquire(
       target_pointer target, lease_request request) {
     const time_point requested_at = monotonic_clock::now();
-    pooled_connection_lease<Codec> lease =
-        co_await AcquireWithin(target, request);
+    pooled_connection_lease<Codec> lease;
+    if (IsShared()) {
+      lease = co_await AcquireShared(target, request);
+    } else {
+      lease = co_await AcquireOwn(target, request);
+    }
     lease.waited = std::chrono::duration_cast<duration>(monotonic_clock::now() -
                                                         requested_at);
     co_return lease;
@@ -69,10 +128,16 @@
   /// @param reusable The target has responded to all requests, and no
   /// transaction is open on the connection.
   void Release(const pooled_connection_lease<Codec>& lease, bool reusable) {
+    lease.connection->admission = {};
+    if (lease.connection->IsBorrowed()) {
+      --lease.target->borrowed;
+      lease.connection->Close();
+      return;
+    }
     --lease.target->busy;
-    const bool keep = reusable && lease.connection->IsOpen() &&
-                      lease.target->listed &&
-                      CountOpenConnections(*lease.target) < budget_.max_open;
+    const bool keep =
+        reusable && lease.connection->IsOpen() && lease.target->listed &&
+        CountOpenConnections(*lease.target) < BudgetOf(*lease.target).max_open;
     if (keep) {
       lease.connection->idle_since = monotonic_clock::now();
       lease.target->idle.push_back(lease.connection);
@@ -117,12 +182,12 @@
   /// that lose power count against the instance's limit for some seconds more,
   /// so the idle connections of the fleet leave room for as many again.
   void CloseExcess(target_state<Codec>& target) {
-    while (target.idle.size() > 1 &&
-           CountOpenConnections(target) > budget_.max_idle) {
+    const std::uint32_t max_idle = BudgetOf(target).max_idle;
+    while (target.idle.size() > 1 && CountOpenConnections(target) > max_idle) {
       target.idle.erase(target.idle.begin());
     }
     const bool idle_too_long =
-        budget_.max_idle == 0 && !target.idle.empty() &&
+        max_idle == 0 && !target.idle.empty() &&
         monotonic_clock::now() - target.idle.front()->idle_since >
             kScarceIdleTimeout;
     if (idle_too_long) {
@@ -132,6 +197,10 @@
 
   /// Rolls a transaction back and releases its connection.
   boost::asio::awaitable<void> Rollback(pooled_connection_lease<Codec> lease) {
+    if (!lease.connection->IsOpen()) {
+      Release(lease, false);
+      co_return;
+    }
     const std::string bytes =
         Codec::FormatControl(control_statement::kRollback, 0);
     const exchange_outcome outcome =
@@ -142,6 +211,12 @@
     Release(lease, is_idle);
   }
 
+  /// Connections that this host holds as a home of the instance.
+  [[nodiscard]] std::uint32_t CountAsHome(
+      const target_state<Codec>& target) const {
+    return IsHome(target) ? CountOpenConnections(target) : 0;
+  }
+
   /// Duration of the last connect, at most `kMaxConnectCost`.
   [[nodiscard]] duration ConnectCost() const noexcept { return connect_cost_; }
 
@@ -151,6 +226,33 @@
            target.opening;
   }
 
+  /// Returns whether this host opens connections on behalf of others: it is the
+  /// best ranked home, or others believed so a moment ago.
+  [[nodiscard]] bool IsHome(const target_state<Codec>& target) const {
+    if (!IsShared()) {
+      return false;
+    }
+    const std::vector<std::string>& homes =
+        homes_->HomesOf(target.record.id, target.record.availability_zone);
+    return (!homes.empty() && homes.front() == borrower_->Host()) ||
+           monotonic_clock::now() < target.lends_until;
+  }
+
+  [[nodiscard]] const connection_share& BudgetOf(
+      const target_state<Codec>& target) const {
+    return IsHome(target) ? home_budget_ : budget_;
+  }
+
+  static admission_request MakeAdmission(const target_state<Codec>& target,
+                                         const lease_request& request) {
+    admission_request asked;
+    asked.priority = request.priority;
+    asked.organisation = request.organisation;
+    asked.expected_work = target.latency;
+    asked.latest_start = request.deadline;
+    return asked;
+  }
+
   /// Returns whether another connection may be opened now. If so, takes a token
   /// of the connect rate limiter and, at this host's share of the connection
   /// limit, closes an idle connection to make room.
@@ -158,15 +260,17 @@
     if (monotonic_clock::now() < target.at_capacity_until) {
       return false;
     }
+    const std::uint32_t max_open = BudgetOf(target).max_open;
+    const std::uint32_t sharing_hosts = IsHome(target) ? 1 : hosts_;
     const bool has_room =
-        CountOpenConnections(target) < budget_.max_open || !target.idle.empty();
+        CountOpenConnections(target) < max_open || !target.idle.empty();
     if (!has_room ||
         !TryAcquireConnect(target.connect_limiter,
                            std::max<std::uint32_t>(target.record.slots, 1),
-                           hosts_, monotonic_clock::now())) {
+                           sharing_hosts, monotonic_clock::now())) {
       return false;
     }
-    if (CountOpenConnections(target) >= budget_.max_open) {
+    if (CountOpenConnections(target) >= max_open) {
       target.idle.erase(target.idle.begin());
     }
     return true;
@@ -198,38 +302,91 @@
     return taken;
   }
 
-  boost::asio::awaitable<pooled_connection_lease<Codec>> AcquireWithin(
+  /// Takes an idle connection or opens one.
+  /// @return Neither a connection nor a failure if one has to wait.
+  boost::asio::awaitable<pooled_connection_lease<Codec>> TryAcquire(
       target_pointer target, lease_request request) {
     pooled_connection_lease<Codec> lease;
     lease.target = target;
+    lease.connection = TakeIdle(*target, request.organisation, request.session);
+    if (lease.connection != nullptr) {
+      ++target->busy;
+      co_return lease;
+    }
+    if (PrepareToOpen(*target)) {
+      lease = co_await Open(target, request.organisation);
+      const bool wait_instead =
+          lease.failure == failure_code::kTooManyConnections &&
+          target->busy > 0;
+      if (wait_instead) {
+        lease.failure = failure_code::kNone;
+      }
+    }
+    co_return lease;
+  }
+
+  /// Waits until a connection may be free.
+  /// @return False if the deadline has passed.
+  boost::asio::awaitable<bool> WaitForRelease(target_state<Codec>& target,
+                                              time_point deadline) {
+    const time_point now = monotonic_clock::now();
+    if (now >= deadline) {
+      co_return false;
+    }
+    const duration left = std::chrono::duration_cast<duration>(deadline - now);
+    co_await target.connection_released.Wait(std::min(left, kCapacityBackoff));
+    co_return true;
+  }
+
+  /// Leases a connection that this host opens for its own callers.
+  boost::asio::awaitable<pooled_connection_lease<Codec>> AcquireOwn(
+      target_pointer target, lease_request request) {
     while (true) {
-      lease.connection =
-          TakeIdle(*target, request.organisation, request.session);
-      if (lease.connection != nullptr) {
-        ++target->busy;
+      pooled_connection_lease<Codec> lease =
+          co_await TryAcquire(target, request);
+      if (lease.connection != nullptr || lease.failure != failure_code::kNone) {
         co_return lease;
       }
-      if (PrepareToOpen(*target)) {
-        lease = co_await Open(target, request.organisation);
-        const bool wait_instead =
-            lease.failure == failure_code::kTooManyConnections &&
-            target->busy > 0;
-        if (!wait_instead) {
-          co_return lease;
-        }
-      }
-      const time_point now = monotonic_clock::now();
-      if (now >= request.deadline) {
+      const bool in_time = co_await WaitForRelease(*target, request.deadline);
+      if (!in_time) {
         lease.failure = failure_code::kBusy;
         co_return lease;
       }
-      const duration left =
-          std::chrono::duration_cast<duration>(request.deadline - now);
-      co_await target->connection_released.Wait(
-          std::min(left, kCapacityBackoff));
     }
   }
 
+  /// Leases a connection from the instance's home, or as its home; if none
+  /// lends one, it is opened by this host.
+  boost::asio::awaitable<pooled_connection_lease<Codec>> AcquireShared(
+      target_pointer target, lease_request request) {
+    const std::shared_ptr<borrowed_connection> borrowed =
+        std::make_shared<borrowed_connection>(
+            *borrower_, name_, target->record.id,
+            homes_->HomesOf(target->record.id,
+                            target->record.availability_zone),
+            request);
+    ++target->borrowed;
+    const borrow_outcome outcome = co_await borrowed->Acquire();
+    pooled_connection_lease<Codec> lease;
+    lease.target = target;
+    if (outcome == borrow_outcome::kGranted) {
+      lease.connection = std::make_shared<pooled_connection<Codec>>(
+          borrower_->Executor(), borrowed, request.organisation);
+      co_return lease;
+    }
+    --target->borrowed;
+    if (outcome == borrow_outcome::kRejected) {
+      lease.failure = failure_code::kBusy;
+      lease.rejected = true;
+      lease.retry_after = borrowed->RetryAfter();
+    } else if (outcome == borrow_outcome::kServeHere) {
+      lease = co_await AcquireAsHome(target, request);
+    } else {
+      lease = co_await AcquireOwn(target, request);
+    }
+    co_return lease;
+  }
+
   boost::asio::awaitable<pooled_connection_lease<Codec>> Open(
       target_pointer target, std::string organisation) {
     pooled_connection_lease<Codec> lease;
@@ -301,7 +458,11 @@
   gateway_counters& counters_;
   connection_observer<Codec> observer_;
   connection_share budget_;
+  connection_share home_budget_;
+  std::uint32_t connections_ = 0;
   std::uint32_t hosts_ = 1;
+  home_directory* homes_ = nullptr;
+  connection_borrower* borrower_ = nullptr;
   duration connect_cost_ = kMaxConnectCost;
 };
 
--- a/src/sassafraswick/gateway/counters.h
+++ b/src/sassafraswick/gateway/counters.h
@@ -52,6 +52,21 @@
   std::uint64_t retries = 0;
   /// Reads that also ran on a second instance, as the first one was late.
   std::uint64_t hedged_reads = 0;
+  /// Requests for a connection that were sent to homes, and those that went to
+  /// the next home.
+  std::uint64_t leases_requested = 0;
+  std::uint64_t home_failovers = 0;
+  /// Batches of statements that were sent to homes.
+  std::uint64_t batches_sent_home = 0;
+  /// Leases of connections that gave no result, by reason.
+  std::map<std::string, std::uint64_t, std::less<>> lease_failures;
+  /// As a home: connections lent, requests rejected, leases that expired.
+  std::uint64_t connections_lent = 0;
+  std::uint64_t lend_rejections = 0;
+  std::uint64_t leases_expired = 0;
+  /// As a home: present leases, and open connections.
+  std::uint64_t present_leases = 0;
+  std::uint64_t home_connections = 0;
   /// Responses other than success, by reason.
   std::map<std::string, std::uint64_t, std::less<>> failures;
   latency_histogram read_latency;
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -12,6 +12,7 @@
 #include "sassafraswick/core/deflate.h"
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/fleet/version_catch_up.h"
+#include "sassafraswick/gateway/connection_lender.h"
 #include "sassafraswick/gateway/gateway_platform.h"
 #include "sassafraswick/gateway/gateway_state.h"
 #include "sassafraswick/gateway/proof_exchange.h"
@@ -56,6 +57,10 @@
                 [this](const std::string& to, message::envelope envelope) {
                   SendTo(to, std::move(envelope));
                 }),
+        lender_(gateway,
+                [this](const std::string& route, message::envelope envelope) {
+                  Respond(route, std::move(envelope));
+                }),
         registration_(
             platform, gateway, registry_, eras_, calls_,
             [this](store_era era) { ObserveEra(era); }, host_,
@@ -67,6 +72,9 @@
     gateway_.proof_source = [this](const std::string& pool) {
       return proofs_.RequestProof(pool, registry_.names);
     };
+    if (settings.shares_connections) {
+      EnableBorrowing();
+    }
     WatchStore();
   }
 
@@ -100,10 +108,14 @@
   void HandleMessage(const message::envelope& received,
                      const std::string& route) {
     gateway_.hubs.RecordMessage(received.host());
+    gateway_.borrower->RecordMessage(received.host());
     if (received.store_era() != 0) {
       ObserveEra(received.store_era());
     }
     CatchUpWith(received, route);
+    if (HandleLending(received, route)) {
+      return;
+    }
     if (received.has_token_transfer()) {
       const std::optional<message::token_answer> answer =
           gateway_.limiter.HandleTransfer(received.token_transfer());
@@ -132,6 +144,9 @@
     }
   }
 
+  /// Ends the connections that are lent to hosts which have failed.
+  void EndExpiredLeases() { lender_.EndExpired(); }
+
   /// Removes the host's entry and releases the failover lease.
   boost::asio::awaitable<void> Leave() { return registration_.Leave(); }
 
@@ -147,6 +162,48 @@
   [[nodiscard]] bool HasTargets() const { return targets_.IsLoaded(); }
 
  private:
+  void EnableBorrowing() {
+    borrower_environment environment;
+    environment.host = host_;
+    environment.find_address =
+        [this](const std::string& host) -> std::optional<endpoint> {
+      const auto found = registry_.hosts.find(host);
+      return found == registry_.hosts.end()
+                 ? std::nullopt
+                 : std::optional<endpoint>(found->second);
+    };
+    environment.send = [this](const endpoint& to, message::envelope envelope) {
+      AddKnownVersions(envelope);
+      link_.Send(to, std::move(envelope));
+    };
+    gateway_.borrower->Enable(std::move(environment));
+  }
+
+  /// Handles a message about a lent connection.
+  /// @return False if it is another one.
+  bool HandleLending(const message::envelope& received,
+                     const std::string& route) {
+    switch (received.body_case()) {
+      case message::envelope::kLendRequest:
+        lender_.HandleRequest(received, route);
+        return true;
+      case message::envelope::kLentBatch:
+        lender_.HandleBatch(received, route);
+        return true;
+      case message::envelope::kLendRelease:
+        lender_.HandleRelease(received);
+        return true;
+      case message::envelope::kLendAnswer:
+        gateway_.borrower->HandleAnswer(received);
+        return true;
+      case message::envelope::kLentResult:
+        gateway_.borrower->HandleResult(received);
+        return true;
+      default:
+        return false;
+    }
+  }
+
   /// Adds this host to the registry, which may lack its entry.
   void AddOwnHost() {
     registry_.hosts[host_] = link_.Identity().listen;
@@ -431,6 +488,7 @@
   store_call_recorder calls_;
   target_directory<Platform> targets_;
   proof_exchange<codec> proofs_;
+  connection_lender<codec> lender_;
   registration<Platform> registration_;
   store_watcher<Platform> watcher_;
 };
--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -151,6 +151,8 @@
            state_.groups) {
         entry.second->Sweep();
       }
+      state_.CountHomeConnections();
+      fleet_.EndExpiredLeases();
     }
   }
 
@@ -224,7 +226,7 @@
         return false;
       case shutdown_phase::kClosingAll:
       case shutdown_phase::kFinishing:
-        return counters.sessions == 0;
+        return counters.sessions == 0 && counters.present_leases == 0;
       case shutdown_phase::kEnding:
         return counters.statements_in_flight == 0;
       case shutdown_phase::kOver:
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -11,6 +11,7 @@
 
 #include "sassafraswick/config/catalog.h"
 #include "sassafraswick/fleet/hub_monitor.h"
+#include "sassafraswick/gateway/connection_borrower.h"
 #include "sassafraswick/gateway/counters.h"
 #include "sassafraswick/gateway/rate_limiter.h"
 #include "sassafraswick/gateway/target_group.h"
@@ -30,7 +31,9 @@
                 rate_limiter_environment environment)
       : context(io),
         availability_zone(std::move(zone)),
-        limiter(io.get_executor(), AddHubs(std::move(environment))) {}
+        limiter(io.get_executor(), AddHubs(std::move(environment))),
+        borrower(std::make_shared<connection_borrower>(io.get_executor(),
+                                                       counters)) {}
 
   boost::asio::io_context& context;
   std::string availability_zone;
@@ -46,6 +49,8 @@
   /// Hosts that hold the connections to instances which hosts share.
   home_directory homes;
   gateway_counters counters;
+  /// Borrows connections from other hosts.
+  std::shared_ptr<connection_borrower> borrower;
   /// Zones whose instances receive no more statements.
   evacuated_zones evacuated;
   /// Response times of reads at all instances.
@@ -90,6 +95,7 @@
         group = std::make_shared<target_group<Codec>>(
             context, entry.first, availability_zone, counters);
         group->SetProofSource(proof_source);
+        group->SetHomes(homes, *borrower);
         group->SetEvacuatedZones(evacuated);
       }
       group->SetSyncReplicas(entry.second.sync_replicas);
@@ -108,6 +114,16 @@
     }
   }
 
+  /// Updates the counters that describe this host as a home.
+  void CountHomeConnections() {
+    counters.home_connections = 0;
+    for (const std::pair<const std::string,
+                         std::shared_ptr<target_group<Codec>>>& entry :
+         groups) {
+      counters.home_connections += entry.second->CountAsHome();
+    }
+  }
+
   /// Updates this host's share of the connection limits after the number of
   /// hosts changed.
   void SetHostCount(std::uint32_t count) {
--- a/src/sassafraswick/gateway/lease_request.h
+++ b/src/sassafraswick/gateway/lease_request.h
@@ -22,6 +22,8 @@
 };
 
 struct lease_request {
+  /// Identifier of the operation's first statement in the log.
+  std::string request;
   std::string organisation;
   session_number session = 0;
   lease_use use = lease_use::kSingleWrite;
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -77,6 +77,9 @@
       const pooled_connection_lease<Codec> lease =
           co_await group_->Acquire(primary, request);
       RecordLease(lease);
+      if (lease.rejected) {
+        co_return MakeRejected(lease);
+      }
       if (lease.connection == nullptr) {
         response = MakeBusy("no connection to the primary is free");
       } else {
@@ -210,7 +213,9 @@
           co_await group_->Acquire(chosen_plan.target, request);
       RecordLease(lease);
       if (lease.connection == nullptr) {
-        response = MakeBusy("no connection to an instance is free");
+        response = lease.rejected
+                       ? MakeRejected(lease)
+                       : MakeBusy("no connection to an instance is free");
       } else {
         response = co_await run(chosen_plan, lease);
         if (response.failure == failure_code::kNone || !IsRetryable(response)) {
@@ -219,7 +224,9 @@
       }
       RecordRetry(request_id, chosen_plan, response);
       const std::string& id = chosen_plan.target->record.id;
-      if (Contains(tried, id) || monotonic_clock::now() >= deadline) {
+      const bool nowhere_else = lease.rejected && chosen_plan.only_choice;
+      if (nowhere_else || Contains(tried, id) ||
+          monotonic_clock::now() >= deadline) {
         co_return ToCallerFailure(response);
       }
       // A lagging replica's response shows when it will have caught up, so it
@@ -242,6 +249,7 @@
     chosen_plan.after = PositionForRead(group_->View(), operation_);
     chosen_plan.needs_primary_lease = !chosen_plan.after.has_value();
     chosen_plan.target = AvailablePrimary(*group_);
+    chosen_plan.only_choice = true;
     return chosen_plan;
   }
 
@@ -260,6 +268,15 @@
     return response;
   }
 
+  /// Makes the response to an operation that the instance's home rejected.
+  [[nodiscard]] statement_result MakeRejected(
+      const pooled_connection_lease<Codec>& lease) const {
+    const std::int64_t retry_after =
+        std::chrono::ceil<std::chrono::milliseconds>(lease.retry_after).count();
+    return MakeBusy("the instance is overloaded, retry in " +
+                    std::to_string(retry_after) + " ms");
+  }
+
   /// Maps the last failure of an operation to one that the caller may see.
   [[nodiscard]] statement_result ToCallerFailure(
       statement_result response) const {
--- a/src/sassafraswick/gateway/pooled_connection.h
+++ b/src/sassafraswick/gateway/pooled_connection.h
@@ -9,18 +9,22 @@
 #include <boost/asio/write.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "sassafraswick/config/catalog.h"
 #include "sassafraswick/core/time.h"
+#include "sassafraswick/gateway/connection_borrower.h"
+#include "sassafraswick/gateway/instance_gate.h"
 #include "sassafraswick/net/tcp.h"
 #include "sassafraswick/session/codec.h"
 #include "sassafraswick/session/session_state.h"
 
 /// @file
-/// A pooled connection to a target, opened on behalf of one organisation.
+/// A pooled connection to a target, opened on behalf of one organisation, or
+/// one that is borrowed from another host's pool.
 
 namespace sassafraswick {
 
@@ -31,6 +35,22 @@
   /// The target closed the connection, the connection failed, or a response
   /// violated the protocol. False after a timeout.
   bool closed = false;
+  /// The target's home rejected the batch; no statement was run, and `results`
+  /// say so.
+  bool rejected = false;
+  /// The home is at fault, which shows nothing about the target.
+  bool home_failed = false;
+  /// The responses as they were received, without those to skip.
+  std::string bytes;
+};
+
+/// Admission of the statements on a connection of an instance's home.
+struct connection_admission {
+  std::shared_ptr<instance_gate> gate;
+  /// Of the next statement; later ones of a transaction ask for their own.
+  std::shared_ptr<admission_ticket> ticket;
+  std::uint32_t priority = 1;
+  duration expected_work = duration::zero();
 };
 
 template <session_codec Codec>
@@ -43,48 +63,61 @@
         timer_(socket_.get_executor()),
         organisation_(std::move(organisation)) {}
 
+  /// Makes a connection that is borrowed from another host.
+  pooled_connection(const boost::asio::any_io_executor& executor,
+                    std::shared_ptr<borrowed_connection> borrowed,
+                    std::string organisation)
+      : socket_(executor),
+        timer_(executor),
+        borrowed_(std::move(borrowed)),
+        organisation_(std::move(organisation)) {}
+
   /// Sends a batch and reads the responses.
   /// @param count Number of responses to the batch.
   /// @param timeout Time after which the connection is closed.
-  boost::asio::awaitable<exchange_outcome> Exchange(std::string bytes,
-                                                    std::size_t count,
-                                                    duration timeout) {
-    namespace asio = boost::asio;
-    exchange_outcome outcome;
-    StartTimer(timeout);
-    boost::system::error_code failure;
-    co_await asio::async_write(
-        socket_, asio::buffer(bytes),
-        asio::redirect_error(asio::use_awaitable, failure));
-    while (!failure && outcome.results.size() < count) {
-      if (!TakeResults(outcome, count)) {
-        failure = asio::error::invalid_argument;
-      }
-      if (failure || outcome.results.size() >= count) {
-        break;
-      }
-      const std::size_t used = input_.size();
-      input_.resize(used + kReadBytes);
-      const std::size_t got = co_await socket_.async_read_some(
-          asio::buffer(input_.data() + used, kReadBytes),
-          asio::redirect_error(asio::use_awaitable, failure));
-      input_.resize(used + got);
+  /// @param skipped Number of first responses to leave out of
+  /// `exchange_outcome::bytes`, which is filled if this is given.
+  boost::asio::awaitable<exchange_outcome> Exchange(
+      std::string bytes, std::size_t count, duration timeout,
+      std::optional<std::size_t> skipped = std::nullopt) {
+    if (borrowed_ != nullptr) {
+      co_return co_await ExchangeBorrowed(std::move(bytes), count, timeout);
     }
-    ++exchange_;
-    timer_.cancel();
-    if (failure) {
-      outcome.closed = !timed_out_;
+    const time_point deadline = monotonic_clock::now() + timeout;
+    const bool admitted = co_await IsAdmitted(deadline);
+    if (!admitted) {
       Close();
+      exchange_outcome not_sent;
+      not_sent.home_failed = true;
+      co_return not_sent;
+    }
+    skipped_ = skipped;
+    const duration left =
+        std::chrono::duration_cast<duration>(deadline - monotonic_clock::now());
+    exchange_outcome outcome =
+        co_await ExchangeHere(std::move(bytes), count, left);
+    admission.ticket.reset();
+    const bool is_full = !outcome.results.empty() &&
+                         outcome.results.back().failure == failure_code::kBusy;
+    if (admission.gate != nullptr && is_full) {
+      admission.gate->RecordFull();
     }
     co_return outcome;
   }
 
   void Close() {
+    if (borrowed_ != nullptr) {
+      borrowed_->Close();
+    }
     boost::system::error_code ignored;
     socket_.close(ignored);
   }
 
-  [[nodiscard]] bool IsOpen() const { return socket_.is_open(); }
+  [[nodiscard]] bool IsOpen() const {
+    return borrowed_ != nullptr ? borrowed_->IsOpen() : socket_.is_open();
+  }
+
+  [[nodiscard]] bool IsBorrowed() const { return borrowed_ != nullptr; }
 
   /// Returns whether the target has closed the idle connection, or sent data
   /// without a request.
@@ -106,10 +139,87 @@
   connection_session_state carried_state;
   /// When the connection was last released to the pool.
   time_point idle_since;
+  /// While leased at the instance's home.
+  connection_admission admission;
 
  private:
   static constexpr std::size_t kReadBytes = 4096;
 
+  /// Waits for the admission of a further statement of a transaction, unless
+  /// this host admits none or the statement has its ticket.
+  boost::asio::awaitable<bool> IsAdmitted(time_point deadline) {
+    if (admission.gate == nullptr || admission.ticket != nullptr) {
+      co_return true;
+    }
+    admission_request request;
+    request.priority = admission.priority;
+    request.in_transaction = true;
+    request.organisation = organisation_;
+    request.expected_work = admission.expected_work;
+    request.latest_start = deadline;
+    const admission_outcome admitted =
+        co_await admission.gate->Admit(std::move(request));
+    admission.ticket = admitted.ticket;
+    co_return admission.ticket != nullptr;
+  }
+
+  boost::asio::awaitable<exchange_outcome> ExchangeBorrowed(std::string bytes,
+                                                            std::size_t count,
+                                                            duration timeout) {
+    exchange_outcome outcome;
+    lent_response response =
+        co_await borrowed_->Exchange(std::move(bytes), count, timeout);
+    outcome.closed = response.closed;
+    outcome.home_failed = response.home_failed;
+    outcome.rejected = response.rejected;
+    if (response.rejected) {
+      statement_result busy;
+      busy.failure = failure_code::kBusy;
+      busy.detail = response.reason;
+      outcome.results.assign(count, busy);
+      co_return outcome;
+    }
+    input_ = std::move(response.bytes);
+    if (!TakeResults(outcome, count)) {
+      outcome.closed = true;
+      Close();
+    }
+    co_return outcome;
+  }
+
+  boost::asio::awaitable<exchange_outcome> ExchangeHere(std::string bytes,
+                                                        std::size_t count,
+                                                        duration timeout) {
+    namespace asio = boost::asio;
+    exchange_outcome outcome;
+    StartTimer(timeout);
+    boost::system::error_code failure;
+    co_await asio::async_write(
+        socket_, asio::buffer(bytes),
+        asio::redirect_error(asio::use_awaitable, failure));
+    while (!failure && outcome.results.size() < count) {
+      if (!TakeResults(outcome, count)) {
+        failure = asio::error::invalid_argument;
+      }
+      if (failure || outcome.results.size() >= count) {
+        break;
+      }
+      const std::size_t used = input_.size();
+      input_.resize(used + kReadBytes);
+      const std::size_t got = co_await socket_.async_read_some(
+          asio::buffer(input_.data() + used, kReadBytes),
+          asio::redirect_error(asio::use_awaitable, failure));
+      input_.resize(used + got);
+    }
+    ++exchange_;
+    timer_.cancel();
+    if (failure) {
+      outcome.closed = !timed_out_;
+      Close();
+    }
+    co_return outcome;
+  }
+
   /// Parses complete frames from the input.
   /// @return False if the input violates the protocol.
   bool TakeResults(exchange_outcome& outcome, std::size_t count) {
@@ -124,10 +234,15 @@
       if (!parsed) {
         return false;
       }
+      const std::size_t next =
+          end + std::string_view(Codec::kTerminator).size();
+      if (skipped_.has_value() && outcome.results.size() >= *skipped_) {
+        outcome.bytes.append(input_, begin, next - begin);
+      }
       if (parsed.value().has_value()) {
         outcome.results.push_back(std::move(*parsed.value()));
       }
-      begin = end + std::string_view(Codec::kTerminator).size();
+      begin = next;
     }
     input_.erase(0, begin);
     return true;
@@ -147,8 +262,11 @@
 
   stream_socket socket_;
   boost::asio::steady_timer timer_;
+  /// For a connection of another host.
+  std::shared_ptr<borrowed_connection> borrowed_;
   std::string organisation_;
   std::string input_;
+  std::optional<std::size_t> skipped_;
   typename Codec::result_reader reader_;
   bool timed_out_ = false;
   /// Counts exchanges, so that an outdated timer does not close the connection
--- a/src/sassafraswick/gateway/read_plan.h
+++ b/src/sassafraswick/gateway/read_plan.h
@@ -26,6 +26,8 @@
 
 /// The caller, route and timing of one operation.
 struct operation_context {
+  /// Identifier of the first statement in the log.
+  std::string request;
   session_number session = 0;
   catalog_route route;
   std::string organisation;
@@ -46,6 +48,7 @@
 [[nodiscard]] inline lease_request MakeLeaseRequest(
     const operation_context& operation, lease_use use, time_point deadline) {
   lease_request request;
+  request.request = operation.request;
   request.organisation = operation.organisation;
   request.session = operation.session;
   request.use = use;
@@ -65,6 +68,8 @@
   duration wait = duration::zero();
   /// The result may be returned only under a valid primary lease.
   bool needs_primary_lease = false;
+  /// No other instance can run the operation.
+  bool only_choice = false;
   /// The group's term when the plan was made.
   term_number term = 0;
   /// There is no instance yet: the read has to wait for a position that is
@@ -127,6 +132,7 @@
   }
   plan.needs_primary_lease = true;
   plan.target = AvailablePrimary(group);
+  plan.only_choice = true;
   return plan;
 }
 
--- a/src/sassafraswick/gateway/report.cc
+++ b/src/sassafraswick/gateway/report.cc
@@ -53,11 +53,24 @@
   AddLine(text, "unproved_promotions", counters.unproved_promotions);
   AddLine(text, "retries", counters.retries);
   AddLine(text, "hedged_reads", counters.hedged_reads);
+  AddLine(text, "leases_requested", counters.leases_requested);
+  AddLine(text, "home_failovers", counters.home_failovers);
+  AddLine(text, "batches_sent_home", counters.batches_sent_home);
+  AddLine(text, "connections_lent", counters.connections_lent);
+  AddLine(text, "lend_rejections", counters.lend_rejections);
+  AddLine(text, "leases_expired", counters.leases_expired);
+  AddLine(text, "present_leases", counters.present_leases);
+  AddLine(text, "home_connections", counters.home_connections);
   AddLine(text, "log_lines_left_out", LogLinesDropped());
   for (const std::pair<const std::string, std::uint64_t>& failure :
        counters.failures) {
     AddLine(text, "failures{reason=\"" + failure.first + "\"}", failure.second);
   }
+  for (const std::pair<const std::string, std::uint64_t>& failure :
+       counters.lease_failures) {
+    AddLine(text, "lease_failures{reason=\"" + failure.first + "\"}",
+            failure.second);
+  }
   AddHistogram(text, "read_latency", counters.read_latency);
   AddHistogram(text, "write_latency", counters.write_latency);
   return text;
--- a/src/sassafraswick/gateway/settings.h
+++ b/src/sassafraswick/gateway/settings.h
@@ -25,6 +25,8 @@
   double link_mbps = 1000.0;
   /// Processor capacity of the host, in cores.
   double capacity = 1.0;
+  /// Hosts share the connections to instances that accept too few.
+  bool shares_connections = true;
   /// Time between SIGTERM and SIGKILL.
   duration stop_grace = std::chrono::seconds(6);
   log_level level = log_level::kInfo;
--- a/src/sassafraswick/gateway/statement_sender.h
+++ b/src/sassafraswick/gateway/statement_sender.h
@@ -43,6 +43,9 @@
     sent.response.detail = outcome.closed ? "the target ended the connection"
                                           : "no answer in time";
   }
+  if (outcome.rejected || outcome.home_failed) {
+    co_return sent;
+  }
   if (sent.response.failure == failure_code::kNoAnswer) {
     group->ObserveNoResponse(*lease.target, sent.sent_at);
   } else {
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -103,6 +103,24 @@
     connection_pool_.SetBudget(connections, hosts);
   }
 
+  /// Allows to share connections with other hosts. The arguments must outlive
+  /// this group.
+  void SetHomes(home_directory& homes, connection_borrower& borrower) {
+    connection_pool_.SetHomes(homes, borrower);
+  }
+
+  /// Returns whether hosts share the connections to the instances.
+  [[nodiscard]] bool IsShared() const { return connection_pool_.IsShared(); }
+
+  /// Number of connections that this host holds as a home of instances.
+  [[nodiscard]] std::uint32_t CountAsHome() const {
+    std::uint32_t count = 0;
+    for (const target_pointer& target : targets_) {
+      count += connection_pool_.CountAsHome(*target);
+    }
+    return count;
+  }
+
   void SetSyncReplicas(std::uint32_t replicas) { sync_replicas_ = replicas; }
 
   /// Removes instances that have been unlisted for `kUnlistedRetention`, and
@@ -180,6 +198,12 @@
     return connection_pool_.Acquire(target, request);
   }
 
+  /// Leases a connection as a home of the instance.
+  boost::asio::awaitable<pooled_connection_lease<Codec>> AcquireAsHome(
+      const target_pointer& target, const lease_request& request) {
+    return connection_pool_.AcquireAsHome(target, request);
+  }
+
   /// Releases a connection.
   /// @param reusable The target has responded to all requests, and no
   /// transaction is open on the connection.
@@ -433,12 +457,13 @@
                            const std::string& organisation,
                            time_point now) const {
     target_option option;
-    option.in_flight = target.busy + target.opening;
+    option.in_flight = target.busy + target.opening + target.borrowed;
     option.slots = std::max<std::uint32_t>(target.record.slots, 1);
     option.latency = target.latency;
     option.is_primary = target.record.id == view_.primary;
     option.is_remote = target.record.availability_zone != availability_zone_;
     option.has_connection =
+        IsShared() ||
         std::any_of(target.idle.begin(), target.idle.end(),
                     [&organisation](const connection_pointer& connection) {
                       return connection->Organisation() == organisation;
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -11,6 +11,7 @@
 #include "sassafraswick/consistency/replica_progress.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/fleet/zone_evacuation.h"
+#include "sassafraswick/gateway/instance_gate.h"
 #include "sassafraswick/gateway/pooled_connection.h"
 #include "sassafraswick/limits/connection_share.h"
 #include "sassafraswick/net/async_event.h"
@@ -50,11 +51,16 @@
 /// because it is at its connection limit.
 inline constexpr duration kCapacityBackoff = std::chrono::milliseconds(120);
 
+/// Time for which a host keeps connections open after a request that it served
+/// as a home of the instance. The best ranked home keeps them longer.
+inline constexpr duration kHomeRetention = std::chrono::seconds(2);
+
 /// A database instance and this host's connections to it.
 template <session_codec Codec>
 struct target_state {
   explicit target_state(const boost::asio::any_io_executor& executor)
-      : connection_released(executor) {}
+      : gate(std::make_shared<instance_gate>(executor)),
+        connection_released(executor) {}
 
   target_record record;
   bool listed = true;
@@ -66,6 +72,12 @@
   std::vector<std::shared_ptr<pooled_connection<Codec>>> idle;
   std::uint32_t busy = 0;
   std::uint32_t opening = 0;
+  /// Connections borrowed from the instance's home.
+  std::uint32_t borrowed = 0;
+  /// Until when this host keeps connections open as a home of the instance.
+  time_point lends_until;
+  /// Admits statements that this host sends as a home of the instance.
+  std::shared_ptr<instance_gate> gate;
   connect_rate_limiter connect_limiter;
   async_event connection_released;
   time_point avoid_until;
@@ -109,7 +121,7 @@
   /// request. After a backoff, one request at a time probes it.
   [[nodiscard]] bool IsSuspect(time_point now) const {
     return health.silent_since.has_value() &&
-           (now < avoid_until || busy + opening > 0);
+           (now < avoid_until || busy + opening + borrowed > 0);
   }
 };
 
@@ -121,6 +133,11 @@
   std::shared_ptr<pooled_connection<Codec>> connection;
   /// Why there is no connection.
   failure_code failure = failure_code::kNone;
+  /// The instance's home rejected the request, since it cannot be served in
+  /// time.
+  bool rejected = false;
+  /// For a rejection: when to come back.
+  duration retry_after = duration::zero();
   /// Time spent waiting for the connection or the failure.
   duration waited = duration::zero();
 };
--- a/src/sassafraswick/limits/connection_share.h
+++ b/src/sassafraswick/limits/connection_share.h
@@ -48,6 +48,18 @@
   return share;
 }
 
+/// Connections that the home of an instance opens. A quarter remains for hosts
+/// that reach no home, or that believe to be the home as well.
+[[nodiscard]] constexpr connection_share ShareOfHome(
+    std::uint32_t connections) noexcept {
+  const std::uint32_t reserve = connections / 4 + kReservedStatusConnections;
+  connection_share share;
+  share.max_open = std::max(connections - std::min(connections, reserve),
+                            kMinOpenConnections);
+  share.max_idle = share.max_open;
+  return share;
+}
+
 /// Time for which opening a connection occupies a slot of the instance, from
 /// the deployment's requirements.
 inline constexpr duration kHandshakeSlotTime = std::chrono::milliseconds(12);
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -224,9 +224,10 @@
   const json::object document = {
       {"version", version},
       {"routes", routes},
-      {"services", json::array{json::object{{"name", group_.Name()},
-                                            {"max_connections", 40},
-                                            {"sync_replicas", 1}}}},
+      {"services",
+       json::array{json::object{{"name", group_.Name()},
+                                {"max_connections", options_.max_connections},
+                                {"sync_replicas", 1}}}},
       {"limits", json::object{{"tx_idle_ms", 3000}}},
       {"tenants", tenants}};
   configured_version_ = version;
@@ -407,6 +408,29 @@
   return responded && input.starts_with("HTTP/1.1 200");
 }
 
+std::int64_t standin_platform::Metric(std::size_t gateway,
+                                      const std::string& name) const {
+  const int descriptor = ConnectWithReceiveTimeout(probe_ports_.at(gateway));
+  if (descriptor < 0) {
+    return -1;
+  }
+  SendAll(descriptor,
+          "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  std::string input;
+  const std::string line = "\nsassafraswick_" + name + " ";
+  std::size_t at = std::string::npos;
+  while (at == std::string::npos ||
+         input.find('\n', at + line.size()) == std::string::npos) {
+    if (!Receive(descriptor, input)) {
+      break;
+    }
+    at = input.find(line);
+  }
+  close(descriptor);
+  return at == std::string::npos ? -1
+                                 : std::stoll(input.substr(at + line.size()));
+}
+
 bool standin_platform::WaitReady() {
   for (std::size_t i = 0; i < gateways_.size(); ++i) {
     if (!test_support::WaitFor(kTimeout, [this, i] { return IsReady(i); })) {
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -38,6 +38,8 @@
   /// Rate and burst of the organisations `joinery` (key-three) and `glazier`
   /// (key-four); at zero they are not configured.
   std::int64_t limited_rate = 0;
+  /// Connections that each instance is configured to accept.
+  std::int64_t max_connections = 40;
 };
 
 class standin_platform {
@@ -101,6 +103,9 @@
   [[nodiscard]] std::uint16_t ProbePort(std::size_t gateway) const {
     return probe_ports_.at(gateway);
   }
+  /// Reads a counter of a gateway's metrics; -1 if it cannot be read.
+  [[nodiscard]] std::int64_t Metric(std::size_t gateway,
+                                    const std::string& name) const;
   [[nodiscard]] std::string GatewayLog(std::size_t gateway) const;
 
  private:
