--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -114,6 +114,9 @@
   [[nodiscard]] std::uint16_t ProbePort(std::size_t gateway) const {
     return probe_ports_.at(gateway);
   }
+  /// Reads a counter of a gateway's metrics; -1 if it cannot be read.
+  [[nodiscard]] std::int64_t Metric(std::size_t gateway,
+                                    const std::string& name) const;
   [[nodiscard]] std::string GatewayLog(std::size_t gateway) const;
 
  private:
