Count a starting host's unused shares from the start of its process

After a mass start an organisation's shared bucket is filled by the first reports of idle shares. They came up to half a second late and left out the time between the start of the process and its first configuration, in which a host uses nothing. The first reports now come within 200 ms and count that time. Only time that passed and that the host did not use is counted, so the sum over all hosts stays within the rate.

--- a/src/sassafraswick/gateway/rate_limiter.cc
+++ b/src/sassafraswick/gateway/rate_limiter.cc
@@ -38,7 +38,9 @@
 
 rate_limiter::rate_limiter(const boost::asio::any_io_executor& executor,
                            rate_limiter_environment environment)
-    : environment_(std::move(environment)), tokens_received_(executor) {}
+    : environment_(std::move(environment)),
+      tokens_received_(executor),
+      idle_since_(monotonic_clock::now() - kStartupCredit) {}
 
 std::uint32_t rate_limiter::HostCount() const {
   const std::uint32_t host_count = environment_.host_count();
@@ -54,9 +56,6 @@
 
 local_rate_bucket& rate_limiter::LocalBucket(const std::string& organisation,
                                              time_point now) {
-  if (idle_since_ == time_point()) {
-    idle_since_ = now - kStartupCredit;
-  }
   const std::pair<std::map<std::string, local_rate_bucket>::iterator, bool>
       inserted = local_buckets_.try_emplace(organisation);
   if (inserted.second) {
@@ -191,14 +190,9 @@
                                  const catalog& current_catalog,
                                  time_point now) {
   const duration interval = IdleShareInterval(HostCount());
-  if (idle_since_ == time_point()) {
-    idle_since_ = now - kStartupCredit;
-  }
   if (idle_report_due_ == time_point()) {
-    // Spreads the reports of hosts that start together.
-    const std::uint64_t offset_hash =
-        RendezvousScore("idle", environment_.host);
-    idle_report_due_ = now + duration(offset_hash % interval.count());
+    idle_report_due_ =
+        now + FirstReportDelay(RendezvousScore("idle", environment_.host));
   } else {
     idle_report_due_ = now + interval;
   }
--- a/src/sassafraswick/limits/idle_share.cc
+++ b/src/sassafraswick/limits/idle_share.cc
@@ -13,6 +13,8 @@
 /// Maximum interval between two reports. Bursts are one second of the rate in
 /// the deployment's requirements.
 constexpr duration kMaxInterval = std::chrono::milliseconds(1000);
+/// Maximum delay of a starting host's first report.
+constexpr duration kMaxFirstReportDelay = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -26,6 +28,11 @@
                     kExchangeInterval, kMaxInterval);
 }
 
+duration FirstReportDelay(std::uint64_t hash) noexcept {
+  return duration(static_cast<duration::rep>(
+      hash % static_cast<std::uint64_t>(kMaxFirstReportDelay.count())));
+}
+
 void AddIdleTime(share_clock& clock, duration time, std::uint32_t hosts) {
   const duration counted =
       std::clamp(time, duration::zero(), kMaxIdleTimePerMessage);
--- a/src/sassafraswick/limits/idle_share.h
+++ b/src/sassafraswick/limits/idle_share.h
@@ -60,6 +60,12 @@
 /// the longest interval that bursts allow.
 [[nodiscard]] duration IdleShareInterval(std::uint32_t hosts) noexcept;
 
+/// Returns the delay of a starting host's first report. The reports of hosts
+/// that start together are spread, but not over a whole interval: until they
+/// arrive, the shared buckets are empty.
+/// @param hash Hash of the host's name.
+[[nodiscard]] duration FirstReportDelay(std::uint64_t hash) noexcept;
+
 /// Advances a shard's clock by the time for which one host left its share
 /// unused.
 /// @param hosts Number of hosts that share the rates, as known to the sender.
--- a/test/sassafraswick/limits/idle_share_test.cc
+++ b/test/sassafraswick/limits/idle_share_test.cc
@@ -111,6 +111,23 @@
   CHECK(EstimatedRetryDelay(kSmall, 1) == milliseconds(500));
 }
 
+// Regression (bayanihan-auction-grown trouble-3): after a mass start the shared
+// buckets waited for half of the first reports for a quarter of a second.
+TEST_CASE("the first reports of hosts that start together are soon and spread",
+          "[idle_share]") {
+  constexpr std::uint64_t kHash = 0x9E3779B97F4A7C15ULL;
+  constexpr int kStarting = 131;
+  int early = 0;
+  for (int host = 0; host < kStarting; ++host) {
+    const duration delay =
+        FirstReportDelay(kHash * static_cast<std::uint64_t>(host));
+    CHECK(delay < milliseconds(200));
+    early += delay < milliseconds(100) ? 1 : 0;
+  }
+  CHECK(early > kStarting / 3);
+  CHECK(early < kStarting * 2 / 3);
+}
+
 // Otherwise a hub that was frozen would grant its old tokens in addition to
 // those that another hub granted meanwhile.
 TEST_CASE("a shared bucket that was unused for too long starts empty",
