Choose the hosts with the most processor capacity as hubs

Callers saw requests within their organisation's rate rejected as over it, most of all for four seconds after all hosts had been killed. Their answers came after the 70 ms for which a request waits for a token, and proofs came late too.

Hubs are now the hosts of the highest class of registered capacity, by hash among those within a factor of two. Hosts of any capacity follow them in each ranking, in case that all large ones fail together.

--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -65,7 +65,7 @@
         watcher_(platform, gateway, calls_, WatcherEnvironment()) {
     AddOwnHost();
     gateway_.proof_source = [this](const std::string& pool) {
-      return proofs_.RequestProof(pool, registry_.names);
+      return proofs_.RequestProof(pool, registry_.names, registry_.cores);
     };
     WatchStore();
   }
@@ -193,6 +193,9 @@
     environment.hosts = [this]() -> const std::vector<std::string>& {
       return registry_.names;
     };
+    environment.cores = [this]() -> const std::vector<double>& {
+      return registry_.cores;
+    };
     environment.send = [this](const std::string& to,
                               message::envelope envelope) {
       SendTo(to, std::move(envelope));
@@ -405,6 +408,7 @@
     if (!registry_.hosts.contains(host_)) {
       AddOwnHost();
     }
+    RefreshCores(registry_);
     gateway_.hubs.Retain(registry_.names);
     gateway_.homes.SetCandidates(HomeCandidates(registry_));
     const std::uint32_t count =
--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -90,6 +90,9 @@
     environment.hosts = [this]() -> const std::vector<std::string>& {
       return fleet_.Registry().names;
     };
+    environment.cores = [this]() -> const std::vector<double>& {
+      return fleet_.Registry().cores;
+    };
     environment.host_count = [this]() -> std::uint32_t {
       const host_registry& registry = fleet_.Registry();
       return registry.loaded
--- a/src/sassafraswick/gateway/proof_exchange.h
+++ b/src/sassafraswick/gateway/proof_exchange.h
@@ -35,12 +35,13 @@
   /// proofs there.
   /// @return False if this host has to query the instances itself.
   bool RequestProof(const std::string& pool,
-                    const std::vector<std::string>& hosts) {
+                    const std::vector<std::string>& hosts,
+                    const std::vector<double>& cores) {
     if (hosts.size() < kMinHostsForCollector) {
       return false;
     }
     const time_point now = monotonic_clock::now();
-    ranking_.SetHosts(hosts);
+    ranking_.SetHosts(hosts, cores);
     const std::string collector =
         gateway_.hubs.FirstResponsive(ranking_.RankedHubs(pool), now);
     if (collector.empty() || collector == host_) {
--- a/src/sassafraswick/gateway/rate_limiter.cc
+++ b/src/sassafraswick/gateway/rate_limiter.cc
@@ -54,8 +54,7 @@
   return responsive_hub.empty() ? environment_.host : responsive_hub;
 }
 
-local_rate_bucket& rate_limiter::LocalBucket(const std::string& organisation,
-                                             time_point now) {
+local_rate_bucket& rate_limiter::LocalBucket(const std::string& organisation) {
   const std::pair<std::map<std::string, local_rate_bucket>::iterator, bool>
       inserted = local_buckets_.try_emplace(organisation);
   if (inserted.second) {
@@ -66,7 +65,7 @@
 
 bool rate_limiter::TryAdmit(const catalog_organisation& organisation) {
   const time_point now = monotonic_clock::now();
-  local_rate_bucket& local_bucket = LocalBucket(organisation.name, now);
+  local_rate_bucket& local_bucket = LocalBucket(organisation.name);
   RefillLocalBucket(local_bucket, LimitOf(organisation), HostCount(), now);
   return TrySpendToken(local_bucket);
 }
@@ -74,8 +73,7 @@
 boost::asio::awaitable<admission_result> rate_limiter::Admit(
     catalog_organisation organisation, duration max_wait) {
   const time_point deadline = monotonic_clock::now() + max_wait;
-  local_rate_bucket& local_bucket =
-      LocalBucket(organisation.name, monotonic_clock::now());
+  local_rate_bucket& local_bucket = LocalBucket(organisation.name);
   RecordDemand(local_bucket, monotonic_clock::now());
   admission_result admission;
   bool waiting = false;
@@ -112,7 +110,7 @@
 }
 
 void rate_limiter::Refund(const std::string& organisation) {
-  RefundToken(LocalBucket(organisation, monotonic_clock::now()));
+  RefundToken(LocalBucket(organisation));
 }
 
 void rate_limiter::AddEntry(transfers& planned,
@@ -145,9 +143,9 @@
     return;
   }
   last = now;
-  ranking_.SetHosts(environment_.hosts());
+  ranking_.SetHosts(environment_.hosts(), environment_.cores());
   transfers planned;
-  AddEntry(planned, found->second, LocalBucket(organisation, now), now);
+  AddEntry(planned, found->second, LocalBucket(organisation), now);
   SendTransfers(std::move(planned), now);
 }
 
@@ -156,7 +154,7 @@
   if (current_catalog == nullptr) {
     return;
   }
-  ranking_.SetHosts(environment_.hosts());
+  ranking_.SetHosts(environment_.hosts(), environment_.cores());
   transfers planned;
   for (const std::string& hub : environment_.hubs->TakeDueProbes(now)) {
     planned.try_emplace(hub);
@@ -347,7 +345,7 @@
     return;
   }
   for (const message::token_given& given : answer.given()) {
-    local_rate_bucket& local_bucket = LocalBucket(given.organisation(), now);
+    local_rate_bucket& local_bucket = LocalBucket(given.organisation());
     local_bucket.level += given.tokens();
     if (given.tokens() < 1.0) {
       local_bucket.shared_bucket_empty_until = now + kSharedBucketEmptyTime;
--- a/src/sassafraswick/gateway/rate_limiter.h
+++ b/src/sassafraswick/gateway/rate_limiter.h
@@ -37,6 +37,8 @@
   std::string host;
   /// Names of all hosts, including this one.
   std::function<const std::vector<std::string>&()> hosts;
+  /// Processor capacities of `hosts`.
+  std::function<const std::vector<double>&()> cores;
   /// Number of hosts that share limits; zero while it is unknown.
   std::function<std::uint32_t()> host_count;
   std::function<void(const std::string& host, message::envelope envelope)> send;
@@ -80,8 +82,7 @@
   [[nodiscard]] std::uint32_t HostCount() const;
   [[nodiscard]] std::string FindSharedBucketHost(std::uint32_t shard,
                                                  time_point now);
-  local_rate_bucket& LocalBucket(const std::string& organisation,
-                                 time_point now);
+  local_rate_bucket& LocalBucket(const std::string& organisation);
   void RequestTokens(const std::string& organisation, time_point now);
   void AddEntry(transfers& planned, const catalog_organisation& organisation,
                 local_rate_bucket& local_bucket, time_point now);
--- a/src/sassafraswick/gateway/registry.cc
+++ b/src/sassafraswick/gateway/registry.cc
@@ -157,6 +157,16 @@
   return dropped;
 }
 
+void RefreshCores(host_registry& registry) {
+  registry.cores.clear();
+  for (const std::string& name : registry.names) {
+    const auto found = registry.capacities.find(name);
+    registry.cores.push_back(found == registry.capacities.end()
+                                 ? 0.0
+                                 : found->second.capacity.cores);
+  }
+}
+
 std::vector<home_candidate> HomeCandidates(const host_registry& registry) {
   std::vector<home_candidate> candidates;
   for (const std::string& name : registry.names) {
--- a/src/sassafraswick/gateway/registry.h
+++ b/src/sassafraswick/gateway/registry.h
@@ -61,6 +61,8 @@
   std::map<std::string, endpoint, std::less<>> hosts;
   /// Sorted names of `hosts`.
   std::vector<std::string> names;
+  /// Processor capacity of each host in `names`; zero where it is unknown.
+  std::vector<double> cores;
   /// Leases of the entries in `hosts`.
   std::map<std::string, lease_reference, std::less<>> leases;
   /// Capacities by host; may name hosts that are not in `hosts`.
@@ -98,6 +100,9 @@
 [[nodiscard]] std::vector<home_candidate> HomeCandidates(
     const host_registry& registry);
 
+/// Updates `cores`. Must be called after every change of the other members.
+void RefreshCores(host_registry& registry);
+
 /// Returns the number of hosts that share limits: those registered, and those
 /// that were until recently.
 [[nodiscard]] std::uint32_t CountSharingHosts(const host_registry& registry,
--- a/src/sassafraswick/gateway/store_watcher.h
+++ b/src/sassafraswick/gateway/store_watcher.h
@@ -168,7 +168,7 @@
   static constexpr duration kMaxRetryDelayCap = std::chrono::seconds(4);
 
   const std::vector<std::string>& RankedHosts() {
-    ranking_.SetHosts(environment_.hosts());
+    ranking_.SetHosts(environment_.hosts(), environment_.cores());
     return ranking_.RankedHubs("news");
   }
 
--- a/src/sassafraswick/gateway/watched_prefix.h
+++ b/src/sassafraswick/gateway/watched_prefix.h
@@ -37,6 +37,8 @@
   std::string host;
   /// Sorted names of all hosts, including this one.
   std::function<const std::vector<std::string>&()> hosts;
+  /// Processor capacities of `hosts`.
+  std::function<const std::vector<double>&()> cores;
   std::function<void(const std::string& host, message::envelope envelope)> send;
   std::function<void(const std::string& route, message::envelope envelope)>
       respond;
--- a/src/sassafraswick/routing/rendezvous.cc
+++ b/src/sassafraswick/routing/rendezvous.cc
@@ -2,7 +2,20 @@
 
 #include <xxhash.h>
 
+#include <cmath>
+#include <limits>
+#include <tuple>
+
 namespace sassafraswick {
+namespace {
+
+/// Returns a class of capacities that differ by less than a factor of two;
+/// higher for more cores.
+int CapacityClass(double cores) {
+  return cores > 0.0 ? std::ilogb(cores) : std::numeric_limits<int>::min();
+}
+
+}  // namespace
 
 std::uint64_t RendezvousScore(std::string_view name, std::string_view host) {
   const XXH64_hash_t seed = XXH3_64bits(name.data(), name.size());
@@ -21,21 +34,50 @@
   return hosts;
 }
 
-std::vector<std::string> HubHosts(const std::vector<std::string>& hosts) {
-  std::vector<std::string> hubs = RendezvousOrder("hubs", hosts);
-  const std::size_t count = std::max(kMinHubs, hosts.size() / kHostsPerHub);
-  if (hubs.size() > count) {
-    hubs.resize(count);
+std::vector<std::string> HubHosts(const std::vector<std::string>& hosts,
+                                  const std::vector<double>& cores) {
+  struct candidate {
+    int capacity_class = 0;
+    std::uint64_t score = 0;
+    std::string host;
+  };
+  std::vector<candidate> candidates;
+  candidates.reserve(hosts.size());
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    const double capacity = cores.size() == hosts.size() ? cores[i] : 0.0;
+    candidates.push_back(
+        {CapacityClass(capacity), RendezvousScore("hubs", hosts[i]), hosts[i]});
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const candidate& left, const candidate& right) {
+              return std::tie(right.capacity_class, right.score, left.host) <
+                     std::tie(left.capacity_class, left.score, right.host);
+            });
+  const std::size_t count =
+      std::min(hosts.size(), std::max(kMinHubs, hosts.size() / kHostsPerHub));
+  std::vector<std::string> hubs;
+  hubs.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    hubs.push_back(candidates[i].host);
   }
   return hubs;
 }
 
-void hub_ranking::SetHosts(const std::vector<std::string>& hosts) {
-  if (hosts_ != hosts) {
-    hosts_ = hosts;
-    hubs_ = HubHosts(hosts);
-    rankings_.clear();
+void hub_ranking::SetHosts(const std::vector<std::string>& hosts,
+                           const std::vector<double>& cores) {
+  if (hosts_ == hosts && cores_ == cores) {
+    return;
+  }
+  hosts_ = hosts;
+  cores_ = cores;
+  hubs_ = HubHosts(hosts, cores);
+  successors_.clear();
+  for (const std::string& host : HubHosts(hosts)) {
+    if (std::find(hubs_.begin(), hubs_.end(), host) == hubs_.end()) {
+      successors_.push_back(host);
+    }
   }
+  rankings_.clear();
 }
 
 const std::vector<std::string>& hub_ranking::RankedHubs(
@@ -43,6 +85,8 @@
   std::vector<std::string>& rank = rankings_[name];
   if (rank.empty()) {
     rank = RendezvousOrder(name, hubs_);
+    const std::vector<std::string> last = RendezvousOrder(name, successors_);
+    rank.insert(rank.end(), last.begin(), last.end());
   }
   return rank;
 }
--- a/src/sassafraswick/routing/rendezvous.h
+++ b/src/sassafraswick/routing/rendezvous.h
@@ -30,23 +30,33 @@
 inline constexpr std::size_t kHostsPerHub = 16;
 
 /// Returns the hubs: the hosts that hold the shared token buckets and collect
-/// proofs of leadership for all hosts. In a small fleet every host is a hub.
+/// proofs. In a large fleet all hosts use them, so the hosts with the most
+/// processor capacity are chosen, and by hash among similar ones. In a small
+/// fleet every host is a hub.
+/// @param cores Processor capacity of each host; zero where it is unknown.
 [[nodiscard]] std::vector<std::string> HubHosts(
-    const std::vector<std::string>& hosts);
+    const std::vector<std::string>& hosts,
+    const std::vector<double>& cores = {});
 
-/// Ranks hubs for names. Caches the rankings until the set of hosts changes.
+/// Ranks the hubs for names. Hosts of any capacity follow the hubs, as those
+/// with the most may all fail together.
 class hub_ranking {
  public:
   /// Sets the hosts of the fleet.
-  void SetHosts(const std::vector<std::string>& hosts);
+  /// @param cores Processor capacity of each host; zero where it is unknown.
+  void SetHosts(const std::vector<std::string>& hosts,
+                const std::vector<double>& cores = {});
 
-  /// Returns the hubs for a name, highest score first.
+  /// Returns the hubs for a name, highest score first, and then other hosts.
   [[nodiscard]] const std::vector<std::string>& RankedHubs(
       const std::string& name);
 
  private:
   std::vector<std::string> hosts_;
+  std::vector<double> cores_;
   std::vector<std::string> hubs_;
+  /// Hosts that take over if no hub responds.
+  std::vector<std::string> successors_;
   std::map<std::string, std::vector<std::string>> rankings_;
 };
 
