Leave queries of the instances after a mass start to the proof collectors

A complete read applied the instances before the list of hosts, so a host took itself for a fleet of one. And a host whose collector had no proof yet queried the instances after 80 ms, or at the next change of the group.

The hosts are applied first, and a host turns to the instances only after four rounds without a proof, as it did already to find the primary; by then another collector has replaced one that is unresponsive.

--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -207,8 +207,20 @@
     return environment;
   }
 
-  /// Registers the watched keys and the functions that apply them.
+  /// Registers the watched keys and the functions that apply them. A complete
+  /// read applies them in this order: a host that learned of an instance before
+  /// it knows the other hosts would query it as the only host of a fleet.
   void WatchStore() {
+    watched_prefix hosts;
+    hosts.prefix = std::string(kRegistryPrefix);
+    hosts.apply_snapshot = [this](const store_page& page) {
+      LoadRegistry(registry_, page, monotonic_clock::now());
+      UpdateHostCount();
+    };
+    hosts.apply_changes = [this](const store_page& page) {
+      ApplyRegistryChanges(page);
+    };
+    watcher_.AddPrefix(std::move(hosts));
     watched_prefix configuration;
     configuration.prefix = std::string(Platform::kConfigurationKey);
     configuration.apply_snapshot = [this](const store_page& page) {
@@ -235,16 +247,6 @@
       ApplyEvacuations(page);
     };
     watcher_.AddPrefix(std::move(evacuations));
-    watched_prefix hosts;
-    hosts.prefix = std::string(kRegistryPrefix);
-    hosts.apply_snapshot = [this](const store_page& page) {
-      LoadRegistry(registry_, page, monotonic_clock::now());
-      UpdateHostCount();
-    };
-    hosts.apply_changes = [this](const store_page& page) {
-      ApplyRegistryChanges(page);
-    };
-    watcher_.AddPrefix(std::move(hosts));
   }
 
   static std::string EvacuatedZone(const store_item& item) {
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -487,13 +487,20 @@
   }
 
   /// Requests a proof from the proof collector, and waits up to
-  /// `kMaxCollectorWait` for its response.
+  /// `kMaxCollectorWait` until there is one.
   /// @return False if this host has to query the instances itself.
   boost::asio::awaitable<bool> RequestFromCollector() {
     if (!proof_source_ || !proof_source_(name_)) {
       co_return false;
     }
-    co_await changed_.Wait(kMaxCollectorWait);
+    const time_point deadline = monotonic_clock::now() + kMaxCollectorWait;
+    time_point now = monotonic_clock::now();
+    do {
+      co_await changed_.Wait(
+          std::chrono::duration_cast<duration>(deadline - now));
+      now = monotonic_clock::now();
+    } while (now < deadline &&
+             !IsPrimaryLeaseValid(view_, view_.primary, view_.term, now));
     co_return true;
   }
 
@@ -565,9 +572,11 @@
 
   boost::asio::awaitable<void> ObtainProof() {
     const bool collector_requested = co_await RequestFromCollector();
-    if (collector_requested &&
-        IsPrimaryLeaseValid(view_, view_.primary, view_.term,
-                            monotonic_clock::now())) {
+    const bool is_proved = IsPrimaryLeaseValid(view_, view_.primary, view_.term,
+                                               monotonic_clock::now());
+    fruitless_rounds_ =
+        collector_requested && !is_proved ? fruitless_rounds_ + 1 : 0;
+    if (collector_requested && fruitless_rounds_ <= kCollectorOnlyRounds) {
       requesting_proof_ = false;
       changed_.NotifyAll();
       co_return;
@@ -630,6 +639,8 @@
   std::function<bool(const std::string& pool)> proof_source_;
   bool resolving_primary_ = false;
   bool requesting_proof_ = false;
+  /// Requests in a row to which the proof collector supplied no proof in time.
+  int fruitless_rounds_ = 0;
   std::mt19937_64 random_;
 };
 
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -33,7 +33,8 @@
 /// Hosts poll their peer connections at least every 50 ms.
 inline constexpr duration kMaxCollectorWait = std::chrono::milliseconds(80);
 /// Number of rounds in which only the proof collector is queried for the
-/// primary. If all hosts of a large fleet queried an instance at once, they
+/// primary or for a proof. Together they take longer than it does to find that
+/// a collector is unresponsive and to turn to the next. If all hosts of a large fleet queried an instance at once, they
 /// would exceed its connection limit.
 inline constexpr int kCollectorOnlyRounds = 4;
 /// Maximum age of a proof that the proof collector passes on.
