--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -70,7 +70,7 @@
         watcher_(platform, gateway, calls_, WatcherEnvironment()) {
     AddOwnHost();
     gateway_.proof_source = [this](const std::string& pool) {
-      return proofs_.RequestProof(pool, registry_.names);
+      return proofs_.RequestProof(pool, registry_.names, registry_.cores);
     };
     if (settings.shares_connections) {
       EnableBorrowing();
@@ -250,6 +250,9 @@
     environment.hosts = [this]() -> const std::vector<std::string>& {
       return registry_.names;
     };
+    environment.cores = [this]() -> const std::vector<double>& {
+      return registry_.cores;
+    };
     environment.send = [this](const std::string& to,
                               message::envelope envelope) {
       SendTo(to, std::move(envelope));
@@ -261,8 +264,20 @@
     return environment;
   }
 
-  /// Registers the watched keys and the functions that apply them.
+  /// Registers the watched keys and the functions that apply them. A complete
+  /// read applies them in this order: a host that learned of an instance before
+  /// it knows the other hosts would query it as the only host of a fleet.
   void WatchStore() {
+    watched_prefix hosts;
+    hosts.prefix = std::string(kRegistryPrefix);
+    hosts.apply_snapshot = [this](const store_page& page) {
+      LoadRegistry(registry_, page, monotonic_clock::now());
+      UpdateHostCount();
+    };
+    hosts.apply_changes = [this](const store_page& page) {
+      ApplyRegistryChanges(page);
+    };
+    watcher_.AddPrefix(std::move(hosts));
     watched_prefix configuration;
     configuration.prefix = std::string(Platform::kConfigurationKey);
     configuration.apply_snapshot = [this](const store_page& page) {
@@ -289,16 +304,6 @@
       ApplyEvacuations(page);
     };
     watcher_.AddPrefix(std::move(evacuations));
-    watched_prefix hosts;
-    hosts.prefix = std::string(kRegistryPrefix);
-    hosts.apply_snapshot = [this](const store_page& page) {
-      LoadRegistry(registry_, page, monotonic_clock::now());
-      UpdateHostCount();
-    };
-    hosts.apply_changes = [this](const store_page& page) {
-      ApplyRegistryChanges(page);
-    };
-    watcher_.AddPrefix(std::move(hosts));
   }
 
   static std::string EvacuatedZone(const store_item& item) {
@@ -462,6 +467,7 @@
     if (!registry_.hosts.contains(host_)) {
       AddOwnHost();
     }
+    RefreshCores(registry_);
     gateway_.hubs.Retain(registry_.names);
     gateway_.homes.SetCandidates(HomeCandidates(registry_));
     const std::uint32_t count =
