--- a/test/sassafraswick/admission/admission_queue_test.cc
+++ b/test/sassafraswick/admission/admission_queue_test.cc
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 #include <random>
 
-#include "sassafraswick/admission/queue_load.h"
+#include "test/sassafraswick/admission/queue_load.h"
 
 namespace sassafraswick {
 namespace {
