Serve operations that wait for a connection in the order of urgency

What callers saw: operations of a host raced for a free connection when their timers ended, and were rejected after half of the objective although nothing could have been free in time.

Cause: every release woke all waiters, whose order was that of their timers, and nothing forecast the wait.

Change: the waiters of an instance form a line, by priority and time left. Only the first is woken, and it passes on a connection that it cannot use. From the measured time of use a waiter forecasts its turn. Without one in time it is rejected at once as not run, with the time after which to come back; a read tries the other instances before.

--- a/src/sassafraswick/gateway/client_session.h
+++ b/src/sassafraswick/gateway/client_session.h
@@ -10,6 +10,7 @@
 
 #include "sassafraswick/gateway/caller_connection.h"
 #include "sassafraswick/gateway/operation.h"
+#include "sassafraswick/gateway/retry_hint.h"
 
 /// @file
 /// One caller's session: transactions, session variables and prepared
@@ -290,19 +291,14 @@
     const admission_result verdict =
         co_await gateway_.limiter.Admit(admission_.organisation, kMaxTokenWait);
     if (!verdict.admitted) {
-      response = MakeFailure(
-          failure_code::kBusy,
-          "over the rate of " + admission_.organisation.name + ", retry in " +
-              std::to_string(RoundUpToMilliseconds(verdict.retry_after)) +
-              " ms");
+      response =
+          MakeFailure(failure_code::kBusy,
+                      "over the rate of " + admission_.organisation.name +
+                          ", " + RetryHint(verdict.retry_after));
     }
     co_return response;
   }
 
-  static std::int64_t RoundUpToMilliseconds(duration span) {
-    return std::chrono::ceil<std::chrono::milliseconds>(span).count();
-  }
-
   [[nodiscard]] operation_context MakeOperationContext() const {
     operation_context operation;
     operation.session = number_;
--- a/src/sassafraswick/gateway/connection_pool.h
+++ b/src/sassafraswick/gateway/connection_pool.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -60,8 +61,9 @@
     const time_point requested_at = monotonic_clock::now();
     pooled_connection_lease<Codec> lease =
         co_await AcquireWithin(target, request);
-    lease.waited = std::chrono::duration_cast<duration>(monotonic_clock::now() -
-                                                        requested_at);
+    const time_point now = monotonic_clock::now();
+    lease.leased_at = now;
+    lease.waited = std::chrono::duration_cast<duration>(now - requested_at);
     co_return lease;
   }
 
@@ -70,6 +72,11 @@
   /// transaction is open on the connection.
   void Release(const pooled_connection_lease<Codec>& lease, bool reusable) {
     --lease.target->busy;
+    if (lease.leased_at.has_value()) {
+      lease.target->line.Waiters().RecordUse(
+          std::chrono::duration_cast<duration>(monotonic_clock::now() -
+                                               *lease.leased_at));
+    }
     const bool keep = reusable && lease.connection->IsOpen() &&
                       lease.target->listed &&
                       CountOpenConnections(*lease.target) < budget_.max_open;
@@ -81,6 +88,7 @@
       lease.connection->Close();
     }
     lease.target->connection_released.NotifyAll();
+    lease.target->line.WakeFirst();
   }
 
   /// Leases a connection for a control statement, which any organisation's idle
@@ -200,16 +208,25 @@
 
   boost::asio::awaitable<pooled_connection_lease<Codec>> AcquireWithin(
       target_pointer target, lease_request request) {
+    connection_line& line = target->line;
     pooled_connection_lease<Codec> lease;
     lease.target = target;
+    std::optional<connection_waiter> waiter;
     while (true) {
-      lease.connection =
-          TakeIdle(*target, request.organisation, request.session);
+      const bool is_first =
+          waiter.has_value()
+              ? line.Waiters().IsFirst(*waiter)
+              : line.Waiters().WouldBeFirst(request.priority, request.deadline);
+      if (is_first || waiter.has_value() || !line.IsTurnTaken()) {
+        lease.connection =
+            TakeIdle(*target, request.organisation, request.session);
+      }
       if (lease.connection != nullptr) {
         ++target->busy;
-        co_return lease;
+        break;
       }
-      if (PrepareToOpen(*target)) {
+      if (is_first && PrepareToOpen(*target)) {
+        LeaveLine(line, waiter);
         lease = co_await Open(target, request.organisation);
         const bool wait_instead =
             lease.failure == failure_code::kTooManyConnections &&
@@ -218,16 +235,55 @@
           co_return lease;
         }
       }
-      const time_point now = monotonic_clock::now();
-      if (now >= request.deadline) {
+      if (!waiter.has_value()) {
+        waiter = line.Join(request.priority, request.deadline);
+      } else {
+        line.WakeAfter(*waiter);
+      }
+      const duration left = std::chrono::duration_cast<duration>(
+          request.deadline - monotonic_clock::now());
+      const duration expected =
+          line.Waiters().ExpectedWait(*waiter, target->busy + target->opening);
+      if (left <= duration::zero() || expected > left) {
         lease.failure = failure_code::kBusy;
-        co_return lease;
+        lease.retry_after = std::max(expected - left, duration::zero());
+        RecordRejection(*target, request, expected, left);
+        break;
       }
-      const duration left =
-          std::chrono::duration_cast<duration>(request.deadline - now);
-      co_await target->connection_released.Wait(
-          std::min(left, kCapacityBackoff));
+      const bool awaits_permission = line.Waiters().IsFirst(*waiter);
+      co_await line.Wait(
+          *waiter, awaits_permission ? std::min(left, kCapacityBackoff) : left);
     }
+    LeaveLine(line, waiter);
+    co_return lease;
+  }
+
+  static void LeaveLine(connection_line& line,
+                        std::optional<connection_waiter>& waiter) {
+    if (waiter.has_value()) {
+      line.Leave(*waiter);
+      waiter.reset();
+    }
+  }
+
+  /// @param expected Forecast of the wait; if it is no longer than the time
+  /// left, the operation has waited in vain.
+  void RecordRejection(const target_state<Codec>& target,
+                       const lease_request& request, duration expected,
+                       duration left) {
+    const rejection_reason reason = expected > left && left > duration::zero()
+                                        ? rejection_reason::kNoRoom
+                                        : rejection_reason::kExpired;
+    counters_.CountRejection(reason, request.priority);
+    Log(log_level::kInfo, "no_connection_in_time",
+        {{"pool", name_},
+         {"target", target.record.id},
+         {"organisation", request.organisation},
+         {"priority", std::to_string(request.priority)},
+         {"reason", std::string(RejectionName(reason))},
+         {"connections_in_use", std::to_string(target.busy)},
+         {"expected_ms", std::to_string(ToMilliseconds(expected))},
+         {"left_ms", std::to_string(ToMilliseconds(left))}});
   }
 
   boost::asio::awaitable<pooled_connection_lease<Codec>> Open(
--- a/src/sassafraswick/gateway/counters.h
+++ b/src/sassafraswick/gateway/counters.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
+#include "sassafraswick/admission/admission_request.h"
 #include "sassafraswick/core/time.h"
 
 /// @file
@@ -35,6 +37,10 @@
   }
 };
 
+/// Statements that were rejected before they were sent, by reason and priority.
+using rejection_counts =
+    std::map<std::pair<rejection_reason, std::uint32_t>, std::uint64_t>;
+
 struct gateway_counters {
   std::uint64_t sessions = 0;
   std::uint64_t statements = 0;
@@ -54,8 +60,15 @@
   std::uint64_t hedged_reads = 0;
   /// Responses other than success, by reason.
   std::map<std::string, std::uint64_t, std::less<>> failures;
+  rejection_counts rejections;
   latency_histogram read_latency;
   latency_histogram write_latency;
+  /// Waits for a connection or a slot, of operations that had to wait.
+  latency_histogram wait;
+
+  void CountRejection(rejection_reason reason, std::uint32_t priority) {
+    ++rejections[{reason, priority}];
+  }
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -12,6 +12,7 @@
 #include "sassafraswick/gateway/gateway_state.h"
 #include "sassafraswick/gateway/read_plan.h"
 #include "sassafraswick/gateway/read_race.h"
+#include "sassafraswick/gateway/retry_hint.h"
 #include "sassafraswick/gateway/statement_batch.h"
 #include "sassafraswick/gateway/statement_sender.h"
 #include "sassafraswick/session/session_engine.h"
@@ -79,6 +80,10 @@
       RecordLease(lease);
       if (lease.connection == nullptr) {
         response = MakeBusy("no connection to the primary is free");
+        if (lease.retry_after > duration::zero()) {
+          // Another primary would not make room: its predecessor responds.
+          co_return WithRetryTime(std::move(response));
+        }
       } else {
         response = co_await WriteOn(query, lease);
         const bool not_run = response.failure == failure_code::kReadOnly ||
@@ -210,7 +215,8 @@
           co_await group_->Acquire(chosen_plan.target, request);
       RecordLease(lease);
       if (lease.connection == nullptr) {
-        response = MakeBusy("no connection to an instance is free");
+        response =
+            WithRetryTime(MakeBusy("no connection to an instance is free"));
       } else {
         response = co_await run(chosen_plan, lease);
         if (response.failure == failure_code::kNone || !IsRetryable(response)) {
@@ -260,6 +266,16 @@
     return response;
   }
 
+  /// Adds the time after which an instance is expected to have room, if that is
+  /// known.
+  [[nodiscard]] statement_result WithRetryTime(
+      statement_result response) const {
+    if (retry_after_.has_value()) {
+      response.detail += ", " + RetryHint(*retry_after_);
+    }
+    return response;
+  }
+
   /// Maps the last failure of an operation to one that the caller may see.
   [[nodiscard]] statement_result ToCallerFailure(
       statement_result response) const {
@@ -297,7 +313,12 @@
 
   void RecordLease(const pooled_connection_lease<Codec>& lease) {
     waited_ += lease.waited;
+    gateway_.counters.wait.Record(lease.waited);
     last_target_ = lease.target->record.id;
+    if (lease.retry_after > duration::zero()) {
+      retry_after_ =
+          std::min(retry_after_.value_or(lease.retry_after), lease.retry_after);
+    }
   }
 
   /// Sends a statement, and updates the target's state from the response.
@@ -416,6 +437,9 @@
   operation_context operation_;
   std::shared_ptr<target_group<Codec>> group_;
   duration waited_ = duration::zero();
+  /// Shortest time after which an instance that rejected the operation is
+  /// expected to have room.
+  std::optional<duration> retry_after_;
   std::string last_target_;
 };
 
--- a/src/sassafraswick/gateway/report.cc
+++ b/src/sassafraswick/gateway/report.cc
@@ -58,8 +58,18 @@
        counters.failures) {
     AddLine(text, "failures{reason=\"" + failure.first + "\"}", failure.second);
   }
+  for (const std::pair<const std::pair<rejection_reason, std::uint32_t>,
+                       std::uint64_t>& rejection : counters.rejections) {
+    std::string label = "rejections{reason=\"";
+    label += RejectionName(rejection.first.first);
+    label += "\",priority=\"";
+    label += std::to_string(rejection.first.second);
+    label += "\"}";
+    AddLine(text, label, rejection.second);
+  }
   AddHistogram(text, "read_latency", counters.read_latency);
   AddHistogram(text, "write_latency", counters.write_latency);
+  AddHistogram(text, "wait", counters.wait);
   return text;
 }
 
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -11,6 +11,7 @@
 #include "sassafraswick/consistency/replica_progress.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/fleet/zone_evacuation.h"
+#include "sassafraswick/gateway/connection_line.h"
 #include "sassafraswick/gateway/pooled_connection.h"
 #include "sassafraswick/limits/connection_share.h"
 #include "sassafraswick/net/async_event.h"
@@ -54,7 +55,7 @@
 template <session_codec Codec>
 struct target_state {
   explicit target_state(const boost::asio::any_io_executor& executor)
-      : connection_released(executor) {}
+      : connection_released(executor), line(executor) {}
 
   target_record record;
   bool listed = true;
@@ -68,6 +69,8 @@
   std::uint32_t opening = 0;
   connect_rate_limiter connect_limiter;
   async_event connection_released;
+  /// Operations that wait for a connection.
+  connection_line line;
   time_point avoid_until;
   /// No connection is opened before this time, because the instance rejected
   /// one.
@@ -123,6 +126,11 @@
   failure_code failure = failure_code::kNone;
   /// Time spent waiting for the connection or the failure.
   duration waited = duration::zero();
+  /// Without a connection: time after which one is expected to be free; zero if
+  /// unknown.
+  duration retry_after = duration::zero();
+  /// When the connection was leased to an operation.
+  std::optional<time_point> leased_at;
 };
 
 }  // namespace sassafraswick
