Serve urgent routes first on the PostgreSQL path, and show rejections

Routes of the tables get a priority, 0 to 15, which dispatch serves in order before it shares fairly; 1 is the default and keeps today's order. A connection that the first waiter cannot use is passed on only if one is idle, and an operation without room returns after the last instance was tried.

--- a/src/sassafraswick/config/tables.cc
+++ b/src/sassafraswick/config/tables.cc
@@ -15,6 +15,7 @@
 /// organisation.
 constexpr std::uint64_t kMaxRate = 100'000'000;
 constexpr std::uint64_t kMaxWeight = 1000;
+constexpr std::uint64_t kMaxPriority = 15;
 
 /// The position of a key, for error messages.
 struct key_location {
@@ -34,8 +35,9 @@
 }
 
 result<std::uint32_t> NumberValue(const key_location& location,
-                                  const std::string& text, std::uint64_t max) {
-  const result<std::uint64_t> parsed = ParseNumber(text, 1, max);
+                                  const std::string& text, std::uint64_t max,
+                                  std::uint64_t min = 1) {
+  const result<std::uint64_t> parsed = ParseNumber(text, min, max);
   if (!parsed) {
     return TableError(location, parsed.error().message);
   }
@@ -150,6 +152,9 @@
       parsed.max_staleness = age;
     } else if (entry.key == "deadline") {
       BOOST_OUTCOME_TRY(parsed.deadline, DurationValue(location, entry.value));
+    } else if (entry.key == "priority") {
+      BOOST_OUTCOME_TRY(parsed.priority,
+                        NumberValue(location, entry.value, kMaxPriority, 0));
     } else if (entry.key == "organisations") {
       parsed.organisations = SplitWords(entry.value);
     } else {
--- a/src/sassafraswick/config/tables.h
+++ b/src/sassafraswick/config/tables.h
@@ -45,6 +45,8 @@
 
 /// A service name that callers connect to.
 struct route {
+  static constexpr std::uint32_t kDefaultPriority = 1;
+
   std::string name;
   std::string pool;
   /// Callers need no key.
@@ -54,6 +56,8 @@
   std::optional<duration> max_staleness;
   /// Time within which a statement must have been started.
   duration deadline = std::chrono::seconds(5);
+  /// Urgency; 0 is the most urgent.
+  std::uint32_t priority = kDefaultPriority;
   /// Organisations admitted; if empty, all.
   std::vector<std::string> organisations;
 
--- a/src/sassafraswick/gateway/connection_pool.h
+++ b/src/sassafraswick/gateway/connection_pool.h
@@ -235,9 +235,10 @@
           co_return lease;
         }
       }
-      if (!waiter.has_value()) {
+      const bool has_waited = waiter.has_value();
+      if (!has_waited) {
         waiter = line.Join(request.priority, request.deadline);
-      } else {
+      } else if (!target->idle.empty()) {
         line.WakeAfter(*waiter);
       }
       const duration left = std::chrono::duration_cast<duration>(
@@ -247,7 +248,7 @@
       if (left <= duration::zero() || expected > left) {
         lease.failure = failure_code::kBusy;
         lease.retry_after = std::max(expected - left, duration::zero());
-        RecordRejection(*target, request, expected, left);
+        RecordRejection(*target, request, has_waited, expected, left);
         break;
       }
       const bool awaits_permission = line.Waiters().IsFirst(*waiter);
@@ -266,14 +267,16 @@
     }
   }
 
-  /// @param expected Forecast of the wait; if it is no longer than the time
-  /// left, the operation has waited in vain.
+  /// @param expected Forecast of the wait.
+  /// @param left Time left.
   void RecordRejection(const target_state<Codec>& target,
-                       const lease_request& request, duration expected,
-                       duration left) {
-    const rejection_reason reason = expected > left && left > duration::zero()
-                                        ? rejection_reason::kNoRoom
-                                        : rejection_reason::kExpired;
+                       const lease_request& request, bool has_waited,
+                       duration expected, duration left) {
+    rejection_reason reason = rejection_reason::kNoRoom;
+    if (has_waited) {
+      reason = left > duration::zero() ? rejection_reason::kDisplaced
+                                       : rejection_reason::kExpired;
+    }
     counters_.CountRejection(reason, request.priority);
     Log(log_level::kInfo, "no_connection_in_time",
         {{"pool", name_},
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -209,6 +209,11 @@
       if (chosen_plan.wait > duration::zero()) {
         co_await Sleep(chosen_plan.wait);
       }
+      const std::string& id = chosen_plan.target->record.id;
+      const bool had_no_room = retry_after_.has_value() && Contains(tried, id);
+      if (had_no_room) {
+        co_return ToCallerFailure(response);
+      }
       const lease_request request =
           MakeLeaseRequest(operation_, use, operation_.DispatchDeadline());
       const pooled_connection_lease<Codec> lease =
@@ -224,7 +229,6 @@
         }
       }
       RecordRetry(request_id, chosen_plan, response);
-      const std::string& id = chosen_plan.target->record.id;
       if (Contains(tried, id) || monotonic_clock::now() >= deadline) {
         co_return ToCallerFailure(response);
       }
--- a/src/sassafraswick/proxy/caller_routing.cc
+++ b/src/sassafraswick/proxy/caller_routing.cc
@@ -30,6 +30,9 @@
   request.access = reads ? access_kind::kRead : access_kind::kWrite;
   std::optional<duration> staleness = settings_.max_staleness;
   const auto entry = current.tables.routes.find(identity_.route);
+  if (entry != current.tables.routes.end()) {
+    request.priority = entry->second.priority;
+  }
   if (!staleness.has_value() && !settings_.has_token &&
       entry != current.tables.routes.end()) {
     staleness = entry->second.max_staleness;
--- a/src/sassafraswick/routing/dispatch.cc
+++ b/src/sassafraswick/routing/dispatch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace sassafraswick {
 namespace {
@@ -117,10 +118,17 @@
 }
 
 /// Assigns or refuses at most one request of an organisation.
+/// @param priority Priority of the request.
 /// @return True if a request left the queue.
-bool PlaceNext(dispatch_pass& pass, std::deque<request_entry>& queue) {
-  const std::size_t scan = std::min(queue.size(), kMaxScannedRequests);
-  for (std::size_t i = 0; i < scan; ++i) {
+bool PlaceNext(dispatch_pass& pass, std::deque<request_entry>& queue,
+               std::uint32_t priority) {
+  std::size_t examined = 0;
+  for (std::size_t i = 0; i < queue.size() && examined < kMaxScannedRequests;
+       ++i) {
+    if (queue[i].priority != priority) {
+      continue;
+    }
+    ++examined;
     if (TryPlace(pass, queue[i])) {
       queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
       --pass.table.waiting_count;
@@ -141,6 +149,33 @@
   return names;
 }
 
+/// Returns the priorities of all waiting requests, the most urgent first.
+std::set<std::uint32_t> WaitingPriorities(const dispatch_table& table) {
+  std::set<std::uint32_t> priorities;
+  for (const std::pair<const std::string, std::deque<request_entry>>& entry :
+       table.waiting) {
+    for (const request_entry& request : entry.second) {
+      priorities.insert(request.priority);
+    }
+  }
+  return priorities;
+}
+
+/// Assigns requests of one priority until no organisation makes progress.
+void PlacePriority(dispatch_pass& pass, std::uint32_t priority) {
+  std::vector<std::string> waiting = WaitingOrganisations(pass.table);
+  while (!waiting.empty()) {
+    std::vector<std::string> progressed;
+    for (const std::string& name : pass.table.scheduler.ServiceOrder(waiting)) {
+      std::deque<request_entry>& queue = pass.table.waiting[name];
+      if (PlaceNext(pass, queue, priority) && !queue.empty()) {
+        progressed.push_back(name);
+      }
+    }
+    waiting = std::move(progressed);
+  }
+}
+
 void PlanConnects(dispatch_pass& pass) {
   for (instance_index i = 0; i < pass.table.connections.size(); ++i) {
     connection_counts& counts = pass.table.connections[i];
@@ -161,8 +196,13 @@
                                request_entry request, time_point now) {
   std::deque<request_entry>& queue = table.waiting[request.organisation];
   const std::size_t competing = WaitingOrganisations(table).size();
-  const std::int64_t ahead = static_cast<std::int64_t>(
-      queue.size() * std::max<std::size_t>(competing, 1));
+  const std::int64_t own_ahead = std::count_if(
+      queue.begin(), queue.end(), [&request](const request_entry& waiting) {
+        return waiting.priority <= request.priority;
+      });
+  const std::int64_t ahead =
+      own_ahead *
+      static_cast<std::int64_t>(std::max<std::size_t>(competing, 1));
   const duration expected = table.service_time * ahead / TotalBudget(table);
   if (queue.size() >= settings.queue_limit ||
       now + expected > request.deadline) {
@@ -183,16 +223,8 @@
       PrimaryWithValidLease(group, settings.primary_lease_duration, now),
       {},
       std::vector<std::uint32_t>(table.connections.size(), 0)};
-  std::vector<std::string> waiting = WaitingOrganisations(table);
-  while (!waiting.empty()) {
-    std::vector<std::string> progressed;
-    for (const std::string& name : table.scheduler.ServiceOrder(waiting)) {
-      std::deque<request_entry>& queue = table.waiting[name];
-      if (PlaceNext(pass, queue) && !queue.empty()) {
-        progressed.push_back(name);
-      }
-    }
-    waiting = std::move(progressed);
+  for (const std::uint32_t priority : WaitingPriorities(table)) {
+    PlacePriority(pass, priority);
   }
   std::erase_if(
       table.waiting,
--- a/src/sassafraswick/routing/dispatch.h
+++ b/src/sassafraswick/routing/dispatch.h
@@ -30,6 +30,8 @@
   /// Weight of the organisation in fair queueing, at least 1.
   std::uint32_t weight = 1;
   access_kind access = access_kind::kWrite;
+  /// Urgency of the route; 0 is the most urgent.
+  std::uint32_t priority = 1;
   read_requirement requirement;
   time_point arrived;
   /// Time by which the request must have been sent to a target.
@@ -115,7 +117,8 @@
                                              request_entry request,
                                              time_point now);
 
-/// Assigns waiting requests to idle connections.
+/// Assigns waiting requests to idle connections: the most urgent first, and
+/// among equals in a fair order of their organisations.
 ///
 /// Updates the counts in `table.connections` as planned: assigned connections
 /// become busy, and planned ones count as opening.
--- a/test/sassafraswick/config/tables_test.cc
+++ b/test/sassafraswick/config/tables_test.cc
@@ -15,6 +15,7 @@
     "[route framing]\n"
     "pool = orders\n"
     "max_staleness = 2s\n"
+    "priority = 0\n"
     "organisations = gallery\n"
     "[organisation gallery]\n"
     "rate = 50\n"
@@ -35,6 +36,7 @@
   CHECK(orders.targets[2].availability_zone == "az3");
   CHECK(parsed.value().routes.at("framing").max_staleness ==
         std::chrono::seconds(2));
+  CHECK(parsed.value().routes.at("framing").priority == 0);
   CHECK(parsed.value().organisations.at("gallery").burst == 100);
 }
 
@@ -49,6 +51,8 @@
         std::string::npos);
   CHECK(ErrorOf("[organisation a]\nspeed = 1\n") ==
         "tables.ini: [organisation a] speed: is not a known key");
+  CHECK(ErrorOf("[route a]\npriority = 16\n").find("priority") !=
+        std::string::npos);
   CHECK(ErrorOf("[shop a]\nx = 1\n").find("unknown kind 'shop'") !=
         std::string::npos);
   CHECK(ErrorOf("[pool a]\ntargets = 10.0.0.1:1/z\nleaving = 10.0.0.9:1\n")
--- a/test/sassafraswick/routing/dispatch_test.cc
+++ b/test/sassafraswick/routing/dispatch_test.cc
@@ -43,6 +43,24 @@
   CHECK(table.waiting_count == 0);
 }
 
+TEST_CASE("statements of an urgent route overtake those that wait",
+          "[dispatch]") {
+  const group_state group = HealthyGroup(At(0));
+  dispatch_table table = TableWith(0, 2);
+  for (request_id id = 1; id <= 6; ++id) {
+    const std::string organisation = id % 2 == 0 ? "gallery" : "workshop";
+    request_entry request = Request(id, access_kind::kWrite, organisation);
+    request.priority = id > 4 ? 0 : 1;
+    REQUIRE_FALSE(Enqueue(table, kSettings, request, At(0)));
+  }
+  CHECK(Dispatch(table, group, kSettings, At(1)).assignments.empty());
+  table.connections[0].idle = 3;
+  const dispatch_plan plan = Dispatch(table, group, kSettings, At(2));
+  REQUIRE(plan.assignments.size() == 3);
+  CHECK(plan.assignments[0].request + plan.assignments[1].request == 5 + 6);
+  CHECK(plan.assignments[2].request <= 2);
+}
+
 TEST_CASE("writes wait while there is no primary lease", "[dispatch]") {
   group_state group = HealthyGroup(At(0));
   dispatch_table table = TableWith(1, 1);
