--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -12,6 +12,7 @@
 #include "sassafraswick/gateway/gateway_state.h"
 #include "sassafraswick/gateway/read_plan.h"
 #include "sassafraswick/gateway/read_race.h"
+#include "sassafraswick/gateway/retry_hint.h"
 #include "sassafraswick/gateway/statement_batch.h"
 #include "sassafraswick/gateway/statement_sender.h"
 #include "sassafraswick/session/session_engine.h"
@@ -82,6 +83,10 @@
       }
       if (lease.connection == nullptr) {
         response = MakeBusy("no connection to the primary is free");
+        if (lease.retry_after > duration::zero()) {
+          // Another primary would not make room: its predecessor responds.
+          co_return WithRetryTime(std::move(response));
+        }
       } else {
         response = co_await WriteOn(query, lease);
         const bool not_run = response.failure == failure_code::kReadOnly ||
@@ -207,6 +212,11 @@
       if (chosen_plan.wait > duration::zero()) {
         co_await Sleep(chosen_plan.wait);
       }
+      const std::string& id = chosen_plan.target->record.id;
+      const bool had_no_room = retry_after_.has_value() && Contains(tried, id);
+      if (had_no_room) {
+        co_return ToCallerFailure(response);
+      }
       const lease_request request =
           MakeLeaseRequest(operation_, use, operation_.DispatchDeadline());
       const pooled_connection_lease<Codec> lease =
@@ -215,7 +225,8 @@
       if (lease.connection == nullptr) {
         response = lease.rejected
                        ? MakeRejected(lease)
-                       : MakeBusy("no connection to an instance is free");
+                       : WithRetryTime(
+                             MakeBusy("no connection to an instance is free"));
       } else {
         response = co_await run(chosen_plan, lease);
         if (response.failure == failure_code::kNone || !IsRetryable(response)) {
@@ -223,7 +234,6 @@
         }
       }
       RecordRetry(request_id, chosen_plan, response);
-      const std::string& id = chosen_plan.target->record.id;
       const bool nowhere_else = lease.rejected && chosen_plan.only_choice;
       if (nowhere_else || Contains(tried, id) ||
           monotonic_clock::now() >= deadline) {
@@ -271,10 +281,18 @@
   /// Makes the response to an operation that the instance's home rejected.
   [[nodiscard]] statement_result MakeRejected(
       const pooled_connection_lease<Codec>& lease) const {
-    const std::int64_t retry_after =
-        std::chrono::ceil<std::chrono::milliseconds>(lease.retry_after).count();
-    return MakeBusy("the instance is overloaded, retry in " +
-                    std::to_string(retry_after) + " ms");
+    return MakeBusy("the instance is overloaded, " +
+                    RetryHint(lease.retry_after));
+  }
+
+  /// Adds the time after which an instance is expected to have room, if that is
+  /// known.
+  [[nodiscard]] statement_result WithRetryTime(
+      statement_result response) const {
+    if (retry_after_.has_value()) {
+      response.detail += ", " + RetryHint(*retry_after_);
+    }
+    return response;
   }
 
   /// Maps the last failure of an operation to one that the caller may see.
@@ -314,7 +332,12 @@
 
   void RecordLease(const pooled_connection_lease<Codec>& lease) {
     waited_ += lease.waited;
+    gateway_.counters.wait.Record(lease.waited);
     last_target_ = lease.target->record.id;
+    if (lease.retry_after > duration::zero()) {
+      retry_after_ =
+          std::min(retry_after_.value_or(lease.retry_after), lease.retry_after);
+    }
   }
 
   /// Sends a statement, and updates the target's state from the response.
@@ -433,6 +456,9 @@
   operation_context operation_;
   std::shared_ptr<target_group<Codec>> group_;
   duration waited_ = duration::zero();
+  /// Shortest time after which an instance that rejected the operation is
+  /// expected to have room.
+  std::optional<duration> retry_after_;
   std::string last_target_;
 };
 
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -12,6 +12,7 @@
 #include "sassafraswick/consistency/replica_progress.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/fleet/zone_evacuation.h"
+#include "sassafraswick/gateway/connection_line.h"
 #include "sassafraswick/gateway/instance_gate.h"
 #include "sassafraswick/gateway/pooled_connection.h"
 #include "sassafraswick/limits/connection_share.h"
@@ -36,8 +37,8 @@
 inline constexpr duration kMaxCollectorWait = std::chrono::milliseconds(80);
 /// Number of rounds in which only the proof collector is queried for the
 /// primary or for a proof. Together they take longer than it does to find that
-/// a collector is unresponsive and to turn to the next. If all hosts of a large fleet queried an instance at once, they
-/// would exceed its connection limit.
+/// a collector is unresponsive and to turn to the next. If all hosts of a large
+/// fleet queried an instance at once, they would exceed its connection limit.
 inline constexpr int kCollectorOnlyRounds = 4;
 /// Maximum age of a proof that the proof collector passes on.
 inline constexpr duration kMaxSharedProofAge = std::chrono::milliseconds(120);
@@ -66,7 +67,8 @@
 struct target_state {
   explicit target_state(const boost::asio::any_io_executor& executor)
       : gate(std::make_shared<instance_gate>(executor)),
-        connection_released(executor) {}
+        connection_released(executor),
+        line(executor) {}
 
   target_record record;
   bool listed = true;
@@ -88,6 +90,8 @@
   std::shared_ptr<instance_gate> gate;
   connect_rate_limiter connect_limiter;
   async_event connection_released;
+  /// Operations that wait for a connection.
+  connection_line line;
   time_point avoid_until;
   /// No connection is opened before this time, because the instance rejected
   /// one.
@@ -154,10 +158,13 @@
   /// The instance's home rejected the request, since it cannot be served in
   /// time.
   bool rejected = false;
-  /// For a rejection: when to come back.
-  duration retry_after = duration::zero();
   /// Time spent waiting for the connection or the failure.
   duration waited = duration::zero();
+  /// Without a connection: time after which one is expected to be free; zero if
+  /// unknown.
+  duration retry_after = duration::zero();
+  /// When the connection was leased to an operation.
+  std::optional<time_point> leased_at;
 };
 
 }  // namespace sassafraswick
