Count the bytes between availability zones by kind

Bytes between zones are the dearest price of a deployment after the machines, and nothing told which messages carry them. Each host now counts what it receives from hosts of other zones, by body of the message, and what it exchanges with instances there; /metrics shows messages and bytes. Whether a sender is elsewhere is known from its registered capacity.

--- a/src/sassafraswick/gateway/counters.h
+++ b/src/sassafraswick/gateway/counters.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "sassafraswick/core/time.h"
+#include "sassafraswick/gateway/zone_traffic.h"
 
 /// @file
 /// Counters and latency histograms of a host.
@@ -54,6 +55,8 @@
   std::uint64_t hedged_reads = 0;
   /// Responses other than success, by reason.
   std::map<std::string, std::uint64_t, std::less<>> failures;
+  /// Received from peers, and exchanged with instances.
+  zone_traffic between_zones;
   latency_histogram read_latency;
   latency_histogram write_latency;
 };
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -100,6 +100,7 @@
   void HandleMessage(const message::envelope& received,
                      const std::string& route) {
     gateway_.hubs.RecordMessage(received.host());
+    RecordZoneTraffic(received);
     if (received.store_era() != 0) {
       ObserveEra(received.store_era());
     }
@@ -154,6 +155,22 @@
     registry_.expired.erase(host_);
   }
 
+  /// Counts a message from another availability zone.
+  void RecordZoneTraffic(const message::envelope& received) {
+    const auto sender = registry_.capacities.find(received.host());
+    if (sender == registry_.capacities.end() ||
+        sender->second.capacity.availability_zone ==
+            gateway_.availability_zone) {
+      return;
+    }
+    const google::protobuf::FieldDescriptor* const body =
+        received.GetReflection()->GetOneofFieldDescriptor(
+            received, received.GetDescriptor()->oneof_decl(0));
+    gateway_.counters.between_zones.Record(
+        body == nullptr ? std::string_view("unknown") : body->name(),
+        received.ByteSizeLong());
+  }
+
   /// Adds what every message tells the receiver: the newest configuration and
   /// era of the store that this host knows.
   void AddKnownVersions(message::envelope& envelope) const {
--- a/src/sassafraswick/gateway/pooled_connection.h
+++ b/src/sassafraswick/gateway/pooled_connection.h
@@ -52,6 +52,7 @@
     namespace asio = boost::asio;
     exchange_outcome outcome;
     StartTimer(timeout);
+    traffic += bytes.size();
     boost::system::error_code failure;
     co_await asio::async_write(
         socket_, asio::buffer(bytes),
@@ -69,6 +70,7 @@
           asio::buffer(input_.data() + used, kReadBytes),
           asio::redirect_error(asio::use_awaitable, failure));
       input_.resize(used + got);
+      traffic += got;
     }
     ++exchange_;
     timer_.cancel();
@@ -104,6 +106,8 @@
 
   /// Session state that the connection holds.
   connection_session_state carried_state;
+  /// Bytes sent and received that the pool has not counted.
+  std::size_t traffic = 0;
   /// When the connection was last released to the pool.
   time_point idle_since;
 
--- a/src/sassafraswick/gateway/report.cc
+++ b/src/sassafraswick/gateway/report.cc
@@ -58,6 +58,12 @@
        counters.failures) {
     AddLine(text, "failures{reason=\"" + failure.first + "\"}", failure.second);
   }
+  for (const std::pair<const std::string, traffic_count>& kind :
+       counters.between_zones.Counts()) {
+    const std::string label = "{kind=\"" + kind.first + "\"}";
+    AddLine(text, "zone_crossing_messages" + label, kind.second.messages);
+    AddLine(text, "zone_crossing_bytes" + label, kind.second.bytes);
+  }
   AddHistogram(text, "read_latency", counters.read_latency);
   AddHistogram(text, "write_latency", counters.write_latency);
   return text;
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -184,6 +184,7 @@
   /// @param reusable The target has responded to all requests, and no
   /// transaction is open on the connection.
   void Release(const pooled_connection_lease<Codec>& lease, bool reusable) {
+    RecordZoneTraffic(lease);
     connection_pool_.Release(lease, reusable);
   }
 
@@ -195,6 +196,14 @@
           });
   }
 
+  /// Counts the bytes of a connection to another availability zone.
+  void RecordZoneTraffic(const pooled_connection_lease<Codec>& lease) {
+    const std::size_t bytes = std::exchange(lease.connection->traffic, 0);
+    if (lease.target->record.availability_zone != availability_zone_) {
+      counters_.between_zones.Record("instance", bytes);
+    }
+  }
+
   /// Updates health, term and log position of an instance from a response.
   /// @param requested_at When the statement was sent.
   void Observe(target_state<Codec>& target, const statement_result& response,
