--- a/src/sassafraswick/gateway/counters.h
+++ b/src/sassafraswick/gateway/counters.h
@@ -8,6 +8,7 @@
 
 #include "sassafraswick/admission/admission_request.h"
 #include "sassafraswick/core/time.h"
+#include "sassafraswick/gateway/zone_traffic.h"
 
 /// @file
 /// Counters and latency histograms of a host.
@@ -76,6 +77,8 @@
   /// Responses other than success, by reason.
   std::map<std::string, std::uint64_t, std::less<>> failures;
   rejection_counts rejections;
+  /// Received from peers, and exchanged with instances.
+  zone_traffic between_zones;
   latency_histogram read_latency;
   latency_histogram write_latency;
   /// Waits for a connection or a slot, of operations that had to wait.
