--- a/src/sassafraswick/config/setting_map.cc
+++ b/src/sassafraswick/config/setting_map.cc
@@ -73,6 +73,25 @@
           }};
 }
 
+setting CountSetting(std::optional<std::uint64_t>& out,
+                     invalid_value_policy invalid) {
+  return {false, [&out, invalid](const std::string& value) -> result<void> {
+            std::uint64_t count = 0;
+            const char* const end = value.data() + value.size();
+            const std::from_chars_result read =
+                std::from_chars(value.data(), end, count);
+            const bool valid =
+                read.ec == std::errc() && read.ptr == end && count > 0;
+            if (valid) {
+              out = count;
+            } else if (invalid == invalid_value_policy::kRejected) {
+              return MakeError(error_kind::kInvalidSetting,
+                               "'" + value + "' is not a whole number above 0");
+            }
+            return boost::outcome_v2::success();
+          }};
+}
+
 result<void> LoadSettings(const std::string& path, const setting_map& known,
                           unknown_setting_policy unknown) {
   BOOST_OUTCOME_TRY(std::string text, ReadFile(path));
--- a/src/sassafraswick/config/setting_map.h
+++ b/src/sassafraswick/config/setting_map.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "sassafraswick/config/endpoint.h"
@@ -33,6 +34,13 @@
   kIgnored,
 };
 
+/// How an invalid value of an optional setting is treated.
+enum class invalid_value_policy : std::uint8_t {
+  kRejected,
+  /// The default remains.
+  kIgnored,
+};
+
 /// Settings that store their value in `out`, which must outlive them.
 [[nodiscard]] setting TextSetting(std::string& out, bool required = true);
 [[nodiscard]] setting EndpointSetting(endpoint& out);
@@ -40,6 +48,9 @@
 [[nodiscard]] setting LogLevelSetting(log_level& out);
 /// A positive number; an invalid value is ignored, so that the default remains.
 [[nodiscard]] setting RateSetting(double& out);
+/// An optional whole number above 0.
+[[nodiscard]] setting CountSetting(std::optional<std::uint64_t>& out,
+                                   invalid_value_policy invalid);
 
 /// Reads a settings file.
 /// @return `error_kind::kInvalidSetting` or `kIo` with the file, the setting
--- a/src/sassafraswick/config/settings.cc
+++ b/src/sassafraswick/config/settings.cc
@@ -37,6 +37,13 @@
   known["tls.certificate"] = TextSetting(loaded.tls_certificate, false);
   known["tls.key"] = TextSetting(loaded.tls_key, false);
   known["log.level"] = LogLevelSetting(loaded.level);
+  known["limits.memory"] =
+      CountSetting(loaded.limits.memory_mb, invalid_value_policy::kRejected);
+  known["limits.descriptors"] =
+      CountSetting(loaded.limits.descriptors, invalid_value_policy::kRejected);
+  known["limits.message_timeout"] =
+      DurationSetting(loaded.limits.message_timeout);
+  known["limits.message_timeout"].required = false;
   AddPlatformSettings(known, loaded.platform);
   BOOST_OUTCOME_TRY(
       LoadSettings(path, known, unknown_setting_policy::kRejected));
--- a/src/sassafraswick/config/settings.h
+++ b/src/sassafraswick/config/settings.h
@@ -6,6 +6,7 @@
 #include "sassafraswick/config/endpoint.h"
 #include "sassafraswick/core/error.h"
 #include "sassafraswick/core/log.h"
+#include "sassafraswick/limits/caller_limits.h"
 
 /// @file
 /// Settings of the daemon and of the operators' tool, read once at startup.
@@ -34,6 +35,7 @@
   /// PEM files; TLS is offered to callers when both are set.
   std::string tls_certificate;
   std::string tls_key;
+  process_limits limits;
   log_level level = log_level::kInfo;
 };
 
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -385,7 +385,8 @@
            << "\npeers = " << Address(test_support::FreePort())
            << "\n[platform]\nstore = " << Address(store)
            << "\npromotions = " << Address(store)
-           << "\n[stop]\ngrace = 4s\n[log]\nlevel = info\n";
+           << "\n[stop]\ngrace = 4s\n[log]\nlevel = info\n"
+           << options_.settings_lines;
 }
 
 void standin_platform::RestartGateway(std::size_t index) {
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -38,6 +38,8 @@
   /// Rate and burst of the organisations `joinery` (key-three) and `glazier`
   /// (key-four); at zero they are not configured.
   std::int64_t limited_rate = 0;
+  /// Further lines at the end of each gateway's settings.
+  std::string settings_lines;
 };
 
 class standin_platform {
--- a/test/support/fleet.cc
+++ b/test/support/fleet.cc
@@ -150,7 +150,8 @@
                   "\npeers = " + LoopbackEndpoint(peer_ports_[i]) +
                   "\n[fleet]\nsecret = " + kFleetSecret +
                   "\n[platform]\nstore = " + LoopbackEndpoint(store_ports_[i]) +
-                  "\nhost_list = " + LoopbackEndpoint(store_ports_[i]) + "\n");
+                  "\nhost_list = " + LoopbackEndpoint(store_ports_[i]) + "\n" +
+                  options_.settings_lines);
   }
   for (std::size_t g = 0; g < options_.groups; ++g) {
     const std::string name = "orders" + std::to_string(g);
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -31,6 +31,8 @@
                                                    {"counter", ""}};
   /// Further lines of each `[route ...]` section.
   std::string route_lines;
+  /// Further lines at the end of each proxy's settings.
+  std::string settings_lines;
 };
 
 /// Runs a simulated platform, simulated database groups, a fault proxy and the
