Bound what a process holds for its callers

Cause: input grew by connection without a bound on the sum, a longer statement was kept whole before its TOOLARGE, the search for its end began anew with each read, and nothing limited the time of a transfer or the number of sessions.

Change: a budget for the bytes of all callers. The session that holds most, of several alike the one without progress, is closed when it is used up; a statement that is not sent yet is rejected as not run. Of a statement over the limit only the first bytes are kept. Sessions are limited by memory and descriptors; the gateway closes the one that has been idle longest to let a new caller in. An idle session gives its input buffer back. Statements are moved, not copied, on their way to an instance.

--- a/src/sassafraswick/gateway/client_session.h
+++ b/src/sassafraswick/gateway/client_session.h
@@ -36,7 +36,7 @@
   client_session(gateway_state<Codec>& gateway, stream_socket socket,
                  session_number number)
       : gateway_(gateway),
-        connection_(std::move(socket)),
+        connection_(std::move(socket), [this] { UpdateHeld(); }),
         timer_(connection_.Executor()),
         number_(number),
         engine_(number, response_policy::kHost) {
@@ -46,6 +46,7 @@
   client_session& operator=(const client_session&) = delete;
   ~client_session() {
     --gateway_.counters.sessions;
+    gateway_.held.Remove(number_);
     DropTransaction();
   }
 
@@ -58,18 +59,19 @@
     while (open) {
       is_idle_ = !IsInTransaction();
       idle_since_ = monotonic_clock::now();
-      const std::optional<caller_message> message =
-          co_await connection_.ReadMessage();
+      std::optional<received_message> received =
+          co_await connection_.ReadMessage(MaxKeptBytes());
       is_idle_ = false;
-      if (!message.has_value() ||
-          message->kind == caller_message_kind::kTerminate) {
+      if (!received.has_value() ||
+          received->message.kind == caller_message_kind::kTerminate) {
         break;
       }
+      const statement_kind kind = received->message.query.kind;
       ++activity_;
       ++gateway_.counters.statements_in_flight;
-      open = co_await Serve(*message);
+      open = co_await Serve(std::move(*received));
       --gateway_.counters.statements_in_flight;
-      if (EndsAfter(message->query.kind)) {
+      if (EndsAfter(kind)) {
         break;
       }
     }
@@ -90,7 +92,52 @@
     }
   }
 
+  /// Closes the session if a message or response takes longer than the timeout
+  /// to transfer. Called about every second.
+  void CheckTransfer(time_point now, duration timeout) {
+    const std::optional<std::uint32_t> transfer = connection_.Transfer();
+    if (transfer != watched_transfer_) {
+      watched_transfer_ = transfer;
+      watched_since_ = now;
+    }
+    if (transfer.has_value() && now - watched_since_ > timeout) {
+      ++gateway_.counters.sessions_closed_for_slowness;
+      CloseForLimit("slow");
+      return;
+    }
+    if (!is_idle_) {
+      unread_bytes_ = connection_.UnreadBytes();
+      UpdateHeld();
+    }
+  }
+
+  /// Closes the session since a limit is reached.
+  void CloseForLimit(const std::string& limit) {
+    Log(log_level::kWarning, "session_closed_for_limit",
+        {{"limit", limit},
+         {"organisation", admission_.organisation.name},
+         {"held_bytes", std::to_string(HeldBytes())}});
+    Close();
+  }
+
+  [[nodiscard]] bool HasInput() const { return connection_.HasInput(); }
+
+  /// Returns since when the session has waited for its first message or,
+  /// outside a transaction, for the next one; nothing if it is at work.
+  [[nodiscard]] std::optional<time_point> WaitingSince() const {
+    const bool waits = is_idle_ || !is_admitted_;
+    if (!waits || !connection_.IsOpen() || connection_.Transfer().has_value()) {
+      return std::nullopt;
+    }
+    return idle_since_;
+  }
+
  private:
+  /// Number of copies of a statement that exist while it runs.
+  static constexpr std::size_t kStatementCopies = 6;
+  /// The same for variables and prepared statements that are sent with it.
+  static constexpr std::size_t kStateCopies = 3;
+
   /// A transaction that the caller has begun. It has no connection to a target
   /// before its first statement.
   struct open_transaction {
@@ -105,6 +152,47 @@
     return transaction_.has_value();
   }
 
+  /// Returns the number of bytes of a message that are kept.
+  [[nodiscard]] std::size_t MaxKeptBytes() const {
+    return gateway_.current_catalog->max_statement_bytes +
+           kMaxStatementHeadBytes;
+  }
+
+  [[nodiscard]] std::size_t HeldBytes() const {
+    return connection_.HeldBytes() + statement_bytes_ + unread_bytes_ +
+           database_.size() + key_.size() + engine_.SessionState().HeldBytes();
+  }
+
+  /// Records what the session holds, and closes sessions while all hold too
+  /// much.
+  void UpdateHeld() {
+    const std::size_t bytes = HeldBytes();
+    const bool counts = bytes > kUncountedBytes && connection_.IsOpen();
+    if (counts || is_counted_) {
+      is_counted_ = counts;
+      gateway_.held.Set(number_, counts ? bytes : 0, !is_executing_);
+      gateway_.CloseExcess();
+    }
+  }
+
+  /// Marks a statement as being executed and records its memory.
+  /// @return False if there is not enough; the statement must not run.
+  bool BeginExecution(const statement& query) {
+    is_executing_ = true;
+    const std::size_t state = engine_.SessionState().HeldBytes();
+    statement_bytes_ = kStatementCopies * query.text.size() +
+                       (state > kUncountedBytes ? kStateCopies * state : 0);
+    UpdateHeld();
+    return statement_bytes_ <= kUncountedBytes || !gateway_.held.IsExceeded();
+  }
+
+  void EndExecution() {
+    is_executing_ = false;
+    statement_bytes_ = 0;
+    unread_bytes_ = 0;
+    UpdateHeld();
+  }
+
   [[nodiscard]] bool MustClose() const {
     return gateway_.shutdown.has_value() || !IsAdmitted();
   }
@@ -135,11 +223,20 @@
   /// Rejects a statement that was not run because the host shuts down, and
   /// rolls back its transaction.
   statement_result RejectForShutdown() {
+    return RejectBeforeRun("the host is shutting down, retry on another");
+  }
+
+  statement_result RejectForMemory() {
+    ++gateway_.counters.statements_refused_for_memory;
+    return RejectBeforeRun("the host holds too much for its callers");
+  }
+
+  statement_result RejectBeforeRun(std::string detail) {
     const bool in_transaction = engine_.State() != transaction_state::kIdle;
     engine_.OnTransactionFailed();
     return MakeFailure(
         in_transaction ? failure_code::kAborted : failure_code::kBusy,
-        "the host is shutting down, retry on another");
+        std::move(detail));
   }
 
   [[nodiscard]] bool IsAdmitted() const {
@@ -166,18 +263,19 @@
   /// Reads the first message and admits or rejects the caller.
   /// @return False if the session has to be closed.
   boost::asio::awaitable<bool> Start() {
-    const std::optional<caller_message> message =
-        co_await connection_.ReadMessage();
-    if (!message.has_value()) {
+    const std::optional<received_message> received =
+        co_await connection_.ReadMessage(MaxKeptBytes());
+    if (!received.has_value()) {
       co_return false;
     }
+    const caller_message& message = received->message;
     statement_result response;
-    if (message->kind != caller_message_kind::kStart) {
+    if (message.kind != caller_message_kind::kStart) {
       response.failure = failure_code::kMalformed;
       response.detail = "the first message names a database";
     } else {
-      database_ = message->database;
-      key_ = message->key;
+      database_ = message.database;
+      key_ = message.key;
       response = CheckAdmission();
     }
     if (response.failure != failure_code::kNone) {
@@ -186,6 +284,8 @@
       co_await connection_.Send(rejection);
       co_return false;
     }
+    is_admitted_ = true;
+    UpdateHeld();
     const std::string greeting = Codec::FormatReady(response);
     const bool sent = co_await connection_.Send(greeting);
     co_return sent;
@@ -205,7 +305,8 @@
     return response;
   }
 
-  boost::asio::awaitable<bool> Serve(caller_message message) {
+  boost::asio::awaitable<bool> Serve(received_message received) {
+    caller_message& message = received.message;
     if (message.kind != caller_message_kind::kStatement) {
       statement_result response =
           MakeFailure(failure_code::kMalformed, "not a message");
@@ -218,25 +319,35 @@
     last_wait_ = duration::zero();
     last_target_.clear();
     statement& query = message.query;
+    statement summary;
+    summary.id = query.id;
+    summary.kind = query.kind;
     idle_timer_generation_ = 0;
     statement_result response;
-    if (query.text.size() > gateway_.current_catalog->max_statement_bytes) {
+    const bool has_room = BeginExecution(query);
+    if (received.truncated ||
+        query.text.size() > gateway_.current_catalog->max_statement_bytes) {
       response =
           MakeFailure(failure_code::kTooLarge, "the statement is too long");
       engine_.OnTransactionFailed();
     } else if (IsTooLateFor(query)) {
       response = RejectForShutdown();
+    } else if (!has_room) {
+      response = RejectForMemory();
     } else {
-      response = co_await ExecuteDecision(query);
+      response = co_await ExecuteDecision(std::move(query));
     }
     ApplyTransactionState();
     response.state = engine_.State();
     if (response.failure != failure_code::kNone) {
-      CountFailure(query.id, response);
+      CountFailure(summary.id, response);
     }
-    LogIfSlow(query, std::chrono::duration_cast<duration>(
-                         monotonic_clock::now() - arrived_at));
-    const bool sent = co_await connection_.Send(Codec::FormatResult(response));
+    LogIfSlow(summary, std::chrono::duration_cast<duration>(
+                           monotonic_clock::now() - arrived_at));
+    std::string bytes = Codec::FormatResult(response);
+    response.rows = {};
+    EndExecution();
+    const bool sent = co_await connection_.Send(std::move(bytes));
     const bool rejected = response.failure == failure_code::kNotAuthorised ||
                           response.failure == failure_code::kUnknownDatabase;
     co_return sent && !rejected;
@@ -254,11 +365,11 @@
     session_decision decision = engine_.Decide(query);
     switch (decision.action) {
       case session_action::kOpen:
-        co_return co_await OpenTransaction(query);
+        co_return co_await OpenTransaction(std::move(query));
       case session_action::kRunStandalone:
-        co_return co_await RunStandalone(query, decision.writes);
+        co_return co_await RunStandalone(std::move(query), decision.writes);
       case session_action::kRunInTransaction:
-        co_return co_await RunInTransaction(query, decision.writes);
+        co_return co_await RunInTransaction(std::move(query), decision.writes);
       case session_action::kRollBack:
         DropTransaction();
         break;
@@ -325,10 +436,10 @@
     }
     statement_result response;
     if (writes) {
-      response = co_await runner.Write(query);
+      response = co_await runner.Write(std::move(query));
       RecordOwnWrite(response);
     } else {
-      response = co_await runner.Read(query);
+      response = co_await runner.Read(std::move(query));
     }
     RecordDispatch(runner);
     if (response.failure == failure_code::kBusy) {
@@ -506,7 +617,18 @@
   /// Instance to which the current statement was sent last.
   std::string last_target_;
   bool is_idle_ = false;
-  time_point idle_since_;
+  bool is_admitted_ = false;
+  bool is_executing_ = false;
+  /// The session is counted in `gateway_state::held`.
+  bool is_counted_ = false;
+  time_point idle_since_ = monotonic_clock::now();
+  /// Memory for the statement being executed.
+  std::size_t statement_bytes_ = 0;
+  /// Bytes that waited in the socket when the session was last checked.
+  std::size_t unread_bytes_ = 0;
+  /// The transfer seen at the last check, and when it was first seen.
+  std::optional<std::uint32_t> watched_transfer_;
+  time_point watched_since_;
   /// Counts messages and timer starts, so that an expired timer can tell that
   /// it is outdated.
   std::uint64_t activity_ = 0;
--- a/src/sassafraswick/gateway/counters.h
+++ b/src/sassafraswick/gateway/counters.h
@@ -52,6 +52,16 @@
   std::uint64_t retries = 0;
   /// Reads that also ran on a second instance, as the first one was late.
   std::uint64_t hedged_reads = 0;
+  /// Connections closed at once since the host had too many sessions.
+  std::uint64_t sessions_refused = 0;
+  /// Idle sessions closed to make room for new callers.
+  std::uint64_t sessions_closed_for_room = 0;
+  /// Sessions closed since the host held too much for its callers.
+  std::uint64_t sessions_closed_for_memory = 0;
+  /// Sessions closed since a message or response took too long to transfer.
+  std::uint64_t sessions_closed_for_slowness = 0;
+  /// Statements rejected since the host held too much for its callers.
+  std::uint64_t statements_refused_for_memory = 0;
   /// Responses other than success, by reason.
   std::map<std::string, std::uint64_t, std::less<>> failures;
   latency_histogram read_latency;
--- a/src/sassafraswick/gateway/gateway.h
+++ b/src/sassafraswick/gateway/gateway.h
@@ -8,10 +8,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <functional>
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
 #include "sassafraswick/gateway/client_session.h"
@@ -29,6 +29,10 @@
 
 /// Interval between checks for sessions that have to be closed.
 inline constexpr duration kSessionSweepInterval = std::chrono::milliseconds(50);
+/// Interval between checks for messages that take too long to transfer.
+inline constexpr duration kTransferSweepInterval = std::chrono::seconds(1);
+/// Time for which a session must have been idle to be closed for a new one.
+inline constexpr duration kMinIdleBeforeDisplaced = std::chrono::seconds(1);
 /// Interval between checks for idle connections to instances that have to be
 /// closed.
 inline constexpr duration kIdleConnectionSweepInterval =
@@ -50,13 +54,25 @@
         link_(context, {settings.host, boot, settings.peers}, std::string()),
         state_(context, settings.availability_zone, LimiterEnvironment()),
         fleet_(platform, state_, link_, settings),
-        failover_(platform, state_, fleet_) {}
+        failover_(platform, state_, fleet_),
+        bounds_(DeriveCallerBounds(settings.limits, DescriptorLimit())) {
+    state_.held = memory_budget(bounds_.max_held_bytes);
+    state_.close_session = [this](session_number number) {
+      const auto found = sessions_.find(number);
+      const std::shared_ptr<client_session<codec>> session =
+          found == sessions_.end() ? nullptr : found->second.lock();
+      if (session != nullptr) {
+        session->CloseForLimit("memory");
+      }
+    };
+  }
 
   /// Opens the listening sockets and starts all background tasks.
   [[nodiscard]] result<void> Start() {
     BOOST_OUTCOME_TRY(boost::asio::ip::tcp::acceptor listening,
                       Listen(context_.get_executor(), settings_.callers));
     acceptor_.emplace(std::move(listening));
+    LimitSocketBuffers(*acceptor_, kCallerSocketBufferBytes);
     BOOST_OUTCOME_TRY(link_.Start(
         [this](const message::envelope& received, const std::string& route) {
           fleet_.HandleMessage(received, route);
@@ -84,6 +100,9 @@
   [[nodiscard]] const gateway_settings& Settings() const { return settings_; }
 
  private:
+  using session_entry =
+      std::pair<const session_number, std::weak_ptr<client_session<codec>>>;
+
   rate_limiter_environment LimiterEnvironment() {
     rate_limiter_environment environment;
     environment.host = settings_.host;
@@ -125,17 +144,49 @@
         socket.close(failure);
         continue;
       }
+      if (!HasRoomForSession()) {
+        ++state_.counters.sessions_refused;
+        Log(log_level::kWarning, "session_refused",
+            {{"sessions", std::to_string(state_.counters.sessions)}});
+        socket.close(failure);
+        continue;
+      }
       boost::system::error_code ignored;
       socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
       EnableKeepalive(socket);
       const std::shared_ptr<client_session<codec>> session =
           std::make_shared<client_session<codec>>(state_, std::move(socket),
                                                   ++last_session_);
-      sessions_.push_back(session);
+      sessions_[last_session_] = session;
       Spawn(context_, "session", [session] { return session->Run(); });
     }
   }
 
+  /// Returns whether a new session is within the limit. At the limit, closes
+  /// the one that has been idle longest, which its caller may open again.
+  [[nodiscard]] bool HasRoomForSession() {
+    if (state_.counters.sessions < bounds_.max_sessions) {
+      return true;
+    }
+    time_point longest = monotonic_clock::now() - kMinIdleBeforeDisplaced;
+    std::shared_ptr<client_session<codec>> selected;
+    for (const session_entry& each : sessions_) {
+      const std::shared_ptr<client_session<codec>> session = each.second.lock();
+      const std::optional<time_point> since =
+          session == nullptr ? std::nullopt : session->WaitingSince();
+      if (since.has_value() && *since < longest) {
+        longest = *since;
+        selected = session;
+      }
+    }
+    if (selected == nullptr || selected->HasInput()) {
+      return false;
+    }
+    ++state_.counters.sessions_closed_for_room;
+    selected->CloseForLimit("sessions");
+    return true;
+  }
+
   boost::asio::awaitable<void> ExchangeTokens() {
     while (true) {
       co_await Sleep(kExchangeInterval);
@@ -158,20 +209,25 @@
   /// longer admits them.
   boost::asio::awaitable<void> SweepSessions() {
     std::uint64_t checked_version = 0;
+    time_point next_transfer_sweep = monotonic_clock::now();
     while (true) {
       co_await Sleep(kSessionSweepInterval);
-      std::erase_if(sessions_,
-                    [](const std::weak_ptr<client_session<codec>>& session) {
-                      return session.expired();
-                    });
+      std::erase_if(sessions_, [](const session_entry& entry) {
+        return entry.second.expired();
+      });
+      if (monotonic_clock::now() >= next_transfer_sweep) {
+        next_transfer_sweep = monotonic_clock::now() + kTransferSweepInterval;
+        CheckTransfers();
+      }
       const bool changed = state_.current_catalog != nullptr &&
                            state_.current_catalog->version != checked_version;
       if (!changed && !state_.shutdown.has_value()) {
         continue;
       }
       const time_point now = monotonic_clock::now();
-      for (const std::weak_ptr<client_session<codec>>& each : sessions_) {
-        const std::shared_ptr<client_session<codec>> session = each.lock();
+      for (const session_entry& each : sessions_) {
+        const std::shared_ptr<client_session<codec>> session =
+            each.second.lock();
         if (session != nullptr) {
           session->CloseIfIdle(now);
         }
@@ -182,6 +238,16 @@
     }
   }
 
+  void CheckTransfers() {
+    const time_point now = monotonic_clock::now();
+    for (const session_entry& each : sessions_) {
+      const std::shared_ptr<client_session<codec>> session = each.second.lock();
+      if (session != nullptr) {
+        session->CheckTransfer(now, settings_.limits.message_timeout);
+      }
+    }
+  }
+
   /// On SIGHUP, applies the settings that may change at run time: the shutdown
   /// time and the log level. Addresses and names require a restart.
   boost::asio::awaitable<void> ReloadOnSignal() {
@@ -260,7 +326,9 @@
   fleet_agent<Platform> fleet_;
   failover_agent<Platform> failover_;
   std::optional<boost::asio::ip::tcp::acceptor> acceptor_;
-  std::list<std::weak_ptr<client_session<codec>>> sessions_;
+  caller_bounds bounds_;
+  std::unordered_map<session_number, std::weak_ptr<client_session<codec>>>
+      sessions_;
   session_number last_session_ = 0;
 };
 
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,6 +15,7 @@
 #include "sassafraswick/gateway/counters.h"
 #include "sassafraswick/gateway/rate_limiter.h"
 #include "sassafraswick/gateway/target_group.h"
+#include "sassafraswick/limits/memory_budget.h"
 #include "sassafraswick/routing/attempt.h"
 #include "sassafraswick/routing/response_times.h"
 #include "sassafraswick/session/shutdown_schedule.h"
@@ -52,6 +54,10 @@
   /// Requests a proof of leadership of a pool's primary from the pool's proof
   /// collector; see `target_group::SetProofSource`.
   std::function<bool(const std::string& pool)> proof_source;
+  /// What the sessions hold for their callers.
+  memory_budget held{std::numeric_limits<std::size_t>::max()};
+  /// Closes a session that holds too much.
+  std::function<void(session_number)> close_session;
   std::uint32_t host_count = 1;
   /// Empty while the host runs normally.
   std::optional<shutdown_schedule> shutdown;
@@ -67,6 +73,17 @@
     return found == groups.end() ? nullptr : found->second;
   }
 
+  /// Closes sessions until the others are within the budget.
+  void CloseExcess() {
+    std::optional<memory_budget::holder_id> excess = held.FindExcess();
+    while (excess.has_value()) {
+      held.Remove(*excess);
+      ++counters.sessions_closed_for_memory;
+      close_session(*excess);
+      excess = held.FindExcess();
+    }
+  }
+
   /// Records a read that an instance has served.
   void RecordRead(const target_group<Codec>& group, target_state<Codec>& target,
                   duration took) {
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -323,7 +323,8 @@
       group_->RequestProof();
     }
     const std::shared_ptr<read_race<Codec>> race =
-        std::make_shared<read_race<Codec>>(gateway_, group_, query, operation_);
+        std::make_shared<read_race<Codec>>(gateway_, group_, std::move(query),
+                                           operation_);
     read_attempt<Codec> first;
     first.plan = std::move(plan);
     first.lease = std::move(lease);
@@ -350,7 +351,7 @@
     const duration left = std::chrono::duration_cast<duration>(
         operation_.Deadline() - monotonic_clock::now());
     const sent_statement sent =
-        co_await SendOn(query, std::nullopt, lease, left);
+        co_await SendOn(std::move(query), std::nullopt, lease, left);
     statement_result response = sent.response;
     group_->Release(lease, response.failure != failure_code::kNoAnswer);
     if (response.failure == failure_code::kNoAnswer) {
--- a/src/sassafraswick/gateway/pooled_connection.h
+++ b/src/sassafraswick/gateway/pooled_connection.h
@@ -70,6 +70,9 @@
           asio::redirect_error(asio::use_awaitable, failure));
       input_.resize(used + got);
     }
+    if (input_.empty() && input_.capacity() > kMaxIdleInputBytes) {
+      input_ = std::string();
+    }
     ++exchange_;
     timer_.cancel();
     if (failure) {
@@ -109,6 +112,8 @@
 
  private:
   static constexpr std::size_t kReadBytes = 4096;
+  /// Largest input buffer that an idle connection keeps.
+  static constexpr std::size_t kMaxIdleInputBytes = 65'536;
 
   /// Parses complete frames from the input.
   /// @return False if the input violates the protocol.
--- a/src/sassafraswick/gateway/report.cc
+++ b/src/sassafraswick/gateway/report.cc
@@ -53,6 +53,14 @@
   AddLine(text, "unproved_promotions", counters.unproved_promotions);
   AddLine(text, "retries", counters.retries);
   AddLine(text, "hedged_reads", counters.hedged_reads);
+  AddLine(text, "sessions_refused", counters.sessions_refused);
+  AddLine(text, "sessions_closed_for_room", counters.sessions_closed_for_room);
+  AddLine(text, "sessions_closed_for_memory",
+          counters.sessions_closed_for_memory);
+  AddLine(text, "sessions_closed_for_slowness",
+          counters.sessions_closed_for_slowness);
+  AddLine(text, "statements_refused_for_memory",
+          counters.statements_refused_for_memory);
   AddLine(text, "log_lines_left_out", LogLinesDropped());
   for (const std::pair<const std::string, std::uint64_t>& failure :
        counters.failures) {
--- a/src/sassafraswick/gateway/settings.h
+++ b/src/sassafraswick/gateway/settings.h
@@ -6,6 +6,7 @@
 #include "sassafraswick/config/endpoint.h"
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/core/time.h"
+#include "sassafraswick/limits/caller_limits.h"
 
 /// @file
 /// Settings of a gateway process that do not depend on the platform.
@@ -25,6 +26,7 @@
   double link_mbps = 1000.0;
   /// Time between SIGTERM and SIGKILL.
   duration stop_grace = std::chrono::seconds(6);
+  process_limits limits;
   log_level level = log_level::kInfo;
 };
 
--- a/src/sassafraswick/gateway/statement_sender.h
+++ b/src/sassafraswick/gateway/statement_sender.h
@@ -34,8 +34,8 @@
     duration timeout) {
   sent_statement sent;
   sent.sent_at = monotonic_clock::now();
-  const exchange_outcome outcome =
-      co_await lease.connection->Exchange(batch.bytes, batch.count, timeout);
+  const exchange_outcome outcome = co_await lease.connection->Exchange(
+      std::move(batch.bytes), batch.count, timeout);
   if (outcome.results.size() == batch.count) {
     sent.response = outcome.results.back();
   } else {
@@ -72,9 +72,9 @@
   const time_point started_at = monotonic_clock::now();
   Spawn(context, "statement",
         [pending, group, lease, batch = std::move(batch),
-         timeout]() -> boost::asio::awaitable<void> {
-          pending->sent =
-              co_await SendBatch<Codec>(group, lease, batch, timeout);
+         timeout]() mutable -> boost::asio::awaitable<void> {
+          pending->sent = co_await SendBatch<Codec>(group, lease,
+                                                    std::move(batch), timeout);
           pending->ended.NotifyAll();
         });
   bool probed = false;
--- a/src/sassafraswick/net/tcp.cc
+++ b/src/sassafraswick/net/tcp.cc
@@ -92,6 +92,12 @@
   return acceptor;
 }
 
+void LimitSocketBuffers(asio::ip::tcp::acceptor& acceptor, int bytes) {
+  boost::system::error_code ignored;
+  acceptor.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+  acceptor.set_option(asio::socket_base::send_buffer_size(bytes), ignored);
+}
+
 void EnableKeepalive(stream_socket& socket) {
   using idle_option =
       asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
--- a/src/sassafraswick/net/tcp.h
+++ b/src/sassafraswick/net/tcp.h
@@ -50,6 +50,10 @@
 [[nodiscard]] result<boost::asio::ip::tcp::acceptor> Listen(
     const boost::asio::any_io_executor& executor, const endpoint& address);
 
+/// Sets the size of the kernel's buffers of each connection that a socket
+/// accepts, in bytes.
+void LimitSocketBuffers(boost::asio::ip::tcp::acceptor& acceptor, int bytes);
+
 /// Enables detection of a peer that became unreachable without a reset.
 void EnableKeepalive(stream_socket& socket);
 
--- a/src/sassafraswick/proxy/caller_session.cc
+++ b/src/sassafraswick/proxy/caller_session.cc
@@ -11,6 +11,8 @@
 namespace asio = boost::asio;
 
 constexpr std::size_t kMaxUnitBytes = 16'777'216;
+/// Number of copies of a unit that exist while it runs.
+constexpr std::size_t kUnitCopies = 3;
 /// Time for a caller to read the shutdown notice before its connection is
 /// closed.
 constexpr duration kShutdownReadTimeout = std::chrono::seconds(1);
@@ -43,6 +45,8 @@
     activity_ = activity::kIdle;
     activity_started_at_ = monotonic_clock::now();
     input_.ShrinkIfEmpty();
+    UpdateHeld(0);
+    ++units_read_;
     request_started_ = !input_.Data().empty();
     if (close_when_idle_ && !pinned_.has_value()) {
       AnnounceShutdown();
@@ -56,6 +60,13 @@
     }
     activity_ = activity::kBusy;
     activity_started_at_ = monotonic_clock::now();
+    input_.ShrinkIfEmpty();
+    UpdateHeld(kUnitCopies * unit->bytes.size());
+    if (is_counted_ && runtime_.Held().IsExceeded()) {
+      co_await Reject(sqlstate::kOutOfMemory,
+                      "not run: the host holds too much for its callers");
+      break;
+    }
     open = co_await Serve(*unit);
   }
   ReleaseConnections();
@@ -70,6 +81,34 @@
   }
 }
 
+std::optional<std::uint64_t> caller_session::CurrentTransfer() const {
+  const std::optional<std::uint64_t> write = stream_.WriteInProgress();
+  if (write.has_value()) {
+    return 2 * *write + 1;
+  }
+  if (activity_ == activity::kIdle && request_started_) {
+    return 2 * units_read_;
+  }
+  return std::nullopt;
+}
+
+void caller_session::UpdateHeld(std::size_t unit_bytes) {
+  const std::size_t bytes =
+      input_.Capacity() + unit_bytes + engine_.SessionState().HeldBytes();
+  const bool counts = bytes > kUncountedBytes && stream_.IsOpen();
+  if (counts || is_counted_) {
+    is_counted_ = counts;
+    runtime_.Held().Set(id_, counts ? bytes : 0, activity_ != activity::kBusy);
+    runtime_.CloseExcess();
+  }
+}
+
+void caller_session::CloseForLimit(const std::string& limit) {
+  Log(log_level::kWarning, "session_closed_for_limit",
+      {{"limit", limit}, {"organisation", identity_.organisation}});
+  stream_.Close();
+}
+
 void caller_session::CheckAdmission(const configuration& current) {
   if (identity_.pool.empty()) {
     return;
@@ -127,8 +166,19 @@
   const bool transaction_timed_out =
       activity_ == activity::kIdle && pinned_.has_value() &&
       now - activity_started_at_ > kIdleTransactionTimeout;
-  if (shutdown_announced_at_.has_value() &&
-      now - *shutdown_announced_at_ > kShutdownReadTimeout) {
+  const std::optional<std::uint64_t> transfer = CurrentTransfer();
+  if (transfer != watched_transfer_) {
+    watched_transfer_ = transfer;
+    watched_since_ = now;
+  }
+  const bool is_slow =
+      transfer.has_value() &&
+      now - watched_since_ > runtime_.Settings().limits.message_timeout;
+  if (is_slow) {
+    ++runtime_.Metrics().sessions_closed_for_slowness;
+    CloseForLimit("slow");
+  } else if (shutdown_announced_at_.has_value() &&
+             now - *shutdown_announced_at_ > kShutdownReadTimeout) {
     stream_.Close();
   } else if (isolated && !identity_.key_id.empty()) {
     CloseWithError(
@@ -176,6 +226,9 @@
       if (!co_await stream_.Read(input_, size)) {
         co_return std::nullopt;
       }
+      if (size == kReadBytes || is_counted_ || !unit.bytes.empty()) {
+        UpdateHeld(unit.bytes.capacity());
+      }
       continue;
     }
     const frame_header found = *header.value();
--- a/src/sassafraswick/proxy/caller_session.h
+++ b/src/sassafraswick/proxy/caller_session.h
@@ -47,6 +47,9 @@
   /// transaction.
   void CloseWhenIdle();
 
+  /// Closes the session since a limit is reached.
+  void CloseForLimit(const std::string& limit);
+
   /// Closes the session if a timeout expired, or if its key cannot be checked.
   /// @param isolated The host may have missed the withdrawal of keys.
   void CheckTimeouts(time_point now, bool isolated);
@@ -101,6 +104,13 @@
   /// Notifies an idle caller that the host is shutting down, unless a request
   /// has already arrived.
   void AnnounceShutdown();
+  /// Returns the number of the unit or write of which a part has been
+  /// transferred; nothing if there is none.
+  [[nodiscard]] std::optional<std::uint64_t> CurrentTransfer() const;
+  /// Records what the session holds, and closes sessions while all hold too
+  /// much.
+  /// @param unit_bytes Memory for the current unit.
+  void UpdateHeld(std::size_t unit_bytes);
   [[nodiscard]] token_scope TokenScope() const;
   [[nodiscard]] duration StatementTimeout() const;
 
@@ -124,6 +134,12 @@
   activity activity_ = activity::kStarting;
   time_point activity_started_at_;
   std::string sent_token_;
+  std::uint64_t units_read_ = 0;
+  /// The session is counted in the host's memory budget.
+  bool is_counted_ = false;
+  /// The transfer seen at the last check, and when it was first seen.
+  std::optional<std::uint64_t> watched_transfer_;
+  time_point watched_since_;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/proxy/caller_stream.cc
+++ b/src/sassafraswick/proxy/caller_stream.cc
@@ -48,6 +48,15 @@
 }
 
 asio::awaitable<result<void>> caller_stream::Write(std::string_view bytes) {
+  ++writes_;
+  is_writing_ = true;
+  result<void> written = co_await WriteToStream(bytes);
+  is_writing_ = false;
+  co_return written;
+}
+
+asio::awaitable<result<void>> caller_stream::WriteToStream(
+    std::string_view bytes) {
   if (tls_ == nullptr) {
     co_return co_await WriteAll(socket_, bytes);
   }
--- a/src/sassafraswick/proxy/caller_stream.h
+++ b/src/sassafraswick/proxy/caller_stream.h
@@ -4,7 +4,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/ssl/stream.hpp>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "sassafraswick/core/error.h"
@@ -46,13 +48,22 @@
 
   void Close();
 
+  /// Returns the number of the write in progress; nothing if there is none.
+  [[nodiscard]] std::optional<std::uint64_t> WriteInProgress() const noexcept {
+    return is_writing_ ? std::optional<std::uint64_t>(writes_) : std::nullopt;
+  }
+
   [[nodiscard]] bool IsOpen() const { return socket_.is_open(); }
 
  private:
+  boost::asio::awaitable<result<void>> WriteToStream(std::string_view bytes);
+
   using tls_stream = boost::asio::ssl::stream<stream_socket&>;
 
   stream_socket socket_;
   std::unique_ptr<tls_stream> tls_;
+  std::uint64_t writes_ = 0;
+  bool is_writing_ = false;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/proxy/daemon.cc
+++ b/src/sassafraswick/proxy/daemon.cc
@@ -38,6 +38,13 @@
       continue;
     }
     boost::system::error_code ignored;
+    if (!runtime.HasRoomForSession()) {
+      ++runtime.Metrics().sessions_refused;
+      Log(log_level::kWarning, "session_refused",
+          {{"sessions", std::to_string(runtime.SessionCount())}});
+      socket.close(ignored);
+      continue;
+    }
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const std::shared_ptr<caller_session> session =
         std::make_shared<caller_session>(runtime, std::move(socket));
@@ -100,6 +107,7 @@
   BOOST_OUTCOME_TRY(runtime.LoadTls());
   BOOST_OUTCOME_TRY(asio::ip::tcp::acceptor acceptor,
                     Listen(context.get_executor(), settings.callers));
+  LimitSocketBuffers(acceptor, kCallerSocketBufferBytes);
   BOOST_OUTCOME_TRY(link.Start(
       [&fleet](const message::envelope& received, const std::string& route) {
         fleet->Handle(received, route);
--- a/src/sassafraswick/proxy/host_runtime.cc
+++ b/src/sassafraswick/proxy/host_runtime.cc
@@ -47,7 +47,24 @@
       limits_(context, {[this] { return configuration_.get(); },
                         [this]() -> const membership& { return fleet_; },
                         std::move(send), settings_.host, boot}),
-      last_contact_at_(monotonic_clock::now()) {}
+      last_contact_at_(monotonic_clock::now()),
+      bounds_(DeriveCallerBounds(settings_.limits, DescriptorLimit())),
+      held_(bounds_.max_held_bytes) {}
+
+void host_runtime::CloseExcess() {
+  std::optional<memory_budget::holder_id> excess = held_.FindExcess();
+  while (excess.has_value()) {
+    held_.Remove(*excess);
+    const auto found = sessions_.find(*excess);
+    const std::shared_ptr<caller_session> session =
+        found == sessions_.end() ? nullptr : found->second.lock();
+    if (session != nullptr) {
+      ++metrics_.sessions_closed_for_memory;
+      session->CloseForLimit("memory");
+    }
+    excess = held_.FindExcess();
+  }
+}
 
 bool host_runtime::IsIsolated(time_point now) const {
   return now - last_contact_at_ > kIsolationTimeout;
@@ -158,7 +175,10 @@
   return id;
 }
 
-void host_runtime::Unregister(session_number id) { sessions_.erase(id); }
+void host_runtime::Unregister(session_number id) {
+  held_.Remove(id);
+  sessions_.erase(id);
+}
 
 void host_runtime::Drain() {
   draining_ = true;
--- a/src/sassafraswick/proxy/host_runtime.h
+++ b/src/sassafraswick/proxy/host_runtime.h
@@ -13,6 +13,8 @@
 #include "sassafraswick/config/configuration.h"
 #include "sassafraswick/config/settings.h"
 #include "sassafraswick/consistency/token.h"
+#include "sassafraswick/limits/caller_limits.h"
+#include "sassafraswick/limits/memory_budget.h"
 #include "sassafraswick/net/async_event.h"
 #include "sassafraswick/peer/membership.h"
 #include "sassafraswick/proxy/limit_service.h"
@@ -80,6 +82,14 @@
   /// it has reached neither the store nor a majority of the fleet for too long.
   [[nodiscard]] bool IsIsolated(time_point now) const;
   [[nodiscard]] bool IsDraining() const noexcept { return draining_; }
+  /// What the sessions hold for their callers.
+  [[nodiscard]] memory_budget& Held() noexcept { return held_; }
+  /// Closes sessions until the others are within the budget.
+  void CloseExcess();
+  /// Returns whether a new session is within the limit.
+  [[nodiscard]] bool HasRoomForSession() const noexcept {
+    return sessions_.size() < bounds_.max_sessions;
+  }
   [[nodiscard]] std::size_t SessionCount() const noexcept {
     return sessions_.size();
   }
@@ -113,6 +123,8 @@
   std::map<std::string, time_point, std::less<>> primary_reachable_at_;
   time_point last_contact_at_;
   std::optional<boost::asio::ssl::context> tls_;
+  caller_bounds bounds_;
+  memory_budget held_;
   bool draining_ = false;
 };
 
--- a/src/sassafraswick/proxy/metrics.h
+++ b/src/sassafraswick/proxy/metrics.h
@@ -73,6 +73,12 @@
   std::uint64_t authentication_failures = 0;
   std::uint64_t protocol_errors = 0;
   std::uint64_t sessions_ended_by_withdrawal = 0;
+  /// Connections closed at once since the host had too many sessions.
+  std::uint64_t sessions_refused = 0;
+  /// Sessions closed since the host held too much for its callers.
+  std::uint64_t sessions_closed_for_memory = 0;
+  /// Sessions closed since a message or response took too long to transfer.
+  std::uint64_t sessions_closed_for_slowness = 0;
   /// Messages and bytes sent to other hosts.
   std::uint64_t peer_messages = 0;
   std::uint64_t peer_bytes = 0;
--- a/src/sassafraswick/session/session_state.cc
+++ b/src/sassafraswick/session/session_state.cc
@@ -4,22 +4,49 @@
 #include <utility>
 
 namespace sassafraswick {
+namespace {
+
+/// Returns the memory that a variable or prepared statement occupies.
+std::size_t EntryBytes(const std::string& name, const std::string& text) {
+  constexpr std::size_t kNodeBytes = 128;
+  return kNodeBytes + name.size() + text.size();
+}
+
+}  // namespace
 
 bool session_state::Apply(const statement& change) {
   switch (change.kind) {
-    case statement_kind::kSet:
+    case statement_kind::kSet: {
+      const auto known = variables_.find(change.name);
+      if (known != variables_.end()) {
+        held_bytes_ -= EntryBytes(change.name, known->second.text);
+      }
+      held_bytes_ += EntryBytes(change.name, change.text);
       variables_[change.name] = {change.text, ++version_};
       return true;
+    }
     case statement_kind::kPrepare:
+      ErasePrepared(change.name);
+      held_bytes_ += EntryBytes(change.name, change.text);
       prepared_[change.name] = {change.prepares, change.text, ++version_};
       return true;
     case statement_kind::kDeallocate:
-      return prepared_.erase(change.name) > 0;
+      return ErasePrepared(change.name);
     default:
       return false;
   }
 }
 
+bool session_state::ErasePrepared(const std::string& name) {
+  const auto known = prepared_.find(name);
+  if (known == prepared_.end()) {
+    return false;
+  }
+  held_bytes_ -= EntryBytes(name, known->second.text);
+  prepared_.erase(known);
+  return true;
+}
+
 const prepared_statement* session_state::FindPrepared(
     const std::string& name) const {
   const auto found = prepared_.find(name);
--- a/src/sassafraswick/session/session_state.h
+++ b/src/sassafraswick/session/session_state.h
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASWICK_SESSION_SESSION_STATE_H_
 #define SASSAFRASWICK_SESSION_SESSION_STATE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -69,6 +70,9 @@
   [[nodiscard]] const prepared_statement* FindPrepared(
       const std::string& name) const;
 
+  /// Returns the memory that variables and prepared statements occupy.
+  [[nodiscard]] std::size_t HeldBytes() const noexcept { return held_bytes_; }
+
   /// Returns the state that a connection lacks for a statement.
   [[nodiscard]] session_state_update UpdateFor(
       const connection_session_state& connection,
@@ -90,12 +94,16 @@
     std::uint64_t version = 0;
   };
 
+  /// @return False if no prepared statement has that name.
+  bool ErasePrepared(const std::string& name);
+
   /// Returns whether a connection holds a different prepared statement under a
   /// used name.
   [[nodiscard]] bool ConflictsWith(const connection_session_state& connection,
                                    const prepared_statement_use& use) const;
 
   session_number owner_;
+  std::size_t held_bytes_ = 0;
   std::uint64_t version_ = 0;
   std::map<std::string, session_variable> variables_;
   std::map<std::string, prepared_statement, std::less<>> prepared_;
--- a/src/sassafraswick/wire/frame.h
+++ b/src/sassafraswick/wire/frame.h
@@ -92,6 +92,11 @@
   /// @pre `size <= Data().size()`.
   void Consume(std::size_t size) noexcept;
 
+  /// Returns the memory of the buffer, in bytes.
+  [[nodiscard]] std::size_t Capacity() const noexcept {
+    return bytes_.capacity();
+  }
+
   /// Frees the memory of the buffer if it is empty.
   void ShrinkIfEmpty();
 
--- a/src/sassafraswick/wire/message.h
+++ b/src/sassafraswick/wire/message.h
@@ -26,6 +26,7 @@
 inline constexpr std::string_view kInvalidParameterValue = "22023";
 inline constexpr std::string_view kInvalidPassword = "28P01";
 inline constexpr std::string_view kLostHistory = "40002";
+inline constexpr std::string_view kOutOfMemory = "53200";
 inline constexpr std::string_view kProgramLimitExceeded = "54000";
 inline constexpr std::string_view kProtocolViolation = "08P01";
 inline constexpr std::string_view kReadOnlyTransaction = "25006";
