--- a/src/sassafraswick/gateway/pooled_connection.h
+++ b/src/sassafraswick/gateway/pooled_connection.h
@@ -146,6 +146,8 @@
 
  private:
   static constexpr std::size_t kReadBytes = 4096;
+  /// Largest input buffer that an idle connection keeps.
+  static constexpr std::size_t kMaxIdleInputBytes = 65'536;
 
   /// Waits for the admission of a further statement of a transaction, unless
   /// this host admits none or the statement has its ticket.
@@ -215,6 +217,9 @@
       input_.resize(used + got);
       traffic += got;
     }
+    if (input_.empty() && input_.capacity() > kMaxIdleInputBytes) {
+      input_ = std::string();
+    }
     ++exchange_;
     timer_.cancel();
     if (failure) {
--- a/src/sassafraswick/gateway/report.cc
+++ b/src/sassafraswick/gateway/report.cc
@@ -61,6 +61,14 @@
   AddLine(text, "leases_expired", counters.leases_expired);
   AddLine(text, "present_leases", counters.present_leases);
   AddLine(text, "home_connections", counters.home_connections);
+  AddLine(text, "sessions_refused", counters.sessions_refused);
+  AddLine(text, "sessions_closed_for_room", counters.sessions_closed_for_room);
+  AddLine(text, "sessions_closed_for_memory",
+          counters.sessions_closed_for_memory);
+  AddLine(text, "sessions_closed_for_slowness",
+          counters.sessions_closed_for_slowness);
+  AddLine(text, "statements_refused_for_memory",
+          counters.statements_refused_for_memory);
   AddLine(text, "log_lines_left_out", LogLinesDropped());
   for (const std::pair<const std::string, std::uint64_t>& failure :
        counters.failures) {
--- a/src/sassafraswick/gateway/settings.h
+++ b/src/sassafraswick/gateway/settings.h
@@ -6,6 +6,7 @@
 #include "sassafraswick/config/endpoint.h"
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/core/time.h"
+#include "sassafraswick/limits/caller_limits.h"
 
 /// @file
 /// Settings of a gateway process that do not depend on the platform.
@@ -35,6 +36,7 @@
   /// Time after which an instance that announced its stop gets no more
   /// requests, even if no other can run them.
   duration leave_within = kDefaultLeaveWithin;
+  process_limits limits;
   log_level level = log_level::kInfo;
 };
 
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -46,6 +46,8 @@
   bool limits_connections = false;
   /// Number of availability zones over which gateways are spread.
   std::size_t zones = 1;
+  /// Further lines at the end of each gateway's settings.
+  std::string settings_lines;
 };
 
 /// Path of the gateway program of this build.
