Rate instances by class of statement, by age and against each other

The busiest instance had twice the load of the mean, and reads went by one moving average of latency for all kinds of statements. It did not fall with age, so an instance that had been slow once stayed unused until the others were loaded, and failures counted for a quarter of a second only.

A host now expects of an instance the mean time of the statement's class, times the instance's slowness against the group, and adds the time that failures cost. Observations lose weight within 5 s, which also tries a spared instance again. An instance that fails a third of its statements, three at least and twice the others' rate, is ejected for 0.25 to 4 s, at most half of a group at once, and gets a rising part of the statements afterwards. A primary costs more the more of its slots run what only it can run.

--- a/src/sassafraswick/gateway/counters.h
+++ b/src/sassafraswick/gateway/counters.h
@@ -52,6 +52,8 @@
   std::uint64_t retries = 0;
   /// Reads that also ran on a second instance, as the first one was late.
   std::uint64_t hedged_reads = 0;
+  /// Ejections of instances that failed more often than the others.
+  std::uint64_t instances_ejected = 0;
   /// Responses other than success, by reason.
   std::map<std::string, std::uint64_t, std::less<>> failures;
   latency_histogram read_latency;
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -71,9 +71,9 @@
   }
 
   /// Records a read that an instance has served.
-  void RecordRead(const target_group<Codec>& group, target_state<Codec>& target,
-                  duration took) {
-    group.ObserveLatency(target, took);
+  void RecordRead(target_group<Codec>& group, target_state<Codec>& target,
+                  const catalog_route& route, duration took) {
+    group.ObserveServed(target, StatementClassOf(route, false), took);
     const bool on_primary = target.record.id == group.View().primary;
     ++(on_primary ? counters.reads_on_primary : counters.reads_on_replica);
     counters.read_latency.Record(took);
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -389,10 +389,11 @@
     const duration took =
         std::chrono::duration_cast<duration>(monotonic_clock::now() - sent_at);
     if (!write) {
-      gateway_.RecordRead(*group_, target, took);
+      gateway_.RecordRead(*group_, target, operation_.route, took);
       return;
     }
-    group_->ObserveLatency(target, took);
+    group_->ObserveServed(target, StatementClassOf(operation_.route, true),
+                          took);
     ++gateway_.counters.writes;
     gateway_.counters.write_latency.Record(took);
   }
--- a/src/sassafraswick/gateway/read_plan.h
+++ b/src/sassafraswick/gateway/read_plan.h
@@ -112,7 +112,8 @@
   if (plan.after.has_value()) {
     const typename target_group<Codec>::read_target read_target =
         group.PickReadTarget(operation.organisation, *plan.after,
-                             operation.DispatchDeadline(), tried);
+                             operation.DispatchDeadline(), tried,
+                             ResponseClassOf(operation.route));
     if (read_target.target != nullptr) {
       plan.target = read_target.target;
       plan.wait = read_target.wait;
--- a/src/sassafraswick/gateway/read_race.h
+++ b/src/sassafraswick/gateway/read_race.h
@@ -187,7 +187,7 @@
     const duration took = std::chrono::duration_cast<duration>(
         monotonic_clock::now() - attempt.sent.sent_at);
     gateway_.read_times.Record(ResponseClassOf(operation_.route), took);
-    gateway_.RecordRead(*group_, *attempt.lease.target, took);
+    gateway_.RecordRead(*group_, *attempt.lease.target, operation_.route, took);
   }
 
   gateway_state<Codec>& gateway_;
--- a/src/sassafraswick/gateway/report.cc
+++ b/src/sassafraswick/gateway/report.cc
@@ -53,6 +53,7 @@
   AddLine(text, "unproved_promotions", counters.unproved_promotions);
   AddLine(text, "retries", counters.retries);
   AddLine(text, "hedged_reads", counters.hedged_reads);
+  AddLine(text, "instances_ejected", counters.instances_ejected);
   AddLine(text, "log_lines_left_out", LogLinesDropped());
   for (const std::pair<const std::string, std::uint64_t>& failure :
        counters.failures) {
--- a/src/sassafraswick/gateway/report.h
+++ b/src/sassafraswick/gateway/report.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "sassafraswick/gateway/gateway.h"
+#include "sassafraswick/routing/rendezvous.h"
 
 /// @file
 /// Reports a gateway's counters and state to operators. Contains no keys and no
@@ -46,6 +47,9 @@
     instance["idle"] = target->idle.size();
     instance["busy"] = target->busy;
     instance["latency_ms"] = ToMilliseconds(target->latency);
+    instance["slowness"] = target->score.Slowness(now);
+    instance["failure_rate"] = target->score.FailureRate(now);
+    instance["ejected"] = target->score.IsEjected(now);
     instances.push_back(instance);
   }
   described["instances"] = instances;
@@ -75,6 +79,12 @@
     hosts.push_back(boost::json::value(name));
   }
   dump["hosts"] = hosts;
+  boost::json::array hubs;
+  const host_registry& registry = process.Fleet().Registry();
+  for (const std::string& name : HubHosts(registry.names, registry.cores)) {
+    hubs.push_back(boost::json::value(name));
+  }
+  dump["hubs"] = hubs;
   boost::json::object groups;
   for (const std::pair<const std::string, std::shared_ptr<target_group<codec>>>&
            entry : process.State().groups) {
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -101,6 +101,7 @@
   /// Sets this host's share of each instance's connection limit.
   void SetBudget(std::uint32_t connections, std::uint32_t hosts) {
     connection_pool_.SetBudget(connections, hosts);
+    hosts_ = hosts;
   }
 
   void SetSyncReplicas(std::uint32_t replicas) { sync_replicas_ = replicas; }
@@ -128,10 +129,11 @@
   /// @param required Log position that the instance must have reached.
   /// @param deadline Latest time at which the read may start.
   /// @param tried Identifiers of instances to exclude.
+  /// @param route Class of the read's route.
   /// @return A null target if no instance is usable.
   [[nodiscard]] read_target PickReadTarget(
       const std::string& organisation, log_point required, time_point deadline,
-      const std::vector<std::string>& tried) {
+      const std::vector<std::string>& tried, const response_class& route = {}) {
     const time_point now = monotonic_clock::now();
     std::vector<target_pointer> usable;
     std::vector<target_option> options;
@@ -142,7 +144,7 @@
         continue;
       }
       usable.push_back(target);
-      options.push_back(MakeOption(*target, organisation, now));
+      options.push_back(MakeOption(*target, organisation, route, now));
       target_option& option = options.back();
       if (!option.is_primary) {
         option.wait =
@@ -202,6 +204,10 @@
     target.answered_at = monotonic_clock::now();
     target.health.silent_since.reset();
     target.health.refused_since.reset();
+    if (response.failure == failure_code::kBusy ||
+        response.failure == failure_code::kStatementFailed) {
+      ObserveFailure(target);
+    }
     if (!response.position.has_value()) {
       return;
     }
@@ -240,19 +246,26 @@
     }
   }
 
-  /// Updates the instance's average latency, an exponential moving average.
-  static void ObserveLatency(target_state<Codec>& target, duration latency) {
+  /// Records a statement that an instance has served.
+  void ObserveServed(target_state<Codec>& target, const statement_class& kind,
+                     duration took) {
     constexpr int kSmoothing = 8;
     target.latency =
         target.latency == duration::zero()
-            ? latency
-            : (target.latency * (kSmoothing - 1) + latency) / kSmoothing;
+            ? took
+            : (target.latency * (kSmoothing - 1) + took) / kSmoothing;
+    const time_point now = monotonic_clock::now();
+    target.score.RecordServed(work_.Record(kind, took), now);
+    if (kind.needs_primary) {
+      target.reserved.Record(took, now);
+    }
   }
 
   /// Marks an instance as unresponsive after a request without a response. If
   /// any connection has received a response since the request was sent, only
   /// the connection of the request is at fault, and the instance is not marked.
   void ObserveNoResponse(target_state<Codec>& target, time_point requested_at) {
+    ObserveFailure(target);
     if (target.answered_at > requested_at) {
       return;
     }
@@ -429,14 +442,37 @@
   }
 
  private:
+  /// Records a statement that an instance rejected, failed or did not answer.
+  void ObserveFailure(target_state<Codec>& target) {
+    const time_point now = monotonic_clock::now();
+    target.score.RecordFailure(now);
+    std::vector<const instance_score*> others;
+    for (const target_pointer& other : targets_) {
+      if (other.get() != &target && other->IsUsable()) {
+        others.push_back(&other->score);
+      }
+    }
+    if (EjectIfOutlier(target.score, others, now)) {
+      ++counters_.instances_ejected;
+      Log(log_level::kInfo, "instance_ejected",
+          {{"pool", name_},
+           {"target", target.record.id},
+           {"failure_rate", std::to_string(target.score.FailureRate(now))}});
+    }
+  }
+
   target_option MakeOption(const target_state<Codec>& target,
                            const std::string& organisation,
-                           time_point now) const {
+                           const response_class& route, time_point now) {
     target_option option;
     option.in_flight = target.busy + target.opening;
     option.slots = std::max<std::uint32_t>(target.record.slots, 1);
-    option.latency = target.latency;
+    option.latency = std::chrono::duration_cast<duration>(
+        work_.Mean({route, false}) * target.score.Slowness(now));
+    option.failure_rate = target.score.FailureRate(now);
+    option.failure_cost = route.target_latency;
     option.is_primary = target.record.id == view_.primary;
+    option.reserved = target.reserved.Fraction(option.slots, hosts_, now);
     option.is_remote = target.record.availability_zone != availability_zone_;
     option.has_connection =
         std::any_of(target.idle.begin(), target.idle.end(),
@@ -444,8 +480,8 @@
                       return connection->Organisation() == organisation;
                     });
     option.connect_time = connection_pool_.ConnectCost();
-    option.avoid =
-        now < target.avoid_until || target.IsSuspect(now) || target.IsCold(now);
+    option.avoid = now < target.avoid_until || target.IsSuspect(now) ||
+                   target.IsCold(now) || !target.score.Admits(now, random_());
     return option;
   }
 
@@ -636,6 +672,9 @@
   const evacuated_zones* evacuated_zones_ = nullptr;
   std::uint64_t last_claim_order_ = 0;
   std::uint32_t sync_replicas_ = 0;
+  /// Hosts of the fleet.
+  std::uint32_t hosts_ = 1;
+  work_estimates work_;
   std::function<bool(const std::string& pool)> proof_source_;
   bool resolving_primary_ = false;
   bool requesting_proof_ = false;
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -14,6 +14,7 @@
 #include "sassafraswick/gateway/pooled_connection.h"
 #include "sassafraswick/limits/connection_share.h"
 #include "sassafraswick/net/async_event.h"
+#include "sassafraswick/routing/instance_score.h"
 
 /// @file
 /// One host's state of a database instance: its registered record, the
@@ -34,8 +35,8 @@
 inline constexpr duration kMaxCollectorWait = std::chrono::milliseconds(80);
 /// Number of rounds in which only the proof collector is queried for the
 /// primary or for a proof. Together they take longer than it does to find that
-/// a collector is unresponsive and to turn to the next. If all hosts of a large fleet queried an instance at once, they
-/// would exceed its connection limit.
+/// a collector is unresponsive and to turn to the next. If all hosts of a large
+/// fleet queried an instance at once, they would exceed its connection limit.
 inline constexpr int kCollectorOnlyRounds = 4;
 /// Maximum age of a proof that the proof collector passes on.
 inline constexpr duration kMaxSharedProofAge = std::chrono::milliseconds(120);
@@ -76,6 +77,9 @@
   /// Replication progress as of the last response.
   replica_progress progress;
   duration latency = duration::zero();
+  instance_score score;
+  /// Slots that statements occupy which only this instance can run.
+  slot_usage reserved;
   /// When the instance's last response arrived, on any connection.
   time_point answered_at;
   instance_health health;
--- a/src/sassafraswick/routing/choose_target.cc
+++ b/src/sassafraswick/routing/choose_target.cc
@@ -7,6 +7,8 @@
 
 /// Cost factor of reads on the primary, which alone can run writes.
 constexpr double kPrimaryCostFactor = 1.6;
+/// Upper bound of the reserved fraction of slots.
+constexpr double kMaxReserved = 0.75;
 /// Additional cost of an instance in another zone, as a multiple of the fastest
 /// latency. Traffic between zones is charged, so reads leave the zone only if
 /// they take that much longer in it.
@@ -40,6 +42,8 @@
   if (option.is_primary) {
     cost *= kPrimaryCostFactor;
   }
+  cost /= 1.0 - std::clamp(option.reserved, 0.0, kMaxReserved);
+  cost += option.failure_rate * ToMilliseconds(option.failure_cost);
   if (option.is_remote) {
     cost += kRemoteZoneCostFactor * fastest;
   }
--- a/src/sassafraswick/routing/choose_target.h
+++ b/src/sassafraswick/routing/choose_target.h
@@ -21,9 +21,17 @@
   std::uint32_t in_flight = 0;
   /// Statements that the instance runs concurrently.
   std::uint32_t slots = 1;
-  /// Smoothed latency; zero if it was not measured.
+  /// Expected latency of the request at the instance; zero if it was not
+  /// measured.
   duration latency = duration::zero();
+  /// Expected fraction of requests that fail at the instance.
+  double failure_rate = 0.0;
+  /// Time that a failure costs, as the request has to run elsewhere.
+  duration failure_cost = duration::zero();
   bool is_primary = false;
+  /// Fraction of the slots that statements occupy which no other instance can
+  /// run.
+  double reserved = 0.0;
   /// The instance is in another availability zone than this host.
   bool is_remote = false;
   /// An idle connection of the organisation is available.
--- a/src/sassafraswick/routing/fwd.h
+++ b/src/sassafraswick/routing/fwd.h
@@ -8,9 +8,13 @@
 struct dispatch_settings;
 struct dispatch_table;
 struct attempt;
+struct statement_class;
 class hub_ranking;
+class instance_score;
 class response_times;
 class retry_budget;
+class slot_usage;
+class work_estimates;
 
 }  // namespace sassafraswick
 
