--- a/src/sassafraswick/gateway/counters.h
+++ b/src/sassafraswick/gateway/counters.h
@@ -84,6 +84,8 @@
   std::uint64_t sessions_closed_for_slowness = 0;
   /// Statements rejected since the host held too much for its callers.
   std::uint64_t statements_refused_for_memory = 0;
+  /// Ejections of instances that failed more often than the others.
+  std::uint64_t instances_ejected = 0;
   /// Responses other than success, by reason.
   std::map<std::string, std::uint64_t, std::less<>> failures;
   rejection_counts rejections;
--- a/src/sassafraswick/gateway/report.cc
+++ b/src/sassafraswick/gateway/report.cc
@@ -69,6 +69,7 @@
           counters.sessions_closed_for_slowness);
   AddLine(text, "statements_refused_for_memory",
           counters.statements_refused_for_memory);
+  AddLine(text, "instances_ejected", counters.instances_ejected);
   AddLine(text, "log_lines_left_out", LogLinesDropped());
   for (const std::pair<const std::string, std::uint64_t>& failure :
        counters.failures) {
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -17,6 +17,7 @@
 #include "sassafraswick/gateway/pooled_connection.h"
 #include "sassafraswick/limits/connection_share.h"
 #include "sassafraswick/net/async_event.h"
+#include "sassafraswick/routing/instance_score.h"
 
 /// @file
 /// One host's state of a database instance: its registered record, the
@@ -99,6 +100,9 @@
   /// Replication progress as of the last response.
   replica_progress progress;
   duration latency = duration::zero();
+  instance_score score;
+  /// Slots that statements occupy which only this instance can run.
+  slot_usage reserved;
   /// When the instance's last response arrived, on any connection.
   time_point answered_at;
   instance_health health;
