--- a/src/sassafraswick/peer/peer_link.h
+++ b/src/sassafraswick/peer/peer_link.h
@@ -110,7 +110,6 @@
   handler on_message_;
   duration poll_interval_ = kMaxPollInterval;
   bool receive_posted_ = false;
-  std::uint64_t sequence_ = 0;
   std::uint64_t connections_opened_ = 0;
   std::uint64_t messages_sent_ = 0;
   std::uint64_t bytes_sent_ = 0;
