--- a/src/sassafraswick/gateway/read_plan.h
+++ b/src/sassafraswick/gateway/read_plan.h
@@ -68,8 +68,6 @@
   duration wait = duration::zero();
   /// The result may be returned only under a valid primary lease.
   bool needs_primary_lease = false;
-  /// No other instance can run the operation.
-  bool only_choice = false;
   /// The group's term when the plan was made.
   term_number term = 0;
   /// There is no instance yet: the read has to wait for a position that is
@@ -132,7 +130,6 @@
   }
   plan.needs_primary_lease = true;
   plan.target = AvailablePrimary(group);
-  plan.only_choice = true;
   return plan;
 }
 
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -11,6 +11,7 @@
 #include "sassafraswick/consistency/replica_progress.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/fleet/zone_evacuation.h"
+#include "sassafraswick/gateway/connection_line.h"
 #include "sassafraswick/gateway/instance_gate.h"
 #include "sassafraswick/gateway/pooled_connection.h"
 #include "sassafraswick/limits/connection_share.h"
@@ -60,7 +61,8 @@
 struct target_state {
   explicit target_state(const boost::asio::any_io_executor& executor)
       : gate(std::make_shared<instance_gate>(executor)),
-        connection_released(executor) {}
+        connection_released(executor),
+        line(executor) {}
 
   target_record record;
   bool listed = true;
@@ -80,6 +82,8 @@
   std::shared_ptr<instance_gate> gate;
   connect_rate_limiter connect_limiter;
   async_event connection_released;
+  /// Operations that wait for a connection.
+  connection_line line;
   time_point avoid_until;
   /// No connection is opened before this time, because the instance rejected
   /// one.
@@ -136,10 +140,13 @@
   /// The instance's home rejected the request, since it cannot be served in
   /// time.
   bool rejected = false;
-  /// For a rejection: when to come back.
-  duration retry_after = duration::zero();
   /// Time spent waiting for the connection or the failure.
   duration waited = duration::zero();
+  /// Without a connection: time after which one is expected to be free; zero if
+  /// unknown.
+  duration retry_after = duration::zero();
+  /// When the connection was leased to an operation.
+  std::optional<time_point> leased_at;
 };
 
 }  // namespace sassafraswick
