--- a/src/sassafraswick/gateway/connection_borrower.cc
+++ b/src/sassafraswick/gateway/connection_borrower.cc
@@ -158,7 +158,11 @@
     }
     const lend_verdict verdict = ReadVerdict(answer_->verdict());
     if (verdict == lend_verdict::kRejected) {
-      lent_response rejected = Fail(answer_->reason());
+      const duration retry_after =
+          duration(static_cast<std::int64_t>(answer_->wait_us()));
+      const std::string reason = answer_->reason();
+      lent_response rejected = Fail(reason);
+      rejected.retry_after = retry_after;
       rejected.rejected = true;
       co_return rejected;
     }
@@ -229,7 +233,6 @@
 lent_response borrowed_connection::Fail(std::string_view reason) {
   lent_response response;
   response.home_failed = true;
-  response.reason = reason;
   Log(reason);
   Close();
   return response;
--- a/src/sassafraswick/gateway/connection_borrower.h
+++ b/src/sassafraswick/gateway/connection_borrower.h
@@ -55,8 +55,8 @@
   /// The home failed or did not lend a connection, which shows nothing about
   /// the instance.
   bool home_failed = false;
-  /// Why there is no response.
-  std::string reason;
+  /// For a rejection: when to come back.
+  duration retry_after = duration::zero();
 };
 
 class connection_borrower;
