--- a/src/sassafraswick/gateway/connection_pool.h
+++ b/src/sassafraswick/gateway/connection_pool.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -119,8 +120,9 @@
     } else {
       lease = co_await AcquireOwn(target, request);
     }
-    lease.waited = std::chrono::duration_cast<duration>(monotonic_clock::now() -
-                                                        requested_at);
+    const time_point now = monotonic_clock::now();
+    lease.leased_at = now;
+    lease.waited = std::chrono::duration_cast<duration>(now - requested_at);
     co_return lease;
   }
 
@@ -135,6 +137,11 @@
       return;
     }
     --lease.target->busy;
+    if (lease.leased_at.has_value()) {
+      lease.target->line.Waiters().RecordUse(
+          std::chrono::duration_cast<duration>(monotonic_clock::now() -
+                                               *lease.leased_at));
+    }
     const bool keep =
         reusable && lease.connection->IsOpen() && lease.target->listed &&
         CountOpenConnections(*lease.target) < BudgetOf(*lease.target).max_open;
@@ -146,6 +153,7 @@
       lease.connection->Close();
     }
     lease.target->connection_released.NotifyAll();
+    lease.target->line.WakeFirst();
   }
 
   /// Leases a connection for a control statement, which any organisation's idle
@@ -341,18 +349,85 @@
   /// Leases a connection that this host opens for its own callers.
   boost::asio::awaitable<pooled_connection_lease<Codec>> AcquireOwn(
       target_pointer target, lease_request request) {
+    connection_line& line = target->line;
+    pooled_connection_lease<Codec> lease;
+    lease.target = target;
+    std::optional<connection_waiter> waiter;
     while (true) {
-      pooled_connection_lease<Codec> lease =
-          co_await TryAcquire(target, request);
-      if (lease.connection != nullptr || lease.failure != failure_code::kNone) {
-        co_return lease;
+      const bool is_first =
+          waiter.has_value()
+              ? line.Waiters().IsFirst(*waiter)
+              : line.Waiters().WouldBeFirst(request.priority, request.deadline);
+      if (is_first || waiter.has_value() || !line.IsTurnTaken()) {
+        lease.connection =
+            TakeIdle(*target, request.organisation, request.session);
       }
-      const bool in_time = co_await WaitForRelease(*target, request.deadline);
-      if (!in_time) {
+      if (lease.connection != nullptr) {
+        ++target->busy;
+        break;
+      }
+      if (is_first && PrepareToOpen(*target)) {
+        LeaveLine(line, waiter);
+        lease = co_await Open(target, request.organisation);
+        const bool wait_instead =
+            lease.failure == failure_code::kTooManyConnections &&
+            target->busy > 0;
+        if (!wait_instead) {
+          co_return lease;
+        }
+      }
+      const bool has_waited = waiter.has_value();
+      if (!has_waited) {
+        waiter = line.Join(request.priority, request.deadline);
+      } else if (!target->idle.empty()) {
+        line.WakeAfter(*waiter);
+      }
+      const duration left = std::chrono::duration_cast<duration>(
+          request.deadline - monotonic_clock::now());
+      const duration expected =
+          line.Waiters().ExpectedWait(*waiter, target->busy + target->opening);
+      if (left <= duration::zero() || expected > left) {
         lease.failure = failure_code::kBusy;
-        co_return lease;
+        lease.retry_after = std::max(expected - left, duration::zero());
+        RecordRejection(*target, request, has_waited, expected, left);
+        break;
       }
+      const bool awaits_permission = line.Waiters().IsFirst(*waiter);
+      co_await line.Wait(
+          *waiter, awaits_permission ? std::min(left, kCapacityBackoff) : left);
+    }
+    LeaveLine(line, waiter);
+    co_return lease;
+  }
+
+  static void LeaveLine(connection_line& line,
+                        std::optional<connection_waiter>& waiter) {
+    if (waiter.has_value()) {
+      line.Leave(*waiter);
+      waiter.reset();
+    }
+  }
+
+  /// @param expected Forecast of the wait.
+  /// @param left Time left.
+  void RecordRejection(const target_state<Codec>& target,
+                       const lease_request& request, bool has_waited,
+                       duration expected, duration left) {
+    rejection_reason reason = rejection_reason::kNoRoom;
+    if (has_waited) {
+      reason = left > duration::zero() ? rejection_reason::kDisplaced
+                                       : rejection_reason::kExpired;
     }
+    counters_.CountRejection(reason, request.priority);
+    Log(log_level::kInfo, "no_connection_in_time",
+        {{"pool", name_},
+         {"target", target.record.id},
+         {"organisation", request.organisation},
+         {"priority", std::to_string(request.priority)},
+         {"reason", std::string(RejectionName(reason))},
+         {"connections_in_use", std::to_string(target.busy)},
+         {"expected_ms", std::to_string(ToMilliseconds(expected))},
+         {"left_ms", std::to_string(ToMilliseconds(left))}});
   }
 
   /// Leases a connection from the instance's home, or as its home; if none
--- a/src/sassafraswick/gateway/counters.h
+++ b/src/sassafraswick/gateway/counters.h
@@ -4,8 +4,11 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
+#include "sassafraswick/admission/admission_request.h"
 #include "sassafraswick/core/time.h"
+#include "sassafraswick/gateway/zone_traffic.h"
 
 /// @file
 /// Counters and latency histograms of a host.
@@ -35,6 +38,10 @@
   }
 };
 
+/// Statements that were rejected before they were sent, by reason and priority.
+using rejection_counts =
+    std::map<std::pair<rejection_reason, std::uint32_t>, std::uint64_t>;
+
 struct gateway_counters {
   std::uint64_t sessions = 0;
   std::uint64_t statements = 0;
@@ -69,8 +76,17 @@
   std::uint64_t home_connections = 0;
   /// Responses other than success, by reason.
   std::map<std::string, std::uint64_t, std::less<>> failures;
+  rejection_counts rejections;
+  /// Received from peers, and exchanged with instances.
+  zone_traffic between_zones;
   latency_histogram read_latency;
   latency_histogram write_latency;
+  /// Waits for a connection or a slot, of operations that had to wait.
+  latency_histogram wait;
+
+  void CountRejection(rejection_reason reason, std::uint32_t priority) {
+    ++rejections[{reason, priority}];
+  }
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/pooled_connection.h
+++ b/src/sassafraswick/gateway/pooled_connection.h
@@ -18,6 +18,7 @@
 #include "sassafraswick/core/time.h"
 #include "sassafraswick/gateway/connection_borrower.h"
 #include "sassafraswick/gateway/instance_gate.h"
+#include "sassafraswick/gateway/retry_hint.h"
 #include "sassafraswick/net/tcp.h"
 #include "sassafraswick/session/codec.h"
 #include "sassafraswick/session/session_state.h"
@@ -137,6 +138,8 @@
 
   /// Session state that the connection holds.
   connection_session_state carried_state;
+  /// Bytes sent and received that the pool has not counted.
+  std::size_t traffic = 0;
   /// When the connection was last released to the pool.
   time_point idle_since;
   /// While leased at the instance's home.
@@ -175,7 +178,8 @@
     if (response.rejected) {
       statement_result busy;
       busy.failure = failure_code::kBusy;
-      busy.detail = response.reason;
+      busy.detail =
+          "the instance has no room, " + RetryHint(response.retry_after);
       outcome.results.assign(count, busy);
       co_return outcome;
     }
@@ -193,6 +197,7 @@
     namespace asio = boost::asio;
     exchange_outcome outcome;
     StartTimer(timeout);
+    traffic += bytes.size();
     boost::system::error_code failure;
     co_await asio::async_write(
         socket_, asio::buffer(bytes),
@@ -210,6 +215,7 @@
           asio::buffer(input_.data() + used, kReadBytes),
           asio::redirect_error(asio::use_awaitable, failure));
       input_.resize(used + got);
+      traffic += got;
     }
     ++exchange_;
     timer_.cancel();
