Pass over a home for a while after it refused to lend

A read whose homes all answered that they do not lend to the instance was asked of the same homes again and then rejected, instead of running over a connection of the entry host.

No test shows a refusal by all homes yet.

--- a/src/sassafraswick/gateway/connection_borrower.cc
+++ b/src/sassafraswick/gateway/connection_borrower.cc
@@ -50,7 +50,8 @@
     }
     const std::optional<endpoint> address =
         borrower_.environment_.find_address(choice.home);
-    if (address.has_value()) {
+    const bool refused = borrower_.HasRefused(choice.home, instance_, now);
+    if (address.has_value() && !refused) {
       home_ = choice.home;
       address_ = *address;
       return true;
@@ -108,6 +109,7 @@
     }
     Log(answer_->reason());
     ++borrower_.counters_.home_failovers;
+    borrower_.RecordRefusal(home_, instance_);
   }
   is_over_ = true;
   co_return is_served_here_ ? borrow_outcome::kServeHere
@@ -171,6 +173,7 @@
     }
     Log(answer_->reason());
     ++borrower_.counters_.home_failovers;
+    borrower_.RecordRefusal(home_, instance_);
   } while (ChooseNext());
   co_return Fail("no home lends a connection");
 }
@@ -299,6 +302,24 @@
   }
 }
 
+void connection_borrower::RecordRefusal(const std::string& home,
+                                        const std::string& instance) {
+  const time_point now = monotonic_clock::now();
+  std::erase_if(
+      refused_until_,
+      [now](const std::pair<const home_and_instance, time_point>& each) {
+        return now >= each.second;
+      });
+  refused_until_[{home, instance}] = now + kSilentHomeRetryInterval;
+}
+
+bool connection_borrower::HasRefused(const std::string& home,
+                                     const std::string& instance,
+                                     time_point now) const {
+  const auto found = refused_until_.find({home, instance});
+  return found != refused_until_.end() && now < found->second;
+}
+
 void connection_borrower::SendRelease(const endpoint& home,
                                       std::uint64_t lease) {
   message::envelope envelope;
--- a/src/sassafraswick/gateway/connection_borrower.h
+++ b/src/sassafraswick/gateway/connection_borrower.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "sassafraswick/config/endpoint.h"
@@ -171,6 +172,14 @@
  private:
   friend class borrowed_connection;
 
+  using home_and_instance = std::pair<std::string, std::string>;
+
+  /// Records that a home lends no connection to an instance, so that the next
+  /// attempts go elsewhere.
+  void RecordRefusal(const std::string& home, const std::string& instance);
+  [[nodiscard]] bool HasRefused(const std::string& home,
+                                const std::string& instance,
+                                time_point now) const;
   void SendRelease(const endpoint& home, std::uint64_t lease);
 
   boost::asio::any_io_executor executor_;
@@ -178,6 +187,7 @@
   borrower_environment environment_;
   bool enabled_ = false;
   home_monitor homes_;
+  std::map<home_and_instance, time_point> refused_until_;
   std::map<std::uint64_t, borrowed_connection*> leases_;
   std::uint64_t last_lease_ = 0;
 };
