--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -78,12 +78,9 @@
       const pooled_connection_lease<Codec> lease =
           co_await group_->Acquire(primary, request);
       RecordLease(lease);
-      if (lease.rejected) {
-        co_return MakeRejected(lease);
-      }
       if (lease.connection == nullptr) {
         response = MakeBusy("no connection to the primary is free");
-        if (lease.retry_after > duration::zero()) {
+        if (lease.rejected || lease.retry_after > duration::zero()) {
           // Another primary would not make room: its predecessor responds.
           co_return WithRetryTime(std::move(response));
         }
@@ -259,7 +256,6 @@
     chosen_plan.after = PositionForRead(group_->View(), operation_);
     chosen_plan.needs_primary_lease = !chosen_plan.after.has_value();
     chosen_plan.target = AvailablePrimary(*group_);
-    chosen_plan.only_choice = true;
     return chosen_plan;
   }
 
--- a/src/sassafraswick/gateway/pooled_connection.h
+++ b/src/sassafraswick/gateway/pooled_connection.h
@@ -18,6 +18,7 @@
 #include "sassafraswick/core/time.h"
 #include "sassafraswick/gateway/connection_borrower.h"
 #include "sassafraswick/gateway/instance_gate.h"
+#include "sassafraswick/gateway/retry_hint.h"
 #include "sassafraswick/net/tcp.h"
 #include "sassafraswick/session/codec.h"
 #include "sassafraswick/session/session_state.h"
@@ -179,7 +180,8 @@
     if (response.rejected) {
       statement_result busy;
       busy.failure = failure_code::kBusy;
-      busy.detail = response.reason;
+      busy.detail =
+          "the instance has no room, " + RetryHint(response.retry_after);
       outcome.results.assign(count, busy);
       co_return outcome;
     }
