--- a/test/integration/mixed_builds_test.cc
+++ b/test/integration/mixed_builds_test.cc
@@ -75,6 +75,18 @@
   });
 }
 
+/// Connections that the hosts of this build have lent.
+std::int64_t ConnectionsLent(const standin_platform& platform,
+                             const std::vector<std::string>& programs) {
+  std::int64_t lent = 0;
+  for (std::size_t i = 0; i < programs.size(); ++i) {
+    if (programs[i] == GatewayProgram()) {
+      lent += platform.Metric(i, "connections_lent");
+    }
+  }
+  return lent;
+}
+
 std::string CapacityOf(standin_platform& platform, std::size_t gateway) {
   return platform.Store().Value("sassafraswick/capacity/gateway-" +
                                 std::to_string(gateway));
@@ -107,12 +119,17 @@
   }
   CHECK(CapacityOf(platform, 0) == "cores=0.25 zone=zone-0");
   CHECK(WaitForLenders(platform, programs));
+  const std::int64_t lent_beside_earlier = ConnectionsLent(platform, programs);
+  CHECK(lent_beside_earlier > 0);
   for (std::size_t i = 1; i < kGateways; i += 2) {
     programs[i] = GatewayProgram();
     Replace(platform, i, programs[i], SIGTERM);
   }
   CHECK(WaitForLenders(platform, programs));
   Pause(kServingTime);
+  std::cout << "mixed builds: " << lent_beside_earlier
+            << " connections lent beside the earlier build, "
+            << ConnectionsLent(platform, programs) << " after the upgrade\n";
   // Some hosts crash, so that what they registered outlives them.
   for (std::size_t i = kGateways; i-- > 0;) {
     programs[i] = earlier;
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -427,6 +427,29 @@
   return responded && input.starts_with("HTTP/1.1 200");
 }
 
+std::int64_t standin_platform::Metric(std::size_t gateway,
+                                      const std::string& name) const {
+  const int descriptor = ConnectWithReceiveTimeout(probe_ports_.at(gateway));
+  if (descriptor < 0) {
+    return -1;
+  }
+  SendAll(descriptor,
+          "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  std::string input;
+  const std::string line = "\nsassafraswick_" + name + " ";
+  std::size_t at = std::string::npos;
+  while (at == std::string::npos ||
+         input.find('\n', at + line.size()) == std::string::npos) {
+    if (!Receive(descriptor, input)) {
+      break;
+    }
+    at = input.find(line);
+  }
+  close(descriptor);
+  return at == std::string::npos ? -1
+                                 : std::stoll(input.substr(at + line.size()));
+}
+
 bool standin_platform::WaitReady() {
   for (std::size_t i = 0; i < gateways_.size(); ++i) {
     if (!test_support::WaitFor(kTimeout, [this, i] { return IsReady(i); })) {
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -40,12 +40,12 @@
   std::int64_t limited_rate = 0;
   /// Program that each gateway runs; those without one run this build's.
   std::vector<std::string> programs;
-  /// Connections that an instance is configured to accept.
-  std::size_t max_connections = 40;
   /// Rejects connections beyond `max_connections`.
   bool limits_connections = false;
   /// Number of availability zones over which gateways are spread.
   std::size_t zones = 1;
+  /// Connections that each instance is configured to accept.
+  std::size_t max_connections = 40;
 };
 
 /// Path of the gateway program of this build.
@@ -114,6 +114,9 @@
   [[nodiscard]] std::uint16_t ProbePort(std::size_t gateway) const {
     return probe_ports_.at(gateway);
   }
+  /// Reads a counter of a gateway's metrics; -1 if it cannot be read.
+  [[nodiscard]] std::int64_t Metric(std::size_t gateway,
+                                    const std::string& name) const;
   [[nodiscard]] std::string GatewayLog(std::size_t gateway) const;
 
  private:
