--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -238,7 +238,8 @@
   /// Counts the bytes of a connection to another availability zone.
   void RecordZoneTraffic(const pooled_connection_lease<Codec>& lease) {
     const std::size_t bytes = std::exchange(lease.connection->traffic, 0);
-    if (lease.target->record.availability_zone != availability_zone_) {
+    if (bytes > 0 &&
+        lease.target->record.availability_zone != availability_zone_) {
       counters_.between_zones.Record("instance", bytes);
     }
   }
