Share connections only where the settings ask for it

connections.shared = auto switches it on; without the setting no host lends or borrows. The tests of lending set it.

--- a/src/sassafraswick/gateway/settings.h
+++ b/src/sassafraswick/gateway/settings.h
@@ -30,7 +30,7 @@
   /// Processor capacity of the host, in cores.
   double capacity = 1.0;
   /// Hosts share the connections to instances that accept too few.
-  bool shares_connections = true;
+  bool shares_connections = false;
   /// Time between SIGTERM and SIGKILL.
   duration stop_grace = std::chrono::seconds(6);
   /// Time after which an instance that announced its stop gets no more
--- a/test/integration/lending_test.cc
+++ b/test/integration/lending_test.cc
@@ -27,6 +27,7 @@
   standin_options options;
   options.gateways = kGateways;
   options.max_connections = 3;
+  options.settings_lines = "[connections]\nshared = auto\n";
   return options;
 }
 
--- a/test/integration/mixed_builds_test.cc
+++ b/test/integration/mixed_builds_test.cc
@@ -47,6 +47,7 @@
   options.max_connections = kGateways - 1;
   options.limits_connections = true;
   options.zones = 3;
+  options.settings_lines = "[connections]\nshared = auto\n";
   for (std::size_t i = 0; i < kGateways; ++i) {
     options.programs.push_back(i % 2 == 0 ? GatewayProgram() : earlier);
   }
