--- a/test/sassafraswick/admission/admission_queue_test.cc
+++ b/test/sassafraswick/admission/admission_queue_test.cc
@@ -16,7 +16,7 @@
 constexpr std::uint32_t kSlots = 4;
 
 /// Adds statements with exponential gaps, each of a random organisation.
-void AddSteadyLoad(queue_load &load, std::mt19937 &random,
+void AddSteadyLoad(queue_load& load, std::mt19937& random,
                    std::uint32_t priority, int organisations, double per_second,
                    duration work, duration budget, duration until) {
   std::exponential_distribution<double> gap(per_second);
@@ -40,7 +40,7 @@
     load.Add(MakeStatement(0, "auction", milliseconds(5 + 40 * i),
                            milliseconds(6), milliseconds(900)));
   }
-  for (const played_statement &statement : load.Play()) {
+  for (const played_statement& statement : load.Play()) {
     if (statement.request.priority == 0) {
       REQUIRE(statement.started_at.has_value());
       // One running statement, and the one that is on its way.
@@ -71,7 +71,7 @@
     outcome seen;
     duration waited = duration::zero();
     int served = 0;
-    for (const played_statement &statement : load.Play()) {
+    for (const played_statement& statement : load.Play()) {
       const bool is_hot = statement.request.organisation == "hot";
       if (statement.rejected_at.has_value()) {
         ++(is_hot ? seen.excess_rejected : seen.others_rejected);
@@ -113,7 +113,7 @@
   int rejected = 0;
   int rejected_on_arrival = 0;
   duration busy = duration::zero();
-  for (const played_statement &statement : load.Play()) {
+  for (const played_statement& statement : load.Play()) {
     ++total[statement.request.priority];
     if (statement.started_at.has_value()) {
       ++served[statement.request.priority];
@@ -143,7 +143,7 @@
                            milliseconds(20), milliseconds(100)));
   }
   std::map<std::uint32_t, std::vector<duration>> returns;
-  for (const played_statement &statement : load.Play()) {
+  for (const played_statement& statement : load.Play()) {
     if (statement.rejected_at.has_value()) {
       returns[statement.request.priority].push_back(*statement.rejected_at +
                                                     statement.retry_after);
@@ -151,7 +151,7 @@
   }
   REQUIRE(returns[0].size() > 20);
   REQUIRE(returns[2].size() > 20);
-  for (std::vector<duration> &times :
+  for (std::vector<duration>& times :
        {std::ref(returns[0]), std::ref(returns[2])}) {
     std::sort(times.begin(), times.end());
     for (std::size_t i = 1; i < times.size(); ++i) {
@@ -179,13 +179,13 @@
   std::vector<admission_rejection> displaced;
   for (int i = 0; i < 12; ++i) {
     ++request.id;
-    for (const admission_rejection &rejection :
+    for (const admission_rejection& rejection :
          queue.Submit(request, now).rejected) {
       displaced.push_back(rejection);
     }
   }
   REQUIRE_FALSE(displaced.empty());
-  for (const admission_rejection &rejection : displaced) {
+  for (const admission_rejection& rejection : displaced) {
     CHECK(rejection.id < last_patient);
     CHECK(rejection.reason == rejection_reason::kDisplaced);
     CHECK(rejection.retry_after > duration::zero());
@@ -203,7 +203,7 @@
     load.Add(MakeStatement(3, "patient", milliseconds(500 * i),
                            milliseconds(30), milliseconds(1000)));
   }
-  for (const played_statement &statement : load.Play()) {
+  for (const played_statement& statement : load.Play()) {
     if (statement.request.priority == 3) {
       REQUIRE(statement.started_at.has_value());
       CHECK(statement.Wait() <= statement.Budget() * 6 / 10);
@@ -225,7 +225,7 @@
     load.Add(commit);
   }
   duration last_commit = duration::zero();
-  for (const played_statement &statement : load.Play()) {
+  for (const played_statement& statement : load.Play()) {
     if (statement.request.in_transaction) {
       REQUIRE(statement.started_at.has_value());
       last_commit = std::max(last_commit, *statement.started_at);
@@ -278,5 +278,5 @@
   CHECK(change.rejected.front().reason == rejection_reason::kNoRoom);
 }
 
-} // namespace
-} // namespace sassafraswick
+}  // namespace
+}  // namespace sassafraswick
