--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -40,6 +40,8 @@
   std::int64_t limited_rate = 0;
   /// Program that each gateway runs; those without one run this build's.
   std::vector<std::string> programs;
+  /// Connections that each instance is configured to accept.
+  std::size_t max_connections = 40;
   /// Rejects connections beyond `max_connections`.
   bool limits_connections = false;
   /// Number of availability zones over which gateways are spread.
