--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -220,10 +220,8 @@
           co_await group_->Acquire(chosen_plan.target, request);
       RecordLease(lease);
       if (lease.connection == nullptr) {
-        response = lease.rejected
-                       ? MakeRejected(lease)
-                       : WithRetryTime(
-                             MakeBusy("no connection to an instance is free"));
+        response =
+            WithRetryTime(MakeBusy("no connection to an instance is free"));
       } else {
         response = co_await run(chosen_plan, lease);
         if (response.failure == failure_code::kNone || !IsRetryable(response)) {
@@ -231,9 +229,7 @@
         }
       }
       RecordRetry(request_id, chosen_plan, response);
-      const bool nowhere_else = lease.rejected && chosen_plan.only_choice;
-      if (nowhere_else || Contains(tried, id) ||
-          monotonic_clock::now() >= deadline) {
+      if (Contains(tried, id) || monotonic_clock::now() >= deadline) {
         co_return ToCallerFailure(response);
       }
       // A lagging replica's response shows when it will have caught up, so it
@@ -274,13 +270,6 @@
     return response;
   }
 
-  /// Makes the response to an operation that the instance's home rejected.
-  [[nodiscard]] statement_result MakeRejected(
-      const pooled_connection_lease<Codec>& lease) const {
-    return MakeBusy("the instance is overloaded, " +
-                    RetryHint(lease.retry_after));
-  }
-
   /// Adds the time after which an instance is expected to have room, if that is
   /// known.
   [[nodiscard]] statement_result WithRetryTime(
