Mend what the review of the joined parts found

Found by reading, each with the rule that it could have broken: - a host's time before its process began could count as unused twice after two quick restarts (QUOTA): it is counted from the start of the process; - hosts of an earlier build choose hubs by hash, others chose them by capacity (QUOTA: two shared buckets): all choose by hash until all have registered one; - a removed instance was leaving only 2.5 s after its entry had gone (DRAIN): it counts from when the entry was missing; - a host whose proof collector is cut off alternated between it and its own queries: only the collector's proof resets the count; - rejections for lack of room ejected instances, whose load then overloaded the others: they only make them less likely to be chosen; - a statement of a session that was closed while it waited still ran on the PostgreSQL path; - late grants of lent connections were never given back, since the address that they were sent to is no longer part of messages; pauses of transactions made short statements expect long waits; sizes of memory could overflow.

--- a/src/sassafraswick/gateway/connection_borrower.cc
+++ b/src/sassafraswick/gateway/connection_borrower.cc
@@ -289,9 +289,10 @@
   if (ReadVerdict(answer.verdict()) != lend_verdict::kGranted) {
     return;
   }
-  const result<endpoint> home = ParseEndpoint(received.reply_to());
-  if (home) {
-    SendRelease(home.value(), answer.lease());
+  const std::optional<endpoint> home =
+      environment_.find_address(received.host());
+  if (home.has_value()) {
+    SendRelease(*home, answer.lease());
   }
 }
 
--- a/src/sassafraswick/gateway/connection_pool.h
+++ b/src/sassafraswick/gateway/connection_pool.h
@@ -121,7 +121,10 @@
       lease = co_await AcquireOwn(target, request);
     }
     const time_point now = monotonic_clock::now();
-    lease.leased_at = now;
+    // Pauses of transactions say nothing about how soon a connection is free.
+    if (request.use != lease_use::kTransaction) {
+      lease.leased_at = now;
+    }
     lease.waited = std::chrono::duration_cast<duration>(now - requested_at);
     co_return lease;
   }
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -176,12 +176,13 @@
     }
   }
 
-  void RemoveTarget(const std::string& id) {
+  /// @param missing_since When the target's entry disappeared.
+  void RemoveTarget(const std::string& id, time_point missing_since) {
     unassigned_targets.erase(id);
     for (const std::pair<const std::string,
                          std::shared_ptr<target_group<Codec>>>& entry :
          groups) {
-      entry.second->Unlist(id);
+      entry.second->Unlist(id, missing_since);
     }
   }
 };
--- a/src/sassafraswick/gateway/rate_limiter.cc
+++ b/src/sassafraswick/gateway/rate_limiter.cc
@@ -40,7 +40,7 @@
                            rate_limiter_environment environment)
     : environment_(std::move(environment)),
       tokens_received_(executor),
-      idle_since_(monotonic_clock::now() - kStartupCredit) {}
+      idle_since_(monotonic_clock::now()) {}
 
 std::uint32_t rate_limiter::HostCount() const {
   const std::uint32_t host_count = environment_.host_count();
--- a/src/sassafraswick/gateway/rate_limiter.h
+++ b/src/sassafraswick/gateway/rate_limiter.h
@@ -108,7 +108,7 @@
   std::map<std::string, time_point> last_token_request_;
   /// Start of the time for which the shares of organisations without a local
   /// bucket are unused and not reported yet. A starting host has used none
-  /// since its process began, nor for `kStartupCredit` before.
+  /// since its process began; the time before may have been reported.
   time_point idle_since_;
   time_point idle_report_due_;
   /// Number of organisations in each shard, for catalog `shard_sizes_version_`.
--- a/src/sassafraswick/gateway/target_directory.h
+++ b/src/sassafraswick/gateway/target_directory.h
@@ -92,7 +92,7 @@
       }
       Log(log_level::kInfo, "target_gone", {{"key", each->first}});
       const target_record& record = targets_[each->first];
-      gateway_.RemoveTarget(record.id);
+      gateway_.RemoveTarget(record.id, each->second);
       departed_[each->first] = {record.start_id, now};
       targets_.erase(each->first);
       each = missing_since_.erase(each);
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -92,7 +92,8 @@
 
   /// Marks an instance as no longer listed in the store, and closes its idle
   /// connections.
-  void Unlist(const std::string& id) {
+  /// @param missing_since When its entry disappeared.
+  void Unlist(const std::string& id, time_point missing_since) {
     const target_pointer target = Find(id);
     if (target != nullptr && target->listed) {
       target->listed = false;
@@ -100,7 +101,7 @@
       target->health.leaving = true;
       target->unlisted_at = monotonic_clock::now();
       if (!target->leaving_since.has_value()) {
-        target->leaving_since = target->unlisted_at;
+        target->leaving_since = missing_since;
       }
       target->idle.clear();
       changed_.NotifyAll();
@@ -251,8 +252,11 @@
     target.answered_at = monotonic_clock::now();
     target.health.silent_since.reset();
     target.health.refused_since.reset();
-    if (response.failure == failure_code::kBusy ||
-        response.failure == failure_code::kStatementFailed) {
+    if (response.failure == failure_code::kBusy) {
+      // Overload makes an instance less likely to be chosen. Without it, its
+      // load would overload the others.
+      target.score.RecordFailure(target.answered_at);
+    } else if (response.failure == failure_code::kStatementFailed) {
       ObserveFailure(target);
     }
     if (!response.position.has_value()) {
@@ -377,6 +381,10 @@
   /// Applies the proof collector's report.
   void ApplyReport(const view_report& report, time_point request_sent_at) {
     HandleViewChange(ApplyViewReport(view_, report, request_sent_at));
+    if (IsPrimaryLeaseValid(view_, view_.primary, view_.term,
+                            monotonic_clock::now())) {
+      fruitless_rounds_ = 0;
+    }
     changed_.NotifyAll();
   }
 
@@ -663,8 +671,9 @@
     const bool collector_requested = co_await RequestFromCollector();
     const bool is_proved = IsPrimaryLeaseValid(view_, view_.primary, view_.term,
                                                monotonic_clock::now());
-    fruitless_rounds_ =
-        collector_requested && !is_proved ? fruitless_rounds_ + 1 : 0;
+    if (collector_requested && !is_proved) {
+      ++fruitless_rounds_;
+    }
     if (collector_requested && fruitless_rounds_ <= kCollectorOnlyRounds) {
       requesting_proof_ = false;
       changed_.NotifyAll();
@@ -732,7 +741,8 @@
   std::function<bool(const std::string& pool)> proof_source_;
   bool resolving_primary_ = false;
   bool requesting_proof_ = false;
-  /// Requests in a row to which the proof collector supplied no proof in time.
+  /// Requests to which the proof collector supplied no proof in time, since its
+  /// last one.
   int fruitless_rounds_ = 0;
   std::mt19937_64 random_;
 };
--- a/src/sassafraswick/limits/caller_limits.cc
+++ b/src/sassafraswick/limits/caller_limits.cc
@@ -13,8 +13,10 @@
   constexpr std::uint64_t kSessionShare = 2;
   constexpr std::uint64_t kHeldShare = 4;
   constexpr std::uint64_t kOtherConnectionsShare = 8;
+  constexpr std::uint64_t kMaxMemoryMb = 1ULL << 32U;
   const std::uint64_t memory =
-      limits.memory_mb.value_or(kDefaultMemoryMb) * kMegabyte;
+      std::min(limits.memory_mb.value_or(kDefaultMemoryMb), kMaxMemoryMb) *
+      kMegabyte;
   const std::uint64_t descriptors =
       limits.descriptors.value_or(descriptor_limit);
   const std::uint64_t sockets =
--- a/src/sassafraswick/proxy/caller_routing.cc
+++ b/src/sassafraswick/proxy/caller_routing.cc
@@ -71,6 +71,11 @@
       co_return co_await ReplyRefusal(unit, *refused);
     }
     const connection_lease lease = std::get<connection_lease>(acquired);
+    if (!stream_.IsOpen()) {
+      // The session was closed while it waited, perhaps as its key is withdrawn.
+      pool_->Release(lease, !lease.connection->IsStale());
+      co_return false;
+    }
     ++current_attempt.attempts_made;
     if (lease.connection->IsStale()) {
       pool_->Release(lease, false);
--- a/src/sassafraswick/routing/rendezvous.cc
+++ b/src/sassafraswick/routing/rendezvous.cc
@@ -41,10 +41,16 @@
     std::uint64_t score = 0;
     std::string host;
   };
+  // Hosts of an earlier build register no capacity and rank by hash alone. All
+  // hosts have to agree, so the others do so too until none is left.
+  const bool all_known =
+      cores.size() == hosts.size() &&
+      std::all_of(cores.begin(), cores.end(),
+                  [](double capacity) { return capacity > 0.0; });
   std::vector<candidate> candidates;
   candidates.reserve(hosts.size());
   for (std::size_t i = 0; i < hosts.size(); ++i) {
-    const double capacity = cores.size() == hosts.size() ? cores[i] : 0.0;
+    const double capacity = all_known ? cores[i] : 0.0;
     candidates.push_back(
         {CapacityClass(capacity), RendezvousScore("hubs", hosts[i]), hosts[i]});
   }
--- a/test/sassafraswick/gateway/read_plan_test.cc
+++ b/test/sassafraswick/gateway/read_plan_test.cc
@@ -101,10 +101,10 @@
   gateway_counters counters;
   const std::shared_ptr<group> known = GroupWithoutProof(context, counters);
   known->SetLeaveWithin(std::chrono::seconds(10));
-  known->Unlist("a");
-  REQUIRE(known->Find("a")->leaving_since.has_value());
-  known->Find("a")->leaving_since =
-      monotonic_clock::now() - std::chrono::seconds(9);
+  known->Unlist("a", monotonic_clock::now() - std::chrono::milliseconds(7900));
+  CHECK(AvailablePrimary(*known) != nullptr);
+  known->Update(known->Find("a")->record);
+  known->Unlist("a", monotonic_clock::now() - std::chrono::milliseconds(8001));
   CHECK(AvailablePrimary(*known) == nullptr);
 }
 
--- a/test/sassafraswick/routing/rendezvous_test.cc
+++ b/test/sassafraswick/routing/rendezvous_test.cc
@@ -54,6 +54,11 @@
   std::vector<double> similar = cores;
   similar.front() = 0.6;
   CHECK(HubHosts(hosts, similar) == hubs);
+  // Until all hosts have registered a capacity, the choice is that of hosts
+  // which know none.
+  std::vector<double> incomplete = cores;
+  incomplete.back() = 0.0;
+  CHECK(HubHosts(hosts, incomplete) == HubHosts(hosts));
   // Other hosts follow, for the case that the hubs fail together.
   hub_ranking ranking;
   ranking.SetHosts(hosts, cores);
