Test the end of a gone primary's requests with a primary that is known

Before that it could not fail: without a proof an instance that is gone is no primary at all. It now records one, and fails without the guard. Also formats a file.

--- a/src/sassafraswick/proxy/caller_routing.cc
+++ b/src/sassafraswick/proxy/caller_routing.cc
@@ -72,7 +72,8 @@
     }
     const connection_lease lease = std::get<connection_lease>(acquired);
     if (!stream_.IsOpen()) {
-      // The session was closed while it waited, perhaps as its key is withdrawn.
+      // The session was closed while it waited, perhaps as its key is
+      // withdrawn.
       pool_->Release(lease, !lease.connection->IsStale());
       co_return false;
     }
--- a/test/sassafraswick/gateway/read_plan_test.cc
+++ b/test/sassafraswick/gateway/read_plan_test.cc
@@ -101,6 +101,9 @@
   gateway_counters counters;
   const std::shared_ptr<group> known = GroupWithoutProof(context, counters);
   known->SetLeaveWithin(std::chrono::seconds(10));
+  statement_result response;
+  response.position = log_point{1, 1};
+  known->ObservePrimary(*known->Find("a"), response);
   known->Unlist("a", monotonic_clock::now() - std::chrono::milliseconds(7900));
   CHECK(AvailablePrimary(*known) != nullptr);
   known->Update(known->Find("a")->record);
