--- a/test/integration/clients_test.cc
+++ b/test/integration/clients_test.cc
@@ -27,7 +27,7 @@
 constexpr std::size_t kLegalBytes = 1'000'000;
 /// Just below the longest statement that is run.
 constexpr std::size_t kStatementBytes = 250'000;
-constexpr std::uint64_t kMemoryLimitKilobytes = 96 * 1024;
+constexpr std::uint64_t kMemoryLimitKilobytes = 96ULL * 1024;
 constexpr std::size_t kDescriptorLimit = 500;
 constexpr const char* kLimits =
     "[limits]\nmemory = 96\ndescriptors = 500\nmessage_timeout = 2s\n";
--- a/test/integration/lending_test.cc
+++ b/test/integration/lending_test.cc
@@ -105,7 +105,9 @@
         if (in_transaction) {
           client.Run("BEGIN");
         }
-        std::string written = client.Run("EXECUTE s1 " + item + " " + data);
+        std::string write = "EXECUTE s1 ";
+        write.append(item).append(" ").append(data);
+        std::string written = client.Run(write);
         if (in_transaction) {
           written = client.Run("COMMIT");
         }
@@ -113,8 +115,9 @@
           continue;
         }
         const std::string read = client.Run("EXECUTE s0 " + item);
-        const bool right =
-            read.starts_with("ROW " + data + " owner=" + owner + "|COMPLETE");
+        std::string expected = "ROW ";
+        expected.append(data).append(" owner=").append(owner);
+        const bool right = read.starts_with(expected + "|COMPLETE");
         served.at(index) += right ? 1 : 0;
         const bool rejected = read.starts_with("ERROR BUSY");
         mismatches.at(index) += rejected || right ? 0 : 1;
--- a/test/integration/proxy_clients_test.cc
+++ b/test/integration/proxy_clients_test.cc
@@ -21,7 +21,7 @@
 /// Of the limit of 16 MiB.
 constexpr std::size_t kLegalBytes = 15'000'000;
 constexpr std::size_t kStatementBytes = 250'000;
-constexpr std::uint64_t kMemoryLimitKilobytes = 160 * 1024;
+constexpr std::uint64_t kMemoryLimitKilobytes = 160ULL * 1024;
 constexpr std::size_t kDescriptorLimit = 500;
 constexpr const char* kLimits =
     "[limits]\nmemory = 160\ndescriptors = 500\nmessage_timeout = 2s\n";
--- a/test/platform/soak.cc
+++ b/test/platform/soak.cc
@@ -18,7 +18,6 @@
 using sassafraswick::time_point;
 using std::chrono::milliseconds;
 using test_support::Pause;
-using test_support::WaitFor;
 
 constexpr std::size_t kGateways = 3;
 constexpr std::size_t kCallers = 6;
--- a/test/support/crowd.cc
+++ b/test/support/crowd.cc
@@ -110,7 +110,7 @@
   std::vector<pollfd> waiting;
   std::vector<client*> owners;
   for (client& each : clients_) {
-    short events = reads_ ? POLLIN : 0;
+    std::int16_t events = reads_ ? POLLIN : 0;
     if (each.sent < each.output.size()) {
       events |= POLLOUT;
     }
