--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# A key is withdrawn while its caller has a transaction open.
+# Answers of the store to watches are lost; later a key is taken away.
 # Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not
 # run. With TROUBLE=0, without the disruption.
 set -u
 cd "$(dirname "$0")/../.."
-program=target/review-2/withdrawn_key
+program=target/review-2/lost_watch_answer
 [ -x "${program}" ] || exit 2
 directory="$(mktemp -d)"
 trap 'rm -rf "${directory}"' EXIT
--- a/review/stand-in-2/small_deployment.cc
+++ b/review/stand-in-2/small_deployment.cc
@@ -22,6 +22,7 @@
 
 constexpr const char* kGatewayProgram = "target/sassafraswick_gateway";
 constexpr const char* kPoolName = "orders-db";
+constexpr const char* kFailoverKey = "sassafraswick/failover";
 constexpr std::size_t kInstances = 3;
 constexpr milliseconds kReplicaLag(20);
 constexpr milliseconds kPromotionTime(600);
@@ -66,6 +67,7 @@
 struct http_request {
   std::string method;
   std::string target;
+  std::string head;
   std::string body;
 };
 
@@ -87,6 +89,7 @@
       if (input.size() >= size) {
         std::istringstream first(head);
         first >> request.method >> request.target;
+        request.head = head;
         request.body = input.substr(head_end + kEnd.size(), length);
         input.erase(0, size);
         return true;
@@ -98,6 +101,17 @@
   }
 }
 
+/// Value of a header; empty if it is missing.
+std::string HeaderOf(const http_request& request, const std::string& name) {
+  const std::string start = "\r\n" + name + ": ";
+  const std::size_t at = request.head.find(start);
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t begin = at + start.size();
+  return request.head.substr(begin, request.head.find("\r\n", begin) - begin);
+}
+
 void SendResponse(int descriptor, int status, std::uint64_t era,
                   const std::string& body) {
   SendAll(descriptor, "HTTP/1.1 " + std::to_string(status) +
@@ -152,11 +166,11 @@
         Listen([this, i](int descriptor) { ServeInstance(i, descriptor); }));
     Register(i, false);
   }
-  promotion_port_ =
-      Listen([this](int descriptor) { ServePromotions(descriptor); });
   for (std::size_t i = 0; i < gateways; ++i) {
     gateways_[i].store_port =
         Listen([this, i](int descriptor) { ServeStore(i, descriptor); });
+    gateways_[i].promotion_port =
+        Listen([this, i](int descriptor) { ServePromotions(i, descriptor); });
     WriteSettings(i);
   }
 }
@@ -208,6 +222,7 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     descriptors_.push_back(listener);
+    listeners_[ntohs(bound.sin_port)] = listener;
   }
   KeepThread(std::thread([this, listener, serve = std::move(serve)] {
     while (!stopped_) {
@@ -227,6 +242,10 @@
         serve(descriptor);
         const std::lock_guard<std::mutex> lock(mutex_);
         std::erase(descriptors_, descriptor);
+        for (std::pair<const std::size_t, std::set<int>>& each :
+             instance_connections_) {
+          each.second.erase(descriptor);
+        }
         close(descriptor);
       }));
     }
@@ -242,9 +261,15 @@
     if (is_silent) {
       continue;
     }
+    if (!AwaitHeal(gateway, descriptor)) {
+      return;
+    }
     test_support::Pause(kStoreTime);
     const test_platform::store_response response =
         store_.HandleRequest(request.method, request.target, request.body);
+    if (response.status == 200) {
+      ObserveStoreCall(request.target, request.body);
+    }
     if (request.target.starts_with("/kv-watch") && TakeLoss(gateway)) {
       is_silent = true;
       record_.Add("store: the answer to a watch of gateway " +
@@ -275,15 +300,105 @@
   return is_lost;
 }
 
-void small_deployment::ServePromotions(int descriptor) {
+bool small_deployment::AwaitHeal(std::size_t gateway, int descriptor) const {
+  while (!stopped_ && cut_ == gateway) {
+    test_support::Pause(milliseconds(1));
+  }
+  int failure = 0;
+  socklen_t size = sizeof(failure);
+  getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &size);
+  return failure == 0;
+}
+
+void small_deployment::ObserveStoreCall(const std::string& target,
+                                        const std::string& body) {
+  constexpr std::string_view kRenewal = "/kv-keep/";
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (target == "/kv-txn") {
+    const json::object change = json::parse(body).as_object();
+    for (const json::value& write : change.at("writes").as_array()) {
+      if (write.at("key").as_string() == kFailoverKey) {
+        failover_lease_ =
+            std::to_string(write.at("lease").to_number<std::uint64_t>());
+      }
+    }
+  } else if (target.starts_with(kRenewal) &&
+             target.substr(kRenewal.size()) == failover_lease_) {
+    renewed_at_ = record_.Now();
+  }
+}
+
+std::size_t small_deployment::FailoverHolder() {
+  const std::string value = store_.Value(kFailoverKey);
+  const std::string name = value.substr(0, value.find('/'));
+  const std::size_t dash = name.find('-');
+  return dash == std::string::npos ? kNone : std::stoul(name.substr(dash + 1));
+}
+
+milliseconds small_deployment::LastRenewal() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return renewed_at_;
+}
+
+std::size_t small_deployment::OrderConnections(std::size_t gateway) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return order_connections_[gateway];
+}
+
+milliseconds small_deployment::HeldSince() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return held_since_;
+}
+
+std::vector<promotion_order> small_deployment::Orders() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return orders_;
+}
+
+void small_deployment::Crash(std::size_t instance) {
+  group_.Modify(instance, [](test_platform::group_instance& each) {
+    each.running = false;
+  });
+  record_.Add("instance " + std::to_string(instance) + " crashes");
+  const std::lock_guard<std::mutex> lock(mutex_);
+  shutdown(listeners_.at(instance_ports_.at(instance)), SHUT_RDWR);
+  for (const int descriptor : instance_connections_[instance]) {
+    shutdown(descriptor, SHUT_RDWR);
+  }
+}
+
+void small_deployment::ServePromotions(std::size_t gateway, int descriptor) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++order_connections_[gateway];
+  }
   std::string input;
   http_request request;
   while (ReadRequest(descriptor, input, request)) {
-    const std::string id(
-        json::parse(request.body).as_object().at("id").as_string());
-    record_.Add("platform: promotion of " + id);
-    SendResponse(descriptor, group_.IsRunning(id) ? 200 : 409, 1, "{}");
-    KeepThread(std::thread([this, id] { Promote(id); }));
+    if (cut_ == gateway) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      held_since_ = record_.Now();
+      record_.Add("cut: holds up an order of gateway " +
+                  std::to_string(gateway));
+    }
+    if (!AwaitHeal(gateway, descriptor)) {
+      record_.Add("cut: an order is lost, as its sender reset the connection");
+      return;
+    }
+    promotion_order order;
+    order.holder = HeaderOf(request, "Lease-Holder");
+    order.token = std::stoull(HeaderOf(request, "Fencing-Token"));
+    order.instance = json::parse(request.body).as_object().at("id").as_string();
+    order.arrived_at = record_.Now();
+    record_.Add("platform: order of " + order.holder + " with token " +
+                std::to_string(order.token) + " to promote " + order.instance);
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      orders_.push_back(order);
+    }
+    SendResponse(descriptor, group_.IsRunning(order.instance) ? 200 : 409, 1,
+                 "{}");
+    KeepThread(std::thread([this, id = order.instance] { Promote(id); }));
   }
 }
 
@@ -311,6 +426,10 @@
 void small_deployment::ServeInstance(std::size_t instance, int descriptor) {
   constexpr std::string_view kEnd = "\r\n";
   test_platform::line_connection connection;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    instance_connections_[instance].insert(descriptor);
+  }
   std::string input;
   std::size_t scanned = 0;
   while (true) {
@@ -422,7 +541,7 @@
       << "\nprobe = " << Address(process.probe_port)
       << "\npeers = " << Address(FreePort())
       << "\n[platform]\nstore = " << Address(process.store_port)
-      << "\npromotions = " << Address(promotion_port_)
+      << "\npromotions = " << Address(process.promotion_port)
       << "\n[targets]\nleave_within = 7000ms\n[stop]\ngrace = 6s\n"
       << "[limits]\nmemory = 260\ndescriptors = 4300\n[log]\nlevel = info\n";
 }
--- a/review/stand-in-2/small_deployment.h
+++ b/review/stand-in-2/small_deployment.h
@@ -45,6 +45,14 @@
   std::vector<std::string> keys;
 };
 
+/// An order to promote an instance, as the platform received it.
+struct promotion_order {
+  std::string holder;
+  std::uint64_t token = 0;
+  std::string instance;
+  milliseconds arrived_at{0};
+};
+
 class small_deployment {
  public:
   /// @param directory Directory for settings and the gateways' output.
@@ -75,6 +83,24 @@
   /// Number of answers that were lost.
   [[nodiscard]] std::size_t LostAnswers();
 
+  /// Cuts a gateway off from the platform, in both directions: what is sent is
+  /// held up until `Heal`, and lost if its sender resets the connection.
+  void Cut(std::size_t gateway) { cut_ = gateway; }
+  void Heal() { cut_ = kNone; }
+  /// Ends an instance: its port refuses connections.
+  void Crash(std::size_t instance);
+  /// The gateway that holds the failover lease; `kNone` if there is none.
+  [[nodiscard]] std::size_t FailoverHolder();
+  /// When the store last received a renewal of the failover lease.
+  [[nodiscard]] milliseconds LastRenewal();
+  /// Number of connections for orders that a gateway has opened.
+  [[nodiscard]] std::size_t OrderConnections(std::size_t gateway);
+  /// When an order arrived at the cut; negative if none did.
+  [[nodiscard]] milliseconds HeldSince();
+  [[nodiscard]] std::vector<promotion_order> Orders();
+
+  static constexpr std::size_t kNone = SIZE_MAX;
+
   [[nodiscard]] std::uint16_t CallerPort(std::size_t gateway) const {
     return gateways_.at(gateway).caller_port;
   }
@@ -87,6 +113,7 @@
     std::uint16_t caller_port = 0;
     std::uint16_t probe_port = 0;
     std::uint16_t store_port = 0;
+    std::uint16_t promotion_port = 0;
     std::string settings_path;
     std::string log_path;
     test_support::child_process process;
@@ -95,12 +122,18 @@
   /// Accepts connections and serves each in a thread of its own.
   /// @return The port.
   std::uint16_t Listen(std::function<void(int descriptor)> serve);
+  /// Waits while a gateway is cut off.
+  /// @return False if the connection was reset meanwhile.
+  [[nodiscard]] bool AwaitHeal(std::size_t gateway, int descriptor) const;
   void ServeStore(std::size_t gateway, int descriptor);
   /// @return Whether the answer to a watch of the gateway is lost.
   [[nodiscard]] bool TakeLoss(std::size_t gateway);
   void ServeInstance(std::size_t instance, int descriptor);
   void RecordArrival(std::size_t instance, const std::string& text);
-  void ServePromotions(int descriptor);
+  void ServePromotions(std::size_t gateway, int descriptor);
+  /// Notes the claim and the renewals of the failover lease, from calls that
+  /// succeeded.
+  void ObserveStoreCall(const std::string& target, const std::string& body);
   void Promote(const std::string& id);
   void WriteSettings(std::size_t gateway);
   void KeepThread(std::thread thread);
@@ -111,9 +144,9 @@
   test_platform::standin_group group_;
   std::vector<std::uint16_t> instance_ports_;
   std::map<std::size_t, bool> draining_;
-  std::uint16_t promotion_port_ = 0;
   std::vector<gateway_process> gateways_;
   std::atomic<bool> stopped_{false};
+  std::atomic<std::size_t> cut_{kNone};
   std::mutex mutex_;
   /// Statements of callers that instances have received.
   std::size_t arrivals_ = 0;
@@ -121,6 +154,14 @@
   std::set<std::size_t> loses_;
   std::size_t lost_answers_ = 0;
   std::vector<int> descriptors_;
+  /// Listening socket of each port.
+  std::map<std::uint16_t, int> listeners_;
+  std::map<std::size_t, std::set<int>> instance_connections_;
+  std::map<std::size_t, std::size_t> order_connections_;
+  std::vector<promotion_order> orders_;
+  milliseconds held_since_{-1};
+  std::string failover_lease_;
+  milliseconds renewed_at_{-1};
   std::vector<std::thread> threads_;
 };
 
