Prove a replica behind a primary that stepped down by a later list only

Callers saw: 15 to 26 acknowledged commits were gone after their primary, which ran and was reached, had been replaced during an outage of the store (LOST).

Cause: a replica behind the position at which the primary had stepped down counted as proved because it was the most advanced of all listed instances. In the outage an instance had joined that no host could hear of, and had confirmed the commits.

Change: behind a primary that stepped down, an instance is proved only if the list was read from the store 200 ms after the fence or later. The holder requests that read during the wait for the primary lease. Without it the primary itself, which has everything, is promoted again 0.7 s after the fence.

Tried first: nothing else. Weighed: never to promote behind a heard position (a primary that is cut off from its replicas would then stay without confirmations for as long as the cut lasts, also in calm).

--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -10,6 +10,9 @@
 
 using action_list = std::vector<replacement_action>;
 
+/// Time from an instance's start within which the store lists it.
+constexpr duration kEntryDelay = std::chrono::milliseconds(200);
+
 void EnterPhase(replacement_state& state, replacement_phase phase,
                 time_point now) {
   state.phase = phase;
@@ -254,6 +257,12 @@
   return found;
 }
 
+/// Returns whether every instance that confirmed a write before the primary
+/// stepped down is known: the list of instances was read after it had.
+bool IsListComplete(const replacement_state& state) {
+  return state.list_read_at >= state.fenced_at + kEntryDelay;
+}
+
 /// An instance to promote, and why it was chosen.
 struct promotion_choice {
   /// Empty if no instance is to be promoted yet.
@@ -269,7 +278,12 @@
                               bool timed_out) {
   const std::size_t others =
       group.size() - (FindInstance(group, state.primary) == nullptr ? 0 : 1);
-  const bool all_known = !candidates.empty() && candidates.size() >= others &&
+  // An instance that is not listed yet may have confirmed what only the primary
+  // has besides.
+  const bool list_suffices =
+      !state.stepped_down_position.has_value() || IsListComplete(state);
+  const bool all_known = list_suffices && !candidates.empty() &&
+                         candidates.size() >= others &&
                          !LastMemberLeftAt(state, state.primary).has_value();
   for (const candidate& each : candidates) {
     if (each.leaving) {
@@ -307,12 +321,17 @@
       std::chrono::duration_cast<duration>(now - state.fenced_at);
   const bool timed_out = waited >= settings.catch_up_timeout;
   promotion_choice chosen = ChooseProved(state, group, candidates, timed_out);
-  if (!chosen.id.empty() || !timed_out) {
+  if (!chosen.id.empty()) {
     return chosen;
   }
-  if (CanPromoteOldPrimary(state, group)) {
+  const bool list_timed_out =
+      !IsListComplete(state) && waited >= settings.list_timeout;
+  if ((timed_out || list_timed_out) && CanPromoteOldPrimary(state, group)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
+  if (!timed_out) {
+    return chosen;
+  }
   const std::optional<time_point> last_left_at =
       LastMemberLeftAt(state, state.primary);
   const bool gives_up = last_left_at.has_value() &&
@@ -410,6 +429,12 @@
          now - state.unreplicated_since >= settings.cut_off_after;
 }
 
+bool AwaitsList(const replacement_state& state, time_point now) {
+  return state.phase == replacement_phase::kWaiting &&
+         state.stepped_down_position.has_value() &&
+         now >= state.fenced_at + kEntryDelay && !IsListComplete(state);
+}
+
 std::vector<replacement_action> AdvanceReplacement(
     replacement_state& state, const group_health& group,
     const replacement_settings& settings, time_point now) {
--- a/src/sassafraswick/failover/replacement.h
+++ b/src/sassafraswick/failover/replacement.h
@@ -79,6 +79,10 @@
   duration promotion_timeout = std::chrono::milliseconds(2500);
   /// Time that the successor of a leaving primary has to receive all entries.
   duration catch_up_timeout = std::chrono::milliseconds(1500);
+  /// Time after the fence for which a complete list of the instances is awaited
+  /// if no instance has all that the primary had when it stepped down. Then the
+  /// primary is promoted again, while the failover lease is still valid.
+  duration list_timeout = std::chrono::milliseconds(700);
   /// Time to wait for an instance that has left and may have confirmed writes
   /// that no other has. After it, an instance is promoted without proof.
   duration member_return_timeout = std::chrono::milliseconds(10'000);
@@ -189,6 +193,9 @@
   /// confirmed writes another instance is known to have.
   std::map<std::string, group_member> members;
   term_number members_term = 0;
+  /// When the newest complete read of the list of instances was sent. Set by
+  /// the caller before `AdvanceReplacement`.
+  time_point list_read_at;
   /// When actions were last sent in this phase.
   time_point last_action_at;
   /// Log entry of the primary that no replica has received yet, and when it was
@@ -217,6 +224,10 @@
                                const replacement_settings& settings,
                                time_point now);
 
+/// Returns whether the choice depends on a read of the list of instances, which
+/// the caller should then request.
+[[nodiscard]] bool AwaitsList(const replacement_state& state, time_point now);
+
 /// Returns the instances, except the old primary, that have not confirmed that
 /// they paused replication.
 [[nodiscard]] std::vector<std::string> ListUnfenced(
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -74,8 +74,12 @@
     watched_group& watched = watched_[group->Name()];
     QueryDueInstances(group, watched, now);
     const replacement_phase previous_phase = watched.state.phase;
+    watched.state.list_read_at = fleet_.TargetsReadAt();
     const std::vector<replacement_action> actions =
         AdvanceReplacement(watched.state, group->Health(), settings_, now);
+    if (AwaitsList(watched.state, now)) {
+      fleet_.RequestTargets();
+    }
     OnPhase(*group, watched, previous_phase);
     LogIncompleteFence(*group, watched, now);
     for (const replacement_action& action : actions) {
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -162,6 +162,15 @@
   [[nodiscard]] store_era StoreEra() const { return eras_.Current(); }
   [[nodiscard]] bool HasTargets() const { return targets_.IsLoaded(); }
 
+  /// Reads the list of targets from the store, unless that is in progress.
+  void RequestTargets() {
+    watcher_.RequestLatestRead(Platform::kTargetsPrefix);
+  }
+  /// Returns when the newest complete read of the list of targets was sent.
+  [[nodiscard]] time_point TargetsReadAt() const {
+    return watcher_.LatestReadAt(Platform::kTargetsPrefix);
+  }
+
  private:
   void EnableBorrowing() {
     borrower_environment environment;
--- a/src/sassafraswick/gateway/store_watcher.h
+++ b/src/sassafraswick/gateway/store_watcher.h
@@ -79,6 +79,28 @@
     work_pending_.NotifyAll();
   }
 
+  /// Schedules a read of a prefix that cannot return stale data.
+  void RequestLatestRead(std::string_view prefix) {
+    for (const std::unique_ptr<watched_prefix>& each : prefixes_) {
+      if (each->prefix == prefix && !each->needs_latest) {
+        each->needs_read = true;
+        each->needs_latest = true;
+        work_pending_.NotifyAll();
+      }
+    }
+  }
+
+  /// Returns when the newest complete read of a prefix that cannot be stale was
+  /// sent.
+  [[nodiscard]] time_point LatestReadAt(std::string_view prefix) const {
+    for (const std::unique_ptr<watched_prefix>& each : prefixes_) {
+      if (each->prefix == prefix) {
+        return each->latest_read_at;
+      }
+    }
+    return {};
+  }
+
   /// Responds to a host that polls for changes.
   void HandleRequest(const std::string& from, const std::string& route,
                      const message::news_request& request) {
@@ -288,8 +310,9 @@
                      return item.key.starts_with(each->prefix);
                    });
       each->needs_read = false;
+      each->needs_latest = false;
       ApplySnapshot(*each, page);
-      each->confirmed_at = std::max(each->confirmed_at, sent_at);
+      RecordLatestRead(*each, sent_at);
     }
     NotifySubscribers(false);
     co_return boost::outcome_v2::success();
@@ -307,6 +330,11 @@
     }
   }
 
+  static void RecordLatestRead(watched_prefix& watched, time_point sent_at) {
+    watched.confirmed_at = std::max(watched.confirmed_at, sent_at);
+    watched.latest_read_at = std::max(watched.latest_read_at, sent_at);
+  }
+
   /// Sleeps after a failed call.
   /// @return The delay after the next failure.
   boost::asio::awaitable<duration> BackOff(result<void> outcome,
@@ -348,6 +376,7 @@
     // is requested soon, peers know of something newer, so that one reads the
     // latest data.
     const bool may_be_stale =
+        !watched.needs_latest &&
         sent_at - watched.stale_read_at > kStaleReadCooldown;
     const read_freshness freshness =
         may_be_stale ? read_freshness::kMaybeStale : read_freshness::kLatest;
@@ -363,7 +392,8 @@
     }
     ApplySnapshot(watched, page.value());
     if (freshness == read_freshness::kLatest) {
-      watched.confirmed_at = std::max(watched.confirmed_at, sent_at);
+      watched.needs_latest = false;
+      RecordLatestRead(watched, sent_at);
     }
     NotifySubscribers(false);
     co_return boost::outcome_v2::success();
--- a/src/sassafraswick/gateway/watched_prefix.h
+++ b/src/sassafraswick/gateway/watched_prefix.h
@@ -64,6 +64,10 @@
   /// Last time at which the store was known to have nothing newer.
   time_point confirmed_at;
   bool needs_read = false;
+  /// The next read must not return stale data.
+  bool needs_latest = false;
+  /// When the newest complete read that cannot be stale was sent.
+  time_point latest_read_at;
   /// When the last read with `kMaybeStale` was sent.
   time_point stale_read_at;
 };
--- a/test/sassafraswick/failover/promotion_model.cc
+++ b/test/sassafraswick/failover/promotion_model.cc
@@ -509,6 +509,10 @@
         self.replacement.phase == replacement_phase::kWaiting;
     const time_point tick_time =
         skip_wait ? now_ + sassafraswick::kPrimaryLeaseDuration : now_;
+    // All instances are listed from the start.
+    if (!store_.down && !IsPartitioned(self.name, "store")) {
+      self.replacement.list_read_at = now_;
+    }
     for (replacement_action& action : AdvanceReplacement(
              self.replacement, GroupHealth(self), settings_, tick_time)) {
       ExecuteAction(self, action);
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -474,6 +474,70 @@
   CHECK(state.proof == choice_proof::kOldPrimary);
 }
 
+/// Returns a state in which the primary has been stepped down at 2,060 ms,
+/// since its replicas lack its last ten entries.
+replacement_state CutOffAndSteppedDown(group_health& group) {
+  replacement_state state;
+  group = Healthy(0);
+  CHECK(AdvanceReplacement(state, group, kSettings, At(0)).empty());
+  group[0].status->received = {1, 20};
+  CHECK(Contains(AdvanceResponsive(state, group, 500, 2050),
+                 replacement_action_kind::kStepDown, "a"));
+  CHECK(state.cause == replacement_cause::kCutOff);
+  group[0].status = instance_status{1, false, {1, 20}, 0};
+  RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
+               *group[0].status, At(2060));
+  return state;
+}
+
+// An instance that joined during an outage of the store had confirmed what only
+// the primary had besides. A replica that lacked it was promoted, though the
+// primary was still running. Seen with: review/6.
+TEST_CASE("an instance behind a primary that stepped down needs a later list",
+          "[replacement]") {
+  group_health group;
+  replacement_state state = CutOffAndSteppedDown(group);
+  SECTION("without one, the primary is promoted while its lease is valid") {
+    state.list_read_at = At(2050);
+    const std::vector<replacement_action> actions =
+        AdvanceResponsive(state, group, 2100, 2900);
+    CHECK(Contains(actions, replacement_action_kind::kPromote, "a"));
+    CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "b"));
+    CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "c"));
+    CHECK(state.proof == choice_proof::kOldPrimary);
+  }
+  SECTION("without one and without the primary, nothing is promoted") {
+    group[0].silent_since = At(2100);
+    const std::vector<replacement_action> actions =
+        AdvanceResponsive(state, group, 2100, 9000);
+    CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "b"));
+    CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "c"));
+  }
+  SECTION("with one, a replica is promoted as soon as before") {
+    CHECK_FALSE(AwaitsList(state, At(2200)));
+    CHECK(AwaitsList(state, At(2300)));
+    state.list_read_at = At(2300);
+    CHECK_FALSE(AwaitsList(state, At(2310)));
+    const std::vector<replacement_action> actions =
+        AdvanceResponsive(state, group, 2350, 2700);
+    CHECK(Contains(actions, replacement_action_kind::kPromote, "b"));
+    CHECK(state.proof == choice_proof::kMostAdvanced);
+  }
+  SECTION("one that names a new instance waits for its position") {
+    state.list_read_at = At(2300);
+    instance_health joined;
+    joined.id = "d";
+    group.push_back(joined);
+    CHECK_FALSE(Contains(AdvanceReplacement(state, group, kSettings, At(2650)),
+                         replacement_action_kind::kPromote, "b"));
+    group[3] = Instance("d", false, 20, At(2660));
+    const std::vector<replacement_action> actions =
+        AdvanceResponsive(state, group, 2700, 2800);
+    CHECK(Contains(actions, replacement_action_kind::kPromote, "d"));
+    CHECK(state.proof == choice_proof::kHasPrimaryLog);
+  }
+}
+
 TEST_CASE("without the primary an unproved instance is promoted late",
           "[replacement]") {
   group_health group;
