Let other hosts make a primary step down that the lease's holder does not reach

Cause: the primary was partitioned from the holder of the failover lease only, and did not step down. Paused replicas keep it from acknowledging, but an instance that joins during the promotion is not paused, and confirmed its commits to the hosts that reached it.

Change: with each step-down to a silent primary the holder asks up to eight other hosts to send it too (failover/step_down_relay, gateway/step_down_exchange). A host acts only for the holder and the claim that its own registry names, asked again right before the bytes are written. Two new messages between hosts; earlier builds ignore them, and without answers all is as before.

A test with real processes needs links from each host to each instance, which the stand-in does not have.

--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -260,7 +260,7 @@
 /// Returns whether every instance that confirmed a write before the primary
 /// stepped down is known: the list of instances was read after it had.
 bool IsListComplete(const replacement_state& state) {
-  return state.list_read_at >= state.fenced_at + kEntryDelay;
+  return state.list_read_at >= state.stepped_down_at + kEntryDelay;
 }
 
 /// An instance to promote, and why it was chosen.
@@ -432,7 +432,7 @@
 bool AwaitsList(const replacement_state& state, time_point now) {
   return state.phase == replacement_phase::kWaiting &&
          state.stepped_down_position.has_value() &&
-         now >= state.fenced_at + kEntryDelay && !IsListComplete(state);
+         now >= state.stepped_down_at + kEntryDelay && !IsListComplete(state);
 }
 
 std::vector<replacement_action> AdvanceReplacement(
@@ -485,6 +485,9 @@
   }
   if (action.kind == replacement_action_kind::kStepDown &&
       action.instance == state.primary && !status.is_primary) {
+    if (!state.stepped_down_position.has_value()) {
+      state.stepped_down_at = now;
+    }
     state.stepped_down_position = status.received;
   }
   if (action.kind == replacement_action_kind::kPauseReplication &&
--- a/src/sassafraswick/failover/replacement.h
+++ b/src/sassafraswick/failover/replacement.h
@@ -182,6 +182,8 @@
   std::string primary;
   /// Last log entry of the primary when it stepped down.
   std::optional<log_point> stepped_down_position;
+  /// When the first response said so.
+  time_point stepped_down_at;
   /// Instances that paused replication.
   std::map<std::string, replica_pause> paused;
   std::map<std::string, fence_request> fence_requests;
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "sassafraswick/failover/replacement.h"
+#include "sassafraswick/failover/step_down_relay.h"
 #include "sassafraswick/gateway/fleet_agent.h"
 #include "sassafraswick/net/spawn.h"
 
@@ -41,7 +42,13 @@
 
   failover_agent(const Platform& platform, gateway_state<codec>& gateway,
                  fleet_agent<Platform>& fleet)
-      : platform_(platform), gateway_(gateway), fleet_(fleet) {}
+      : platform_(platform), gateway_(gateway), fleet_(fleet) {
+    fleet_.StepDowns().OnStatus([this](const std::string& pool,
+                                       const replacement_action& action,
+                                       const instance_status& status) {
+      OnFenced(pool, action, status);
+    });
+  }
 
   /// Runs until the process ends.
   boost::asio::awaitable<void> Run() {
@@ -83,6 +90,9 @@
     OnPhase(*group, watched, previous_phase);
     LogIncompleteFence(*group, watched, now);
     for (const replacement_action& action : actions) {
+      if (NeedsRelay(watched.state, group->Health(), action)) {
+        fleet_.StepDowns().Request(group->Name(), action);
+      }
       Spawn(gateway_.context, "group",
             [this, group, action] { return ExecuteAction(group, action); });
     }
@@ -210,13 +220,23 @@
     };
     const std::optional<instance_status> status = co_await group->SendControl(
         target, StatementOf(action.kind), action.term, may_send);
-    const auto watched = watched_.find(group->Name());
-    if (status.has_value() && watched != watched_.end()) {
-      const replacement_phase previous_phase = watched->second.state.phase;
-      RecordFenced(watched->second.state, group->Health(), action, *status,
-                   monotonic_clock::now());
-      OnPhase(*group, watched->second, previous_phase);
+    if (status.has_value()) {
+      OnFenced(group->Name(), action, *status);
+    }
+  }
+
+  /// Records the status that an instance returned to a fencing request.
+  void OnFenced(const std::string& pool, const replacement_action& action,
+                const instance_status& status) {
+    const group_pointer group = gateway_.FindGroup(pool);
+    const auto watched = watched_.find(pool);
+    if (group == nullptr || watched == watched_.end()) {
+      return;
     }
+    const replacement_phase previous_phase = watched->second.state.phase;
+    RecordFenced(watched->second.state, group->Health(), action, status,
+                 monotonic_clock::now());
+    OnPhase(*group, watched->second, previous_phase);
   }
 
   boost::asio::awaitable<void> Promote(group_pointer group,
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -20,6 +20,7 @@
 #include "sassafraswick/gateway/registry.h"
 #include "sassafraswick/gateway/settings.h"
 #include "sassafraswick/gateway/shared_store.h"
+#include "sassafraswick/gateway/step_down_exchange.h"
 #include "sassafraswick/gateway/store_call_recorder.h"
 #include "sassafraswick/gateway/store_watcher.h"
 #include "sassafraswick/gateway/target_directory.h"
@@ -61,6 +62,14 @@
                 [this](const std::string& route, message::envelope envelope) {
                   Respond(route, std::move(envelope));
                 }),
+        step_downs_(
+            gateway, registry_, host_,
+            [this](const std::string& to, message::envelope envelope) {
+              SendTo(to, std::move(envelope));
+            },
+            [this](const std::string& route, message::envelope envelope) {
+              Respond(route, std::move(envelope));
+            }),
         registration_(
             platform, gateway, registry_, eras_, calls_,
             [this](store_era era) { ObserveEra(era); }, host_,
@@ -138,6 +147,10 @@
       watcher_.HandleRequest(received.host(), route, received.news_request());
     } else if (received.has_news_answer()) {
       watcher_.HandleAnswer(received.news_answer());
+    } else if (received.has_step_down_request()) {
+      step_downs_.HandleRequest(received, route);
+    } else if (received.has_step_down_answer()) {
+      step_downs_.HandleAnswer(received.step_down_answer());
     } else if (received.has_configuration_request()) {
       SendRecord(route);
     } else if (received.has_configuration_record()) {
@@ -157,6 +170,9 @@
     return registration_.HoldsFailover(now);
   }
 
+  /// Step-downs that other hosts carry out for this one.
+  [[nodiscard]] step_down_exchange<codec>& StepDowns() { return step_downs_; }
+
   [[nodiscard]] const host_registry& Registry() const { return registry_; }
   [[nodiscard]] const std::string& Host() const { return host_; }
   [[nodiscard]] store_era StoreEra() const { return eras_.Current(); }
@@ -521,6 +537,7 @@
   target_directory<Platform> targets_;
   proof_exchange<codec> proofs_;
   connection_lender<codec> lender_;
+  step_down_exchange<codec> step_downs_;
   registration<Platform> registration_;
   store_watcher<Platform> watcher_;
 };
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -538,6 +538,24 @@
   }
 }
 
+TEST_CASE("a step-down that is known late needs a list read after it",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 11, 2465);
+  RecordPause(state, group, 2, 12, 2470);
+  // Another host reached the primary, which had more than `b` and `c`.
+  RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
+               instance_status{1, false, {1, 20}, 0}, At(2800));
+  state.list_read_at = At(2900);
+  CHECK(AwaitsList(state, At(3000)));
+  CHECK_FALSE(Contains(AdvanceReplacement(state, group, kSettings, At(3000)),
+                       replacement_action_kind::kPromote, "c"));
+  state.list_read_at = At(3000);
+  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(3050)),
+                 replacement_action_kind::kPromote, "c"));
+}
+
 TEST_CASE("without the primary an unproved instance is promoted late",
           "[replacement]") {
   group_health group;
