--- a/test/sassafraswick/failover/step_down_relay_test.cc
+++ b/test/sassafraswick/failover/step_down_relay_test.cc
@@ -30,6 +30,7 @@
 
 std::vector<std::string> Hosts(int count) {
   std::vector<std::string> hosts;
+  hosts.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     hosts.push_back("h" + std::to_string(i));
   }
