Split the replacement of a primary into its fence, its choice and its state

What both read is in replacement_state.

Callers see no change, and no line of logic changes: functions move, their declarations with them. Ruled out: splitting by phase, which would have cut both decisions in two.

--- a/src/sassafraswick/failover/loss_detection.h
+++ b/src/sassafraswick/failover/loss_detection.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "sassafraswick/failover/replacement.h"
+#include "sassafraswick/failover/replacement_state.h"
 
 /// @file
 /// Detects from the responses of a group's instances whether its primary must
@@ -20,6 +20,11 @@
 [[nodiscard]] const instance_health* FindInstance(const group_health& group,
                                                   const std::string& id);
 
+/// Returns the instance that last reported itself primary of the highest known
+/// term, or null if there is none.
+[[nodiscard]] const instance_health* FindCurrentPrimary(
+    const group_health& group);
+
 /// Returns whether an instance responded to the last request.
 [[nodiscard]] bool IsResponsive(const instance_health& instance);
 
--- a/src/sassafraswick/failover/step_down_relay.h
+++ b/src/sassafraswick/failover/step_down_relay.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "sassafraswick/failover/replacement.h"
+#include "sassafraswick/failover/replacement_state.h"
 
 /// @file
 /// Step-downs through other hosts. A primary that is partitioned from the
--- /dev/null
+++ b/src/sassafraswick/failover/successor_choice.h
@@ -0,0 +1,35 @@
+#ifndef SASSAFRASWICK_FAILOVER_SUCCESSOR_CHOICE_H_
+#define SASSAFRASWICK_FAILOVER_SUCCESSOR_CHOICE_H_
+
+#include <string>
+
+#include "sassafraswick/failover/replacement_state.h"
+
+/// @file
+/// Chooses the instance that succeeds a fenced primary.
+
+namespace sassafraswick {
+
+/// Time from an instance's start within which the store lists it.
+inline constexpr duration kEntryDelay = std::chrono::milliseconds(200);
+
+/// An instance to promote, and why it was chosen.
+struct promotion_choice {
+  /// Empty if no instance is to be promoted yet.
+  std::string id;
+  choice_proof proof = choice_proof::kNone;
+};
+
+/// Returns whether every instance that confirmed a write before the primary
+/// stepped down is known: the list of instances was read after it had.
+[[nodiscard]] bool IsListComplete(const replacement_state& state);
+
+/// Chooses an instance that has every acknowledged write; without proof only
+/// once `member_return_timeout` has passed.
+[[nodiscard]] promotion_choice ChooseInstance(
+    const replacement_state& state, const group_health& group,
+    const replacement_settings& settings, time_point now);
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_FAILOVER_SUCCESSOR_CHOICE_H_
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "sassafraswick/failover/fence.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/failover/step_down_relay.h"
 #include "sassafraswick/gateway/fleet_agent.h"
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -14,7 +14,7 @@
 #include "sassafraswick/config/catalog.h"
 #include "sassafraswick/consistency/primary_view.h"
 #include "sassafraswick/core/log.h"
-#include "sassafraswick/failover/replacement.h"
+#include "sassafraswick/failover/replacement_state.h"
 #include "sassafraswick/gateway/connection_pool.h"
 #include "sassafraswick/gateway/counters.h"
 #include "sassafraswick/gateway/settings.h"
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -10,7 +10,7 @@
 
 #include "sassafraswick/config/catalog.h"
 #include "sassafraswick/consistency/replica_progress.h"
-#include "sassafraswick/failover/replacement.h"
+#include "sassafraswick/failover/replacement_state.h"
 #include "sassafraswick/fleet/zone_evacuation.h"
 #include "sassafraswick/gateway/connection_line.h"
 #include "sassafraswick/gateway/instance_gate.h"
--- a/src/sassafraswick/session/codec.h
+++ b/src/sassafraswick/session/codec.h
@@ -9,7 +9,7 @@
 
 #include "sassafraswick/core/error.h"
 #include "sassafraswick/core/log_point.h"
-#include "sassafraswick/failover/replacement.h"
+#include "sassafraswick/failover/replacement_state.h"
 #include "sassafraswick/session/statement.h"
 
 /// @file
--- a/test/sassafraswick/failover/step_down_relay_test.cc
+++ b/test/sassafraswick/failover/step_down_relay_test.cc
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "sassafraswick/failover/replacement.h"
+
 namespace sassafraswick {
 namespace {
 
