Log what was known of each instance when one is chosen

A replacement names the chosen instance and the proof, but not which positions it compared, how old they were, whether an instance answered, paused, left or refused, nor which members were missing, unless the choice was unproved; and an entry of the list names neither the address nor the start of its process, so that two processes at one address look like one.

Now each order comes with promotion_choice (per instance the position, its age and what limits its use; the position of a primary that stepped down; the members missing), fence_incomplete has the same, promotion tells how long the answer took, and target_entry has address and start. The counter of unproved promotions rises once an order, not once a change of phase. The lines move to gateway/failover_log.

Callers see no change; a few lines more a replacement.

--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -9,9 +9,9 @@
 #include <utility>
 #include <vector>
 
-#include "sassafraswick/failover/fence.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/failover/step_down_relay.h"
+#include "sassafraswick/gateway/failover_log.h"
 #include "sassafraswick/gateway/fleet_agent.h"
 #include "sassafraswick/net/spawn.h"
 
@@ -89,7 +89,7 @@
       fleet_.RequestTargets();
     }
     OnPhase(*group, watched, previous_phase);
-    LogIncompleteFence(*group, watched, now);
+    LogIncompleteFenceRarely(*group, watched, now);
     for (const replacement_action& action : actions) {
       if (NeedsRelay(watched.state, group->Health(), action)) {
         fleet_.StepDowns().Request(group->Name(), action);
@@ -140,69 +140,25 @@
     if (state.phase == replacement_phase::kWaiting) {
       PreparePromotion(watched);
     }
-    Log(log_level::kInfo, "replacement",
-        {{"pool", group.Name()},
-         {"phase", std::string(PhaseName(state.phase))},
-         {"cause", std::string(CauseName(state.cause))},
-         {"primary", state.primary},
-         {"term", std::to_string(state.term)},
-         {"chosen", state.chosen},
-         {"proof", std::string(ProofName(state.proof))}});
-    if (state.proof == choice_proof::kUnproved) {
-      ++gateway_.counters.unproved_promotions;
-      LogUnproved(group, state);
+    LogPhase(group.Name(), state);
+    if (state.phase == replacement_phase::kPromoting) {
+      gateway_.counters.unproved_promotions +=
+          state.proof == choice_proof::kUnproved ? 1 : 0;
+      LogChoice(group.Name(), state, group.Health(), monotonic_clock::now());
     }
   }
 
-  static std::string FormatPosition(const log_point& position) {
-    return std::to_string(position.term) + "." +
-           std::to_string(position.position);
-  }
-
-  /// Logs which instances keep a fence from being complete.
-  static void LogIncompleteFence(const target_group<codec>& group,
-                                 watched_group& watched, time_point now) {
+  static void LogIncompleteFenceRarely(const target_group<codec>& group,
+                                       watched_group& watched, time_point now) {
     constexpr duration kInterval = std::chrono::seconds(1);
     const replacement_state& state = watched.state;
     const bool is_due = state.phase == replacement_phase::kFencing &&
                         now - state.since >= kInterval &&
                         now - watched.fence_logged_at >= kInterval;
-    if (!is_due) {
-      return;
-    }
-    watched.fence_logged_at = now;
-    std::string unfenced;
-    for (const std::string& id : ListUnfenced(state, group.Health())) {
-      unfenced += id + " ";
-    }
-    Log(log_level::kInfo, "fence_incomplete",
-        {{"pool", group.Name()},
-         {"cause", std::string(CauseName(state.cause))},
-         {"primary", state.primary},
-         {"unfenced", unfenced}});
-  }
-
-  /// Logs what is known of each instance when none is proved to have every
-  /// acknowledged write.
-  static void LogUnproved(const target_group<codec>& group,
-                          const replacement_state& state) {
-    std::string positions;
-    for (const instance_health& instance : group.Health()) {
-      positions += instance.id + "=";
-      positions += instance.status.has_value()
-                       ? FormatPosition(instance.status->received)
-                       : std::string("unknown");
-      positions += instance.listed ? " " : "(left) ";
-    }
-    std::string missing;
-    for (const std::pair<const std::string, group_member>& member :
-         state.members) {
-      missing += member.second.left_at.has_value() ? member.first + " " : "";
+    if (is_due) {
+      watched.fence_logged_at = now;
+      LogIncompleteFence(group.Name(), state, group.Health(), now);
     }
-    Log(log_level::kWarning, "promotion_unproved",
-        {{"pool", group.Name()},
-         {"positions", positions},
-         {"missing", missing}});
   }
 
   boost::asio::awaitable<void> ExecuteAction(group_pointer group,
@@ -248,6 +204,7 @@
       return IsHeldSince(claim);
     };
     const std::shared_ptr<promoter> sender = TakePromoter(group->Name());
+    const time_point sent_at = monotonic_clock::now();
     const result<bool> accepted = co_await sender->Promote(
         group->Name(), action.instance, fleet_.Host(), token, may_send);
     const bool was_sent =
@@ -257,6 +214,8 @@
         {{"pool", group->Name()},
          {"target", action.instance},
          {"token", std::to_string(token)},
+         {"took_ms",
+          std::to_string(ToMilliseconds(monotonic_clock::now() - sent_at))},
          {"outcome", accepted ? (accepted.value() ? "accepted" : "not running")
                               : accepted.error().message}});
     const auto watched = watched_.find(group->Name());
--- a/src/sassafraswick/gateway/target_directory.h
+++ b/src/sassafraswick/gateway/target_directory.h
@@ -158,6 +158,8 @@
     Log(log_level::kInfo, "target_entry",
         {{"target", record.id},
          {"pool", record.pool},
+         {"address", FormatEndpoint(record.address)},
+         {"start", std::to_string(record.start_id)},
          {"leaving", record.leaving ? "yes" : "no"},
          {"claims_primary", record.claims_primary ? "yes" : "no"}});
   }
