Decide by processes, not by identifiers, and promote only what runs

Cause: what is known of an instance is kept by its identifier and outlives the process. An instance that had paused stayed the first candidate while nothing answered at its port, and its pause and position counted for the next process.

Change: health carries since when its process is known (an entry with another start begins a new one), members of the term are processes, a pause counts for its process only. The position of an instance that has stopped still tells what it may have confirmed, but only one that runs is chosen: those that respond, after catch_up_timeout also silent ones, never one whose port refuses connections. The primary view forgets a primary that started again. group_members takes the tracking of members out of loss_detection.

Ruled out: leaving stopped instances out of the choice altogether, which would prove one that is behind.

--- a/src/sassafraswick/failover/fence.cc
+++ b/src/sassafraswick/failover/fence.cc
@@ -82,15 +82,17 @@
   return unfenced;
 }
 
-void DropResumedReplicas(replacement_state& state, const group_health& group) {
+void DropLapsedFences(replacement_state& state, const group_health& group) {
   for (const instance_health& instance : group) {
     const auto paused = state.paused.find(instance.id);
-    const bool receives = paused != state.paused.end() &&
-                          IsResponsive(instance) &&
+    if (paused == state.paused.end()) {
+      continue;
+    }
+    const bool receives = IsResponsive(instance) &&
                           instance.requested_at > paused->second.since &&
                           std::max(instance.status->paused_term,
                                    instance.status->term) < state.term;
-    if (receives) {
+    if (receives || paused->second.since < instance.seen_since) {
       state.paused.erase(paused);
       state.fence_requests.erase(instance.id);
     }
--- a/src/sassafraswick/failover/fence.h
+++ b/src/sassafraswick/failover/fence.h
@@ -25,9 +25,9 @@
 [[nodiscard]] std::vector<std::string> ListUnfenced(
     const replacement_state& state, const group_health& group);
 
-/// Removes instances that replicate again because they were restarted or told
-/// to resume.
-void DropResumedReplicas(replacement_state& state, const group_health& group);
+/// Removes the pauses of replicas that replicate again because they were
+/// restarted or told to resume.
+void DropLapsedFences(replacement_state& state, const group_health& group);
 
 /// Returns whether no instance can acknowledge a write of the old term.
 [[nodiscard]] bool IsFenced(const replacement_state& state,
--- /dev/null
+++ b/src/sassafraswick/failover/group_members.cc
@@ -0,0 +1,131 @@
+#include "sassafraswick/failover/group_members.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "sassafraswick/failover/loss_detection.h"
+
+namespace sassafraswick {
+namespace {
+
+/// Returns whether a process can no longer be asked: its instance is not listed
+/// or runs another process, or it announced that it will stop and does not
+/// respond.
+bool HasLeft(const instance_health* instance, const process_key& process) {
+  return instance == nullptr || instance->seen_since != process.second ||
+         !instance->listed || (instance->leaving && !IsResponsive(*instance));
+}
+
+/// Returns whether a listed replica has received all entries up to a position.
+bool IsCovered(const group_health& group, const std::string& primary,
+               const log_point& bound) {
+  return std::any_of(group.begin(), group.end(),
+                     [&](const instance_health& instance) {
+                       return instance.id != primary && instance.listed &&
+                              instance.status.has_value() &&
+                              !IsBehind(instance.status->received, bound);
+                     });
+}
+
+/// Returns the last entry that a process confirmed that it would receive before
+/// it paused replication; nothing if it did not pause.
+std::optional<log_point> PausedAt(const replacement_state& state,
+                                  const process_key& process,
+                                  const instance_health* instance) {
+  const auto paused = state.paused.find(process.first);
+  if (paused == state.paused.end() || paused->second.since < process.second) {
+    return std::nullopt;
+  }
+  const bool by_other_process = instance != nullptr &&
+                                instance->seen_since != process.second &&
+                                instance->seen_since <= paused->second.since;
+  return by_other_process ? std::nullopt
+                          : std::optional<log_point>(paused->second.received);
+}
+
+/// Updates the bound of what a process that has left may have confirmed: its
+/// last entry if it was paused before, otherwise a position of the primary from
+/// after it left.
+void UpdateBound(group_member& member, const replacement_state& state,
+                 const process_key& process, const group_health& group) {
+  const instance_health* const instance = FindInstance(group, process.first);
+  const std::optional<log_point> paused_at = PausedAt(state, process, instance);
+  if (paused_at.has_value()) {
+    member.bound = paused_at;
+  }
+  const instance_health* const primary = FindCurrentPrimary(group);
+  const bool is_position_known =
+      primary != nullptr && primary->requested_at > *member.left_at;
+  if (!member.bound.has_value() && is_position_known) {
+    member.bound = primary->status->received;
+  }
+}
+
+void TrackPrimary(replacement_state& state, const group_health& group) {
+  const instance_health* const primary = FindCurrentPrimary(group);
+  if (primary == nullptr) {
+    return;
+  }
+  if (!WasTermPrimary(state, ProcessOf(*primary))) {
+    state.term_primaries.push_back(ProcessOf(*primary));
+  }
+}
+
+}  // namespace
+
+process_key ProcessOf(const instance_health& instance) {
+  return {instance.id, instance.seen_since};
+}
+
+bool WasTermPrimary(const replacement_state& state,
+                    const process_key& process) {
+  return std::find(state.term_primaries.begin(), state.term_primaries.end(),
+                   process) != state.term_primaries.end();
+}
+
+void TrackMembers(replacement_state& state, const group_health& group,
+                  time_point now) {
+  const term_number term = HighestTerm(group);
+  if (term != state.members_term) {
+    state.members.clear();
+    state.term_primaries.clear();
+    state.members_term = term;
+  }
+  TrackPrimary(state, group);
+  for (const instance_health& instance : group) {
+    if (HasLeft(&instance, ProcessOf(instance))) {
+      continue;
+    }
+    group_member& member = state.members[ProcessOf(instance)];
+    member.left_at.reset();
+    member.bound.reset();
+  }
+  const instance_health* const current_primary = FindCurrentPrimary(group);
+  const std::string primary =
+      current_primary == nullptr ? state.primary : current_primary->id;
+  for (auto each = state.members.begin(); each != state.members.end();) {
+    group_member& member = each->second;
+    if (HasLeft(FindInstance(group, each->first.first), each->first)) {
+      member.left_at = member.left_at.value_or(now);
+      UpdateBound(member, state, each->first, group);
+    }
+    const bool is_covered = member.left_at.has_value() &&
+                            member.bound.has_value() &&
+                            IsCovered(group, primary, *member.bound);
+    each = is_covered ? state.members.erase(each) : std::next(each);
+  }
+}
+
+std::optional<time_point> LastMemberLeftAt(const replacement_state& state,
+                                           const std::string& primary) {
+  std::optional<time_point> last;
+  for (const std::pair<const process_key, group_member>& each : state.members) {
+    if (each.first.first != primary && !WasTermPrimary(state, each.first)) {
+      last = std::max(last, each.second.left_at);
+    }
+  }
+  return last;
+}
+
+}  // namespace sassafraswick
--- /dev/null
+++ b/src/sassafraswick/failover/group_members.h
@@ -0,0 +1,37 @@
+#ifndef SASSAFRASWICK_FAILOVER_GROUP_MEMBERS_H_
+#define SASSAFRASWICK_FAILOVER_GROUP_MEMBERS_H_
+
+#include <optional>
+#include <string>
+
+#include "sassafraswick/failover/replacement_state.h"
+
+/// @file
+/// Tracks the processes that may have confirmed writes of the current term,
+/// also after they have left. An identifier or an address may pass from one
+/// process to another, which knows nothing of what the first one confirmed.
+
+namespace sassafraswick {
+
+/// Returns the process that an instance runs now.
+[[nodiscard]] process_key ProcessOf(const instance_health& instance);
+
+/// Returns whether a process was primary of the current term.
+[[nodiscard]] bool WasTermPrimary(const replacement_state& state,
+                                  const process_key& process);
+
+/// Tracks which processes may have confirmed writes of the current term. One
+/// that has left is kept, for however long, until a remaining replica has what
+/// the primary had after that, or a higher term begins.
+void TrackMembers(replacement_state& state, const group_health& group,
+                  time_point now);
+
+/// Returns when the last of the members left that may have confirmed writes
+/// which no remaining replica has; nothing if there is none.
+/// @param primary The primary, which confirms no writes of its own.
+[[nodiscard]] std::optional<time_point> LastMemberLeftAt(
+    const replacement_state& state, const std::string& primary);
+
+}  // namespace sassafraswick
+
+#endif  // SASSAFRASWICK_FAILOVER_GROUP_MEMBERS_H_
--- a/src/sassafraswick/failover/loss_detection.cc
+++ b/src/sassafraswick/failover/loss_detection.cc
@@ -1,8 +1,8 @@
 #include "sassafraswick/failover/loss_detection.h"
 
 #include <algorithm>
-#include <iterator>
-#include <utility>
+
+#include "sassafraswick/failover/group_members.h"
 
 namespace sassafraswick {
 namespace {
@@ -50,41 +50,6 @@
          now - *primary.silent_since >= settings.silent_after;
 }
 
-/// Returns whether an instance can no longer be asked: it is not listed, or it
-/// announced that it will stop and does not respond.
-bool HasLeft(const instance_health* instance) {
-  return instance == nullptr || !instance->listed ||
-         (instance->leaving && !IsResponsive(*instance));
-}
-
-/// Returns whether a listed replica has received all entries up to a position.
-bool IsCovered(const group_health& group, const std::string& primary,
-               const log_point& bound) {
-  return std::any_of(group.begin(), group.end(),
-                     [&](const instance_health& instance) {
-                       return instance.id != primary && instance.listed &&
-                              instance.status.has_value() &&
-                              !IsBehind(instance.status->received, bound);
-                     });
-}
-
-/// Updates the bound of what an instance that has left may have confirmed: its
-/// last entry if it was paused before, otherwise a position of the primary from
-/// after it left.
-void UpdateBound(group_member& member, const replacement_state& state,
-                 const std::string& id, const instance_health* primary) {
-  const auto paused = state.paused.find(id);
-  if (paused != state.paused.end()) {
-    member.bound = paused->second.received;
-  }
-  const bool is_position_known = primary != nullptr &&
-                                 primary->status.has_value() &&
-                                 primary->requested_at > *member.left_at;
-  if (!member.bound.has_value() && is_position_known) {
-    member.bound = primary->status->received;
-  }
-}
-
 }  // namespace
 
 term_number HighestTerm(const group_health& group) {
@@ -140,45 +105,6 @@
   }
 }
 
-void TrackMembers(replacement_state& state, const group_health& group,
-                  time_point now) {
-  const term_number term = HighestTerm(group);
-  if (term != state.members_term) {
-    state.members.clear();
-    state.members_term = term;
-  }
-  for (const instance_health& instance : group) {
-    if (!HasLeft(&instance)) {
-      state.members[instance.id] = group_member();
-    }
-  }
-  const instance_health* const current_primary = FindCurrentPrimary(group);
-  const std::string primary =
-      current_primary == nullptr ? state.primary : current_primary->id;
-  for (auto each = state.members.begin(); each != state.members.end();) {
-    group_member& member = each->second;
-    if (HasLeft(FindInstance(group, each->first))) {
-      member.left_at = member.left_at.value_or(now);
-      UpdateBound(member, state, each->first, current_primary);
-    }
-    const bool is_covered = member.left_at.has_value() &&
-                            member.bound.has_value() &&
-                            IsCovered(group, primary, *member.bound);
-    each = is_covered ? state.members.erase(each) : std::next(each);
-  }
-}
-
-std::optional<time_point> LastMemberLeftAt(const replacement_state& state,
-                                           const std::string& primary) {
-  std::optional<time_point> last;
-  for (const std::pair<const std::string, group_member>& each : state.members) {
-    if (each.first != primary) {
-      last = std::max(last, each.second.left_at);
-    }
-  }
-  return last;
-}
-
 replacement_cause FindReplacementCause(const replacement_state& state,
                                        const group_health& group,
                                        const replacement_settings& settings,
--- a/src/sassafraswick/failover/loss_detection.h
+++ b/src/sassafraswick/failover/loss_detection.h
@@ -34,18 +34,6 @@
 void TrackReplication(replacement_state& state, const group_health& group,
                       const std::string& primary, time_point now);
 
-/// Tracks which instances may have confirmed writes of the current term. One
-/// that has left is kept, for however long, until a remaining replica has what
-/// the primary had after that, or a higher term begins.
-void TrackMembers(replacement_state& state, const group_health& group,
-                  time_point now);
-
-/// Returns when the last of the members left that may have confirmed writes
-/// which no remaining replica has; nothing if there is none.
-/// @param primary The primary, which confirms no writes of its own.
-[[nodiscard]] std::optional<time_point> LastMemberLeftAt(
-    const replacement_state& state, const std::string& primary);
-
 /// Returns why the primary must be replaced, or `kNone`.
 [[nodiscard]] replacement_cause FindReplacementCause(
     const replacement_state& state, const group_health& group,
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -4,6 +4,7 @@
 
 #include "sassafraswick/consistency/primary_view.h"
 #include "sassafraswick/failover/fence.h"
+#include "sassafraswick/failover/group_members.h"
 #include "sassafraswick/failover/loss_detection.h"
 #include "sassafraswick/failover/successor_choice.h"
 
@@ -120,7 +121,7 @@
 
 action_list Wait(replacement_state& state, const group_health& group,
                  const replacement_settings& settings, time_point now) {
-  DropResumedReplicas(state, group);
+  DropLapsedFences(state, group);
   if (!IsFenced(state, group)) {
     EnterPhase(state, replacement_phase::kFencing, now);
     return Fence(state, group, settings, now);
@@ -145,7 +146,7 @@
   if (now - state.since >= settings.promotion_timeout) {
     EnterPhase(state, replacement_phase::kFencing, now);
   }
-  DropResumedReplicas(state, group);
+  DropLapsedFences(state, group);
   return Fence(state, group, settings, now);
 }
 
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "sassafraswick/core/log_point.h"
@@ -30,6 +31,9 @@
 /// State of an instance as known to the holder of the failover lease.
 struct instance_health {
   std::string id;
+  /// When this process was first seen. Another process may have run under the
+  /// same identifier before.
+  time_point seen_since;
   /// The instance announced that it will stop, or is no longer listed.
   bool leaving = false;
   bool listed = true;
@@ -139,7 +143,10 @@
 /// Returns the name of a proof as written to logs.
 [[nodiscard]] std::string_view ProofName(choice_proof proof) noexcept;
 
-/// An instance that may have confirmed writes of the current term.
+/// One process of an instance: its identifier and `seen_since`.
+using process_key = std::pair<std::string, time_point>;
+
+/// A process that may have confirmed writes of the current term.
 struct group_member {
   /// When it was found to have left.
   std::optional<time_point> left_at;
@@ -184,10 +191,13 @@
   time_point fenced_at;
   std::string chosen;
   choice_proof proof = choice_proof::kNone;
-  /// Instances listed in `members_term`, except those that have left and whose
+  /// Processes listed in `members_term`, except those that have left and whose
   /// confirmed writes another instance is known to have.
-  std::map<std::string, group_member> members;
+  std::map<process_key, group_member> members;
   term_number members_term = 0;
+  /// The processes that were primary of `members_term`, one after the other. A
+  /// primary confirms no writes of its own.
+  std::vector<process_key> term_primaries;
   /// When the newest complete read of the list of instances was sent. Set by
   /// the caller before `AdvanceReplacement`.
   time_point list_read_at;
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -1,29 +1,56 @@
 #include "sassafraswick/failover/successor_choice.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <vector>
 
+#include "sassafraswick/failover/group_members.h"
 #include "sassafraswick/failover/loss_detection.h"
 
 namespace sassafraswick {
 namespace {
 
+/// Whether an instance can be promoted.
+enum class usability : std::uint8_t {
+  kResponds,
+  /// It does not respond to this host. It may run all the same.
+  kSilent,
+  /// It is not running.
+  kNone,
+};
+
+/// An instance whose last log entry is known.
 struct candidate {
   std::string id;
   log_point end;
   bool leaving = false;
+  usability usable = usability::kNone;
 };
 
 bool IsBetter(const candidate& left, const candidate& right) {
   if (left.end != right.end) {
     return IsBehind(right.end, left.end);
   }
+  if (left.usable != right.usable) {
+    return left.usable < right.usable;
+  }
   return !left.leaving && right.leaving;
 }
 
+usability UsabilityOf(const instance_health& instance) {
+  if (instance.refused_since.has_value()) {
+    return usability::kNone;
+  }
+  if (IsResponsive(instance)) {
+    return usability::kResponds;
+  }
+  return instance.listed ? usability::kSilent : usability::kNone;
+}
+
 /// Returns the instances, except the old primary, that reported their last log
 /// entry after the fence or when they paused replication. The best candidate
-/// comes first.
+/// comes first. The position of one that has stopped since tells what it may
+/// have confirmed.
 std::vector<candidate> CollectCandidates(const replacement_state& state,
                                          const group_health& group) {
   std::vector<candidate> found;
@@ -31,49 +58,73 @@
     if (instance.id == state.primary) {
       continue;
     }
+    const usability usable = UsabilityOf(instance);
     const auto paused = state.paused.find(instance.id);
     const bool current =
         IsResponsive(instance) && instance.requested_at >= state.fenced_at;
     if (current) {
       found.push_back(
-          {instance.id, instance.status->received, instance.leaving});
+          {instance.id, instance.status->received, instance.leaving, usable});
     } else if (paused != state.paused.end()) {
-      found.push_back({instance.id, paused->second.received, instance.leaving});
+      found.push_back(
+          {instance.id, paused->second.received, instance.leaving, usable});
     }
   }
   std::sort(found.begin(), found.end(), IsBetter);
   return found;
 }
 
-/// Chooses among instances that provably have every acknowledged write. Leaving
-/// instances are chosen only after `catch_up_timeout`.
+/// Returns the number of instances whose last log entries must be known.
+std::size_t CountOthers(const replacement_state& state,
+                        const group_health& group) {
+  return static_cast<std::size_t>(std::count_if(
+      group.begin(), group.end(), [&state](const instance_health& instance) {
+        return instance.id != state.primary;
+      }));
+}
+
+/// Chooses among instances that provably have every acknowledged write.
+/// Instances that leave or do not respond are chosen only after
+/// `catch_up_timeout`.
 promotion_choice ChooseProved(const replacement_state& state,
                               const group_health& group,
                               const std::vector<candidate>& candidates,
                               bool timed_out) {
-  const std::size_t others =
-      group.size() - (FindInstance(group, state.primary) == nullptr ? 0 : 1);
   // An instance that is not listed yet may have confirmed what only the primary
   // has besides.
   const bool list_suffices =
       !state.stepped_down_position.has_value() || IsListComplete(state);
   const bool all_known = list_suffices && !candidates.empty() &&
-                         candidates.size() >= others &&
+                         candidates.size() >= CountOthers(state, group) &&
                          !LastMemberLeftAt(state, state.primary).has_value();
+  promotion_choice late;
   for (const candidate& each : candidates) {
-    if (each.leaving) {
+    const bool has_primary_log =
+        state.stepped_down_position.has_value() &&
+        !IsBehind(each.end, *state.stepped_down_position);
+    const bool is_most_advanced =
+        all_known && !IsBehind(each.end, candidates.front().end);
+    if (each.usable == usability::kNone ||
+        (!has_primary_log && !is_most_advanced)) {
       continue;
     }
-    if (state.stepped_down_position.has_value() &&
-        !IsBehind(each.end, *state.stepped_down_position)) {
-      return {each.id, choice_proof::kHasPrimaryLog};
-    }
-    if (all_known && !IsBehind(each.end, candidates.front().end)) {
-      return {each.id, choice_proof::kMostAdvanced};
+    const promotion_choice choice = {
+        each.id, has_primary_log ? choice_proof::kHasPrimaryLog
+                                 : choice_proof::kMostAdvanced};
+    if (!each.leaving && each.usable == usability::kResponds) {
+      return choice;
     }
+    late = late.id.empty() ? choice : late;
   }
-  if (all_known && timed_out) {
-    return {candidates.front().id, choice_proof::kMostAdvanced};
+  return timed_out ? late : promotion_choice();
+}
+
+/// Chooses the most advanced instance that responds.
+promotion_choice ChooseUnproved(const std::vector<candidate>& candidates) {
+  for (const candidate& each : candidates) {
+    if (each.usable == usability::kResponds) {
+      return {each.id, choice_proof::kUnproved};
+    }
   }
   return {};
 }
@@ -117,10 +168,7 @@
       LastMemberLeftAt(state, state.primary);
   const bool gives_up = last_left_at.has_value() &&
                         now - *last_left_at >= settings.member_return_timeout;
-  if (gives_up && !candidates.empty()) {
-    return {candidates.front().id, choice_proof::kUnproved};
-  }
-  return chosen;
+  return gives_up ? ChooseUnproved(candidates) : chosen;
 }
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/failover_log.cc
+++ b/src/sassafraswick/gateway/failover_log.cc
@@ -2,6 +2,7 @@
 
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/failover/fence.h"
+#include "sassafraswick/failover/group_members.h"
 
 namespace sassafraswick {
 namespace {
@@ -44,9 +45,11 @@
 /// remaining replica has.
 std::string DescribeMissing(const replacement_state& state) {
   std::string missing;
-  for (const std::pair<const std::string, group_member>& member :
+  for (const std::pair<const process_key, group_member>& member :
        state.members) {
-    missing += member.second.left_at.has_value() ? member.first + " " : "";
+    const bool is_missing = member.second.left_at.has_value() &&
+                            !WasTermPrimary(state, member.first);
+    missing += is_missing ? member.first.first + " " : "";
   }
   return missing;
 }
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -58,8 +58,10 @@
     target_pointer target = Find(record.id);
     if (target == nullptr) {
       target = std::make_shared<target_state<Codec>>(context_.get_executor());
-      target->health.id = record.id;
+      target->BeginProcess(record.id, monotonic_clock::now());
       targets_.push_back(target);
+    } else if (target->IsOtherProcess(record)) {
+      HandleProcessChange(*target);
     }
     if (record.claims_primary && !target->record.claims_primary) {
       target->claim_order = ++last_claim_order_;
@@ -546,6 +548,15 @@
     return option;
   }
 
+  /// Forgets what is known of an instance's earlier process. The one that runs
+  /// now does not have its log.
+  void HandleProcessChange(target_state<Codec>& target) {
+    Log(log_level::kInfo, "target_restarted",
+        {{"pool", name_}, {"target", target.record.id}});
+    target.BeginProcess(target.record.id, monotonic_clock::now());
+    HandleViewChange(RecordNotPrimary(view_, target.record.id, view_.term));
+  }
+
   void ApplyEvacuation(target_state<Codec>& target) const {
     target.evacuated_since =
         evacuated_zones_ == nullptr
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -111,6 +111,22 @@
   /// claim has a higher one.
   std::uint64_t claim_order = 0;
 
+  /// Begins to track the process that runs the instance from now on.
+  void BeginProcess(const std::string& id, time_point now) {
+    health = instance_health();
+    health.id = id;
+    health.seen_since = now;
+    progress = replica_progress();
+    answered_at = time_point();
+    idle.clear();
+  }
+
+  /// Returns whether an entry of this instance is that of another process.
+  [[nodiscard]] bool IsOtherProcess(const target_record& entry) const {
+    return record.start_id != 0 && entry.start_id != 0 &&
+           record.start_id != entry.start_id;
+  }
+
   [[nodiscard]] bool IsUsable() const {
     return listed && !record.leaving && !evacuated_since.has_value();
   }
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -1,70 +1,13 @@
 #include "sassafraswick/failover/replacement.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "sassafraswick/consistency/primary_view.h"
+#include "test/sassafraswick/failover/replacement_builder.h"
 
 namespace sassafraswick {
 namespace {
 
-const replacement_settings kSettings;
-
-time_point At(int milliseconds) {
-  return time_point(std::chrono::hours(1)) +
-         std::chrono::milliseconds(milliseconds);
-}
-
-instance_health Instance(const std::string& id, bool is_primary,
-                         log_position received, time_point requested_at) {
-  instance_health health;
-  health.id = id;
-  health.requested_at = requested_at;
-  health.status = instance_status{1, is_primary, {1, received}, 0};
-  return health;
-}
-
-/// Returns a group in which `a` is primary of term 1 and all have ten entries.
-group_health Healthy(int now) {
-  return {Instance("a", true, 10, At(now)), Instance("b", false, 10, At(now)),
-          Instance("c", false, 10, At(now))};
-}
-
-/// Returns a state that observed a healthy group beyond the observation period.
-replacement_state Watching() {
-  replacement_state state;
-  CHECK(AdvanceReplacement(state, Healthy(0), kSettings, At(0)).empty());
-  CHECK(AdvanceReplacement(state, Healthy(2000), kSettings, At(2000)).empty());
-  return state;
-}
-
-bool Contains(const std::vector<replacement_action>& actions,
-              replacement_action_kind kind, const std::string& instance) {
-  return std::any_of(
-      actions.begin(), actions.end(), [&](const replacement_action& action) {
-        return action.kind == kind && action.instance == instance;
-      });
-}
-
-/// Returns the group after its primary became unresponsive and fencing started.
-group_health FenceUnresponsivePrimary(replacement_state& state) {
-  group_health group = Healthy(2000);
-  group[0].silent_since = At(2000);
-  CHECK_FALSE(AdvanceReplacement(state, group, kSettings, At(2460)).empty());
-  return group;
-}
-
-/// Records that a replica paused replication for term 2.
-void RecordPause(replacement_state& state, group_health& group,
-                 std::size_t index, log_position received, int now) {
-  instance_health& health = group.at(index);
-  health.requested_at = At(now);
-  health.status = instance_status{1, false, {1, received}, 2};
-  RecordFenced(state, group,
-               {replacement_action_kind::kPauseReplication, health.id, 2},
-               *health.status, At(now));
-}
-
 TEST_CASE(
     "an unresponsive primary is fenced, and once its lease has expired the "
     "most advanced replica is promoted",
@@ -319,18 +262,6 @@
   CHECK_FALSE(Contains(again, replacement_action_kind::kPromote, "c"));
 }
 
-/// Returns a state in which the promotion of `c` was requested at 3000 ms.
-replacement_state Promoting(group_health& group) {
-  replacement_state state = Watching();
-  group = FenceUnresponsivePrimary(state);
-  RecordPause(state, group, 1, 11, 2465);
-  RecordPause(state, group, 2, 12, 2470);
-  const std::vector<replacement_action> promote =
-      AdvanceReplacement(state, group, kSettings, At(3000));
-  CHECK(Contains(promote, replacement_action_kind::kPromote, "c"));
-  return state;
-}
-
 // Between the order and its effect nothing was fenced: a primary that was back
 // got its writes confirmed by an instance that had just started. Seen with:
 // review/2.
@@ -402,23 +333,6 @@
   return state;
 }
 
-/// Advances a replacement while all instances respond.
-std::vector<replacement_action> AdvanceResponsive(replacement_state& state,
-                                                  group_health& group, int from,
-                                                  int to) {
-  constexpr int kTick = 50;
-  std::vector<replacement_action> all;
-  for (int now = from; now < to; now += kTick) {
-    for (instance_health& instance : group) {
-      instance.requested_at = At(now - 1);
-    }
-    const std::vector<replacement_action> actions =
-        AdvanceReplacement(state, group, kSettings, At(now));
-    all.insert(all.end(), actions.begin(), actions.end());
-  }
-  return all;
-}
-
 // A primary that had the only copy of acknowledged writes was stepped down
 // because its replicas were behind, and one of them was promoted. Seen with:
 // review/1.
