Know that a process has ended when another runs at its address

Cause: an instance that crashes comes back under a new identifier at its old address. Nobody told that the old one had ended: the fence waited for it for up to 16 s, it counted as a member whose position is unknown, and an answer that another process gave at its address even ended its silence. The primary that was back with its whole log was told to step down on sight.

Change: fleet/address_owners compares the starts of the processes that entries name at one address; a process that another one replaced is neither fenced nor waited for, and its log counts as taken over if the new one has at least what was known of it while no primary responded. A connection that is refused since another instance answers marks it, too. A claim to be the primary from the address of a presumably lost one is asked for its status first; if it still leads the term, the replacement ends. A primary that leads again after it stepped down is fenced again.

Ruled out: trusting the order of entries, which a copy of the store can turn round. The test of the returned primary failed on the code before.

--- a/src/sassafraswick/failover/fence.cc
+++ b/src/sassafraswick/failover/fence.cc
@@ -20,6 +20,22 @@
           instance.id, state.term};
 }
 
+/// Returns whether an instance may be the presumably lost primary, which is
+/// back under another identifier and leads again. Its status tells.
+bool MayBeReturnedPrimary(const replacement_state& state,
+                          const group_health& group,
+                          const instance_health& instance,
+                          const replacement_settings& settings,
+                          time_point now) {
+  const instance_health* const primary = FindInstance(group, state.primary);
+  const bool has_ended = primary == nullptr || primary->replaced;
+  return has_ended && state.phase != replacement_phase::kPromoting &&
+         IsPresumedLost(state.cause) &&
+         !state.stepped_down_position.has_value() && instance.claims_primary &&
+         !instance.status.has_value() &&
+         now - instance.seen_since < settings.retry_interval;
+}
+
 /// Returns whether a fencing request has not been sent yet, or was sent
 /// `retry_interval` ago.
 bool IsRequestDue(const replacement_state& state,
@@ -34,10 +50,10 @@
 /// Returns whether every instance except the old primary paused replication.
 bool AllOthersPaused(const replacement_state& state,
                      const group_health& group) {
-  const bool has_others = std::any_of(group.begin(), group.end(),
-                                      [&state](const instance_health& each) {
-                                        return each.id != state.primary;
-                                      });
+  const bool has_others = std::any_of(
+      group.begin(), group.end(), [&state](const instance_health& each) {
+        return each.id != state.primary && !each.replaced;
+      });
   return has_others && ListUnfenced(state, group).empty();
 }
 
@@ -54,6 +70,10 @@
                             state.phase == replacement_phase::kPromoting ||
                             now - state.since >= settings.retry_interval;
   for (const instance_health& instance : group) {
+    if (instance.replaced ||
+        MayBeReturnedPrimary(state, group, instance, settings, now)) {
+      continue;
+    }
     const replacement_action request = MakeFenceRequest(state, instance);
     const bool pauses =
         request.kind == replacement_action_kind::kPauseReplication;
@@ -75,7 +95,8 @@
                                       const group_health& group) {
   std::vector<std::string> unfenced;
   for (const instance_health& instance : group) {
-    if (instance.id != state.primary && !state.paused.contains(instance.id)) {
+    if (instance.id != state.primary && !instance.replaced &&
+        !state.paused.contains(instance.id)) {
       unfenced.push_back(instance.id);
     }
   }
@@ -97,6 +118,16 @@
       state.fence_requests.erase(instance.id);
     }
   }
+  const instance_health* const primary = FindCurrentPrimary(group);
+  const bool leads = primary != nullptr && IsResponsive(*primary) &&
+                     (primary->id != state.primary ||
+                      (state.stepped_down_position.has_value() &&
+                       primary->requested_at > state.stepped_down_at));
+  if (leads) {
+    state.primary = primary->id;
+    state.stepped_down_position.reset();
+    state.fence_requests.erase(primary->id);
+  }
 }
 
 bool IsFenced(const replacement_state& state, const group_health& group) {
--- a/src/sassafraswick/failover/fence.h
+++ b/src/sassafraswick/failover/fence.h
@@ -25,8 +25,9 @@
 [[nodiscard]] std::vector<std::string> ListUnfenced(
     const replacement_state& state, const group_health& group);
 
-/// Removes the pauses of replicas that replicate again because they were
-/// restarted or told to resume.
+/// Removes what no longer holds: the pauses of replicas that replicate again
+/// because they were restarted or told to resume, and the step-down of a
+/// primary that was restarted and leads again, also under another identifier.
 void DropLapsedFences(replacement_state& state, const group_health& group);
 
 /// Returns whether no instance can acknowledge a write of the old term.
--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -14,18 +14,19 @@
 /// respond.
 bool HasLeft(const instance_health* instance, const process_key& process) {
   return instance == nullptr || instance->seen_since != process.second ||
-         !instance->listed || (instance->leaving && !IsResponsive(*instance));
+         !instance->listed || instance->replaced ||
+         (instance->leaving && !IsResponsive(*instance));
 }
 
 /// Returns whether a listed replica has received all entries up to a position.
 bool IsCovered(const group_health& group, const std::string& primary,
                const log_point& bound) {
-  return std::any_of(group.begin(), group.end(),
-                     [&](const instance_health& instance) {
-                       return instance.id != primary && instance.listed &&
-                              instance.status.has_value() &&
-                              !IsBehind(instance.status->received, bound);
-                     });
+  return std::any_of(
+      group.begin(), group.end(), [&](const instance_health& instance) {
+        return instance.id != primary && instance.listed &&
+               !instance.replaced && instance.status.has_value() &&
+               !IsBehind(instance.status->received, bound);
+      });
 }
 
 /// Returns the last entry that a process confirmed that it would receive before
@@ -44,9 +45,28 @@
                           : std::optional<log_point>(paused->second.received);
 }
 
+/// Returns the log position of the process that started at a process' address
+/// with its log. While no primary responds, it cannot have received its entries
+/// from one.
+std::optional<log_point> InheritedPosition(const replacement_state& state,
+                                           const group_health& group,
+                                           const group_member& member,
+                                           const instance_health* instance) {
+  if (instance == nullptr || !instance->replaced) {
+    return std::nullopt;
+  }
+  const instance_health* const successor =
+      FindInstance(group, instance->successor);
+  const bool has_log = successor != nullptr && successor->status.has_value() &&
+                       successor->seen_since > state.primary_responded_at &&
+                       !IsBehind(successor->status->received, member.received);
+  return has_log ? std::optional<log_point>(successor->status->received)
+                 : std::nullopt;
+}
+
 /// Updates the bound of what a process that has left may have confirmed: its
-/// last entry if it was paused before, otherwise a position of the primary from
-/// after it left.
+/// last entry if it was paused before or if its log was taken over, otherwise a
+/// position of the primary from after it left.
 void UpdateBound(group_member& member, const replacement_state& state,
                  const process_key& process, const group_health& group) {
   const instance_health* const instance = FindInstance(group, process.first);
@@ -60,6 +80,9 @@
   if (!member.bound.has_value() && is_position_known) {
     member.bound = primary->status->received;
   }
+  if (!member.bound.has_value()) {
+    member.bound = InheritedPosition(state, group, member, instance);
+  }
 }
 
 void TrackPrimary(replacement_state& state, const group_health& group) {
@@ -67,6 +90,8 @@
   if (primary == nullptr) {
     return;
   }
+  state.primary_responded_at =
+      std::max(state.primary_responded_at, primary->requested_at);
   if (!WasTermPrimary(state, ProcessOf(*primary))) {
     state.term_primaries.push_back(ProcessOf(*primary));
   }
@@ -100,6 +125,9 @@
     group_member& member = state.members[ProcessOf(instance)];
     member.left_at.reset();
     member.bound.reset();
+    if (instance.status.has_value()) {
+      member.received = instance.status->received;
+    }
   }
   const instance_health* const current_primary = FindCurrentPrimary(group);
   const std::string primary =
--- a/src/sassafraswick/failover/loss_detection.cc
+++ b/src/sassafraswick/failover/loss_detection.cc
@@ -71,15 +71,16 @@
 }
 
 bool IsResponsive(const instance_health& instance) {
-  return instance.status.has_value() && !instance.silent_since.has_value() &&
+  return instance.status.has_value() && !instance.replaced &&
+         !instance.silent_since.has_value() &&
          !instance.refused_since.has_value();
 }
 
 const instance_health* FindCurrentPrimary(const group_health& group) {
   const term_number highest = HighestTerm(group);
   for (const instance_health& instance : group) {
-    if (instance.status.has_value() && instance.status->is_primary &&
-        instance.status->term == highest) {
+    if (instance.status.has_value() && !instance.replaced &&
+        instance.status->is_primary && instance.status->term == highest) {
       return &instance;
     }
   }
@@ -105,6 +106,12 @@
   }
 }
 
+bool IsPresumedLost(replacement_cause cause) noexcept {
+  return cause == replacement_cause::kSilent ||
+         cause == replacement_cause::kRefused ||
+         cause == replacement_cause::kOrphaned;
+}
+
 replacement_cause FindReplacementCause(const replacement_state& state,
                                        const group_health& group,
                                        const replacement_settings& settings,
--- a/src/sassafraswick/failover/loss_detection.h
+++ b/src/sassafraswick/failover/loss_detection.h
@@ -25,7 +25,8 @@
 [[nodiscard]] const instance_health* FindCurrentPrimary(
     const group_health& group);
 
-/// Returns whether an instance responded to the last request.
+/// Returns whether an instance responded to the last request, and its process
+/// has not ended since.
 [[nodiscard]] bool IsResponsive(const instance_health& instance);
 
 /// Tracks whether replicas receive the primary's entries. Once one of them has
@@ -34,6 +35,10 @@
 void TrackReplication(replacement_state& state, const group_health& group,
                       const std::string& primary, time_point now);
 
+/// Returns whether a primary is replaced because it does not respond. It may
+/// come back and lead again.
+[[nodiscard]] bool IsPresumedLost(replacement_cause cause) noexcept;
+
 /// Returns why the primary must be replaced, or `kNone`.
 [[nodiscard]] replacement_cause FindReplacementCause(
     const replacement_state& state, const group_health& group,
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -36,8 +36,9 @@
   return std::any_of(
       group.begin(), group.end(),
       [&current_primary, &replica](const instance_health& other) {
-        const bool is_third =
-            other.id != current_primary.id && other.id != replica.id;
+        const bool is_third = !other.replaced &&
+                              other.id != current_primary.id &&
+                              other.id != replica.id;
         return is_third &&
                (!other.status.has_value() || other.status->is_primary);
       });
@@ -56,7 +57,8 @@
     return actions;
   }
   for (const instance_health& instance : group) {
-    if (!instance.status.has_value() || instance.id == current_primary->id) {
+    if (!instance.status.has_value() || instance.replaced ||
+        instance.id == current_primary->id) {
       continue;
     }
     if (instance.status->is_primary) {
@@ -104,19 +106,13 @@
   return Fence(state, group, settings, now);
 }
 
-/// Returns whether a primary that was presumed lost responds again, so that the
-/// replacement can be abandoned. If no primary was known, any instance that
-/// responds as primary counts.
+/// Returns whether a primary that was presumed lost responds again, also under
+/// another identifier, so that the replacement can be abandoned.
 bool HasRecovered(const replacement_state& state, const group_health& group) {
-  const bool presumed_lost = state.cause == replacement_cause::kSilent ||
-                             state.cause == replacement_cause::kRefused ||
-                             state.cause == replacement_cause::kOrphaned;
-  const instance_health* const primary =
-      state.primary.empty() ? FindCurrentPrimary(group)
-                            : FindInstance(group, state.primary);
-  return presumed_lost && !state.stepped_down_position.has_value() &&
-         primary != nullptr && IsResponsive(*primary) &&
-         primary->status->is_primary && primary->requested_at > state.since;
+  const instance_health* const primary = FindCurrentPrimary(group);
+  return IsPresumedLost(state.cause) &&
+         !state.stepped_down_position.has_value() && primary != nullptr &&
+         IsResponsive(*primary) && primary->requested_at > state.since;
 }
 
 action_list Wait(replacement_state& state, const group_health& group,
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -34,6 +34,10 @@
   /// When this process was first seen. Another process may have run under the
   /// same identifier before.
   time_point seen_since;
+  /// Another process runs at its address, so this one has ended.
+  bool replaced = false;
+  /// Identifier of that process, if it belongs to the same group.
+  std::string successor;
   /// The instance announced that it will stop, or is no longer listed.
   bool leaving = false;
   bool listed = true;
@@ -148,6 +152,8 @@
 
 /// A process that may have confirmed writes of the current term.
 struct group_member {
+  /// The last log entry that it is known to have received.
+  log_point received;
   /// When it was found to have left.
   std::optional<time_point> left_at;
   /// Log position that covers every write that it may have confirmed.
@@ -198,6 +204,8 @@
   /// The processes that were primary of `members_term`, one after the other. A
   /// primary confirms no writes of its own.
   std::vector<process_key> term_primaries;
+  /// When the request was sent to which the primary last responded.
+  time_point primary_responded_at;
   /// When the newest complete read of the list of instances was sent. Set by
   /// the caller before `AdvanceReplacement`.
   time_point list_read_at;
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -55,7 +55,7 @@
                                          const group_health& group) {
   std::vector<candidate> found;
   for (const instance_health& instance : group) {
-    if (instance.id == state.primary) {
+    if (instance.id == state.primary || instance.replaced) {
       continue;
     }
     const usability usable = UsabilityOf(instance);
@@ -79,7 +79,7 @@
                         const group_health& group) {
   return static_cast<std::size_t>(std::count_if(
       group.begin(), group.end(), [&state](const instance_health& instance) {
-        return instance.id != state.primary;
+        return instance.id != state.primary && !instance.replaced;
       }));
 }
 
--- a/src/sassafraswick/gateway/connection_pool.h
+++ b/src/sassafraswick/gateway/connection_pool.h
@@ -497,8 +497,13 @@
     lease.failure = greeting.failure;
     if (greeting.failure != failure_code::kNone) {
       const time_point now = monotonic_clock::now();
-      target->answered_at = now;
-      target->health.silent_since.reset();
+      if (greeting.failure == failure_code::kMisrouted) {
+        // Another process listens at the address.
+        target->health.replaced = true;
+      } else {
+        target->answered_at = now;
+        target->health.silent_since.reset();
+      }
       target->avoid_until = now + kFailureBackoff;
       target->at_capacity_until = now + kCapacityBackoff;
       Log(log_level::kInfo, "target_refused_connection",
--- a/src/sassafraswick/gateway/failover_log.cc
+++ b/src/sassafraswick/gateway/failover_log.cc
@@ -36,6 +36,7 @@
   }
   text += instance.leaving ? " leaving" : "";
   text += instance.listed ? "" : " left";
+  text += instance.replaced ? " replaced" : "";
   text += instance.silent_since.has_value() ? " silent" : "";
   text += instance.refused_since.has_value() ? " refused" : "";
   return text + ")";
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -176,6 +176,15 @@
     }
   }
 
+  /// Marks a target whose address another process has taken over.
+  void MarkTargetReplaced(const std::string& id, const std::string& successor) {
+    for (const std::pair<const std::string,
+                         std::shared_ptr<target_group<Codec>>>& entry :
+         groups) {
+      entry.second->MarkReplaced(id, successor);
+    }
+  }
+
   /// @param missing_since When the target's entry disappeared.
   void RemoveTarget(const std::string& id, time_point missing_since) {
     unassigned_targets.erase(id);
--- a/src/sassafraswick/gateway/target_directory.h
+++ b/src/sassafraswick/gateway/target_directory.h
@@ -3,11 +3,13 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "sassafraswick/core/log.h"
+#include "sassafraswick/fleet/address_owners.h"
 #include "sassafraswick/fleet/entry_return.h"
 #include "sassafraswick/gateway/gateway_platform.h"
 #include "sassafraswick/gateway/gateway_state.h"
@@ -94,6 +96,7 @@
       const target_record& record = targets_[each->first];
       gateway_.RemoveTarget(record.id, each->second);
       departed_[each->first] = {record.start_id, now};
+      owners_.Remove(record.id);
       targets_.erase(each->first);
       each = missing_since_.erase(each);
       UpdateHomes();
@@ -155,6 +158,10 @@
     missing_since_.erase(item.key);
     targets_[item.key] = record;
     gateway_.UpdateTarget(record);
+    const std::optional<std::string> ended = owners_.Record(record);
+    if (ended.has_value()) {
+      gateway_.MarkTargetReplaced(*ended, record.id);
+    }
     Log(log_level::kInfo, "target_entry",
         {{"target", record.id},
          {"pool", record.pool},
@@ -174,6 +181,7 @@
   gateway_state<codec>& gateway_;
   /// Every known entry, by key.
   std::map<std::string, target_record> targets_;
+  address_owners owners_;
   /// Targets that have left, by key of their entry.
   std::map<std::string, departed_target> departed_;
   /// Keys of entries that disappeared, and when.
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -110,6 +110,19 @@
     }
   }
 
+  /// Marks an instance whose address another process has taken over.
+  /// @param successor Instance that the other process runs.
+  void MarkReplaced(const std::string& id, const std::string& successor) {
+    const target_pointer target = Find(id);
+    if (target != nullptr && !target->health.replaced) {
+      target->health.replaced = true;
+      target->health.successor = successor;
+      Log(log_level::kInfo, "target_replaced",
+          {{"pool", name_}, {"target", id}, {"successor", successor}});
+      changed_.NotifyAll();
+    }
+  }
+
   /// Sets this host's share of each instance's connection limit.
   void SetBudget(std::uint32_t connections, std::uint32_t hosts) {
     connection_pool_.SetBudget(connections, hosts);
@@ -254,6 +267,7 @@
     target.answered_at = monotonic_clock::now();
     target.health.silent_since.reset();
     target.health.refused_since.reset();
+    target.health.replaced = false;
     if (response.failure == failure_code::kBusy) {
       // Overload makes an instance less likely to be chosen. Without it, its
       // load would overload the others.
--- a/test/sassafraswick/failover/process_change_test.cc
+++ b/test/sassafraswick/failover/process_change_test.cc
@@ -1,11 +1,12 @@
 #include <catch2/catch.hpp>
 
 #include "sassafraswick/consistency/primary_view.h"
+#include "sassafraswick/failover/fence.h"
 #include "sassafraswick/failover/replacement.h"
 #include "test/sassafraswick/failover/replacement_builder.h"
 
-// Another process may run under an instance's identifier. What was known of the
-// earlier one must not be taken for the later one's.
+// Another process may run under an instance's identifier or at its address.
+// What was known of the earlier one must not be taken for the later one's.
 
 namespace sassafraswick {
 namespace {
@@ -16,6 +17,24 @@
   instance.refused_at = At(now);
 }
 
+/// Adds the process that took over an instance's address.
+void TakeOver(group_health& group, std::size_t index, const std::string& id,
+              bool claims_primary, int now) {
+  group[index].replaced = true;
+  group[index].successor = id;
+  instance_health started;
+  started.id = id;
+  started.seen_since = At(now);
+  started.claims_primary = claims_primary;
+  group.push_back(started);
+}
+
+/// Answers a status request for which the process of `TakeOver` was asked.
+void Answer(instance_health& instance, const instance_status& status, int now) {
+  instance.status = status;
+  instance.requested_at = At(now);
+}
+
 /// Returns a fenced group: the primary is gone, `b` and `c` have paused.
 replacement_state Fenced(group_health& group, log_position b, log_position c) {
   replacement_state state = Watching();
@@ -83,5 +102,93 @@
   CHECK(Contains(then, replacement_action_kind::kPromote, "c"));
 }
 
+// Guards against: an identifier that nobody runs any more kept a group without
+// a primary. Seen with: replica-then-domain, replica-then-primary.
+TEST_CASE("a process whose address another took over need not be fenced",
+          "[replacement][process]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 11, 2465);
+  TakeOver(group, 2, "c2", false, 2700);
+  CHECK(ListUnfenced(state, group) == std::vector<std::string>{"c2"});
+  CHECK(Contains(Advance(state, group, 2750, 2800),
+                 replacement_action_kind::kPauseReplication, "c2"));
+  RecordPause(state, group, 3, 12, 2800);
+  CHECK(state.phase == replacement_phase::kWaiting);
+
+  SECTION("and its log proves what it confirmed") {
+    CHECK(Contains(Advance(state, group, 2850, 3400),
+                   replacement_action_kind::kPromote, "c2"));
+    CHECK(state.proof == choice_proof::kMostAdvanced);
+  }
+  SECTION("unless it has less than was known of it") {
+    group[3].status->received = {1, 9};
+    state.paused["c2"].received = {1, 9};
+    CHECK_FALSE(Contains(Advance(state, group, 2850, 9000),
+                         replacement_action_kind::kPromote, "b"));
+  }
+}
+
+// Guards against: a primary that was back with its whole log was stepped down,
+// and the group waited for its old identifier. Seen with: replica-then-primary.
+TEST_CASE("a primary that is back under another identifier leads again",
+          "[replacement][process]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 10, 2465);
+  Stop(group[2], 2470);
+  TakeOver(group, 0, "a2", true, 2700);
+  const std::vector<replacement_action> asked =
+      Advance(state, group, 2700, 2750);
+  CHECK_FALSE(Contains(asked, replacement_action_kind::kStepDown, "a2"));
+  Answer(group[3], {1, true, {1, 12}, 0}, 2755);
+  const std::vector<replacement_action> actions =
+      AdvanceReplacement(state, group, kSettings, At(3000));
+  CHECK(state.phase == replacement_phase::kWatching);
+  CHECK(Contains(actions, replacement_action_kind::kResumeReplication, "b"));
+  CHECK_FALSE(Contains(actions, replacement_action_kind::kStepDown, "a"));
+}
+
+TEST_CASE("a claim to be the primary that is not confirmed is fenced",
+          "[replacement][process]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  TakeOver(group, 0, "a2", true, 2700);
+  CHECK(Contains(Advance(state, group, 2700, 3000),
+                 replacement_action_kind::kStepDown, "a2"));
+}
+
+TEST_CASE("a primary that is back during a promotion is fenced",
+          "[replacement][process]") {
+  group_health group;
+  replacement_state state = Promoting(group);
+  TakeOver(group, 0, "a2", true, 3040);
+  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(3050)),
+                 replacement_action_kind::kStepDown, "a2"));
+  Answer(group[3], {1, true, {1, 30}, 0}, 3060);
+  const std::vector<replacement_action> actions =
+      AdvanceReplacement(state, group, kSettings, At(3100));
+  CHECK(state.phase == replacement_phase::kPromoting);
+  CHECK(Contains(actions, replacement_action_kind::kStepDown, "a2"));
+  CHECK(state.primary == "a2");
+}
+
+TEST_CASE("a primary that restarts after it stepped down is fenced again",
+          "[replacement][process]") {
+  replacement_state state = Watching();
+  group_health group = Healthy(2000);
+  group[0].leaving = true;
+  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(2050)),
+                 replacement_action_kind::kStepDown, "a"));
+  Answer(group[0], {1, false, {1, 15}, 0}, 2055);
+  RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
+               *group[0].status, At(2060));
+  CHECK(state.phase == replacement_phase::kWaiting);
+  Answer(group[0], {1, true, {1, 15}, 0}, 2400);
+  CHECK(Contains(Advance(state, group, 2570, 2620),
+                 replacement_action_kind::kStepDown, "a"));
+  CHECK(state.phase == replacement_phase::kFencing);
+}
+
 }  // namespace
 }  // namespace sassafraswick
