Give one order of promotion at a time, and pass over what isn't running

Cause: the outcome of an order was one bit. Not running, not sent, rejected and unanswered all led to the same new choice.

Change: promotion_order. An order stays outstanding until its instance has left, says after promotion_timeout that it is a replica, or is down then; until then no other instance is ordered and no primary counts as recovered. An instance that isn't running is no candidate until it answers a later request, and the next is chosen at once, since the fence holds. The client tells a rejection from a missing answer.

Ruled out: recalling an order, which the platform doesn't know.

--- a/src/sassafraswick/failover/fence.cc
+++ b/src/sassafraswick/failover/fence.cc
@@ -30,7 +30,7 @@
   const instance_health* const primary = FindInstance(group, state.primary);
   const bool has_ended = primary == nullptr || primary->replaced;
   return has_ended && state.phase != replacement_phase::kPromoting &&
-         IsPresumedLost(state.cause) &&
+         IsPresumedLost(state.cause) && !state.order.has_value() &&
          !state.stepped_down_position.has_value() && instance.claims_primary &&
          !instance.status.has_value() &&
          now - instance.seen_since < settings.retry_interval;
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -6,6 +6,7 @@
 #include "sassafraswick/failover/fence.h"
 #include "sassafraswick/failover/group_members.h"
 #include "sassafraswick/failover/loss_detection.h"
+#include "sassafraswick/failover/promotion_order.h"
 #include "sassafraswick/failover/successor_choice.h"
 
 namespace sassafraswick {
@@ -20,6 +21,8 @@
   state.paused.clear();
   state.chosen.clear();
   state.proof = choice_proof::kNone;
+  state.order.reset();
+  state.not_running.clear();
   state.unreplicated = log_point();
   state.unreplicated_since = now;
 }
@@ -107,10 +110,11 @@
 }
 
 /// Returns whether a primary that was presumed lost responds again, also under
-/// another identifier, so that the replacement can be abandoned.
+/// another identifier, so that the replacement can be abandoned. While a
+/// promotion may take effect, what the primary acknowledged could be lost.
 bool HasRecovered(const replacement_state& state, const group_health& group) {
   const instance_health* const primary = FindCurrentPrimary(group);
-  return IsPresumedLost(state.cause) &&
+  return IsPresumedLost(state.cause) && !state.order.has_value() &&
          !state.stepped_down_position.has_value() && primary != nullptr &&
          IsResponsive(*primary) && primary->requested_at > state.since;
 }
@@ -126,11 +130,15 @@
     return {};
   }
   const promotion_choice choice = ChooseInstance(state, group, settings, now);
-  state.chosen = choice.id;
-  state.proof = choice.proof;
-  if (state.chosen.empty()) {
+  const bool is_second_order =
+      state.order.has_value() && state.order->instance != choice.id;
+  if (choice.id.empty() || is_second_order) {
+    state.chosen.clear();
     return Fence(state, group, settings, now);
   }
+  state.chosen = choice.id;
+  state.proof = choice.proof;
+  state.order = promotion_order{state.chosen, now};
   EnterPhase(state, replacement_phase::kPromoting, now);
   state.last_action_at = now;
   return {{replacement_action_kind::kPromote, state.chosen, state.term}};
@@ -168,6 +176,10 @@
     state.unreplicated_since = now;
   }
   TrackMembers(state, group, now);
+  if (state.order.has_value() &&
+      !MayTakeEffect(*state.order, group, settings, now)) {
+    state.order.reset();
+  }
   const bool fencing = state.phase == replacement_phase::kFencing ||
                        state.phase == replacement_phase::kWaiting;
   const bool replaced = state.phase != replacement_phase::kWatching &&
@@ -212,12 +224,26 @@
 }
 
 void RecordPromoted(replacement_state& state, const replacement_action& action,
-                    bool accepted, time_point now) {
+                    order_result outcome, time_point now) {
   if (state.phase != replacement_phase::kPromoting ||
-      action.instance != state.chosen || accepted) {
+      action.instance != state.chosen) {
     return;
   }
-  EnterPhase(state, replacement_phase::kFencing, now);
+  switch (outcome) {
+    case order_result::kAccepted:
+    case order_result::kUnknown:
+      return;
+    case order_result::kNotRunning:
+      state.not_running[action.instance] = now;
+      state.order.reset();
+      // The fence holds and its wait is over: another is chosen at once.
+      EnterPhase(state, replacement_phase::kWaiting, now);
+      return;
+    case order_result::kNotExecuted:
+      state.order.reset();
+      EnterPhase(state, replacement_phase::kFencing, now);
+      return;
+  }
 }
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/failover/replacement.h
+++ b/src/sassafraswick/failover/replacement.h
@@ -41,10 +41,8 @@
                   const instance_status& status, time_point now);
 
 /// Records the platform's response to `kPromote`.
-/// @param accepted False if the instance is not running, so that another one
-/// must be chosen.
 void RecordPromoted(replacement_state& state, const replacement_action& action,
-                    bool accepted, time_point now);
+                    order_result outcome, time_point now);
 
 }  // namespace sassafraswick
 
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -174,6 +174,24 @@
   time_point sent_at;
 };
 
+/// A promotion that was requested and may still take effect.
+struct promotion_order {
+  std::string instance;
+  time_point sent_at;
+};
+
+/// The platform's response to a promotion request.
+enum class order_result : std::uint8_t {
+  /// The promotion takes effect soon.
+  kAccepted,
+  /// The instance is not running.
+  kNotRunning,
+  /// The request was not sent, or rejected without effect.
+  kNotExecuted,
+  /// No response: the promotion may take effect.
+  kUnknown,
+};
+
 /// Progress of the replacement of one group's primary.
 struct replacement_state {
   replacement_phase phase = replacement_phase::kWatching;
@@ -197,6 +215,10 @@
   time_point fenced_at;
   std::string chosen;
   choice_proof proof = choice_proof::kNone;
+  /// The last promotion that was requested, while it may still take effect.
+  std::optional<promotion_order> order;
+  /// When the platform said that an instance is not running.
+  std::map<std::string, time_point> not_running;
   /// Processes listed in `members_term`, except those that have left and whose
   /// confirmed writes another instance is known to have.
   std::map<process_key, group_member> members;
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -37,8 +37,12 @@
   return !left.leaving && right.leaving;
 }
 
-usability UsabilityOf(const instance_health& instance) {
-  if (instance.refused_since.has_value()) {
+usability UsabilityOf(const replacement_state& state,
+                      const instance_health& instance) {
+  const auto not_running = state.not_running.find(instance.id);
+  const bool is_down = not_running != state.not_running.end() &&
+                       instance.requested_at <= not_running->second;
+  if (is_down || instance.refused_since.has_value()) {
     return usability::kNone;
   }
   if (IsResponsive(instance)) {
@@ -58,7 +62,7 @@
     if (instance.id == state.primary || instance.replaced) {
       continue;
     }
-    const usability usable = UsabilityOf(instance);
+    const usability usable = UsabilityOf(state, instance);
     const auto paused = state.paused.find(instance.id);
     const bool current =
         IsResponsive(instance) && instance.requested_at >= state.fenced_at;
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -200,15 +200,16 @@
                                        replacement_action action) {
     const store_revision claim = fleet_.Registry().failover.fencing_token;
     const std::int64_t token = ToFencingToken(claim);
-    const std::function<bool()> may_send = [this, claim] {
-      return IsHeldSince(claim);
+    // Asked right before the request is written.
+    bool was_sent = false;
+    const std::function<bool()> may_send = [this, claim, &was_sent] {
+      was_sent = IsHeldSince(claim);
+      return was_sent;
     };
     const std::shared_ptr<promoter> sender = TakePromoter(group->Name());
     const time_point sent_at = monotonic_clock::now();
     const result<bool> accepted = co_await sender->Promote(
         group->Name(), action.instance, fleet_.Host(), token, may_send);
-    const bool was_sent =
-        accepted || accepted.error().kind != error_kind::kConflict;
     gateway_.counters.promotions += was_sent ? 1 : 0;
     Log(log_level::kInfo, "promotion",
         {{"pool", group->Name()},
@@ -221,8 +222,19 @@
     const auto watched = watched_.find(group->Name());
     if (watched != watched_.end()) {
       RecordPromoted(watched->second.state, action,
-                     accepted && accepted.value(), monotonic_clock::now());
+                     ResultOf(accepted, was_sent), monotonic_clock::now());
+    }
+  }
+
+  /// @param was_sent Whether the request may have reached the platform.
+  static order_result ResultOf(const result<bool>& accepted, bool was_sent) {
+    if (accepted) {
+      return accepted.value() ? order_result::kAccepted
+                              : order_result::kNotRunning;
     }
+    const bool is_answered = accepted.error().kind != error_kind::kUnavailable;
+    return is_answered || !was_sent ? order_result::kNotExecuted
+                                    : order_result::kUnknown;
   }
 
   /// Opens a connection for the order that follows once the primary lease has
--- a/test/sassafraswick/failover/process_change_test.cc
+++ b/test/sassafraswick/failover/process_change_test.cc
@@ -190,5 +190,65 @@
   CHECK(state.phase == replacement_phase::kFencing);
 }
 
+// Guards against: an instance that had been released was ordered every 1.5 s
+// while others with the same log ran. Seen with: replica-then-domain.
+TEST_CASE("another is chosen at once if the chosen one is not running",
+          "[replacement][process]") {
+  group_health group;
+  replacement_state state = Fenced(group, 12, 12);
+  const std::vector<replacement_action> first =
+      Advance(state, group, 2970, 3020);
+  REQUIRE(Contains(first, replacement_action_kind::kPromote, "b"));
+  RecordPromoted(state, {replacement_action_kind::kPromote, "b", 2},
+                 order_result::kNotRunning, At(3025));
+  CHECK(Contains(Advance(state, group, 3050, 3100),
+                 replacement_action_kind::kPromote, "c"));
+}
+
+/// Returns a state in which the order for `b` had no response.
+replacement_state WithUnansweredOrder(group_health& group) {
+  replacement_state state = Fenced(group, 12, 12);
+  REQUIRE(Contains(Advance(state, group, 2970, 3020),
+                   replacement_action_kind::kPromote, "b"));
+  RecordPromoted(state, {replacement_action_kind::kPromote, "b", 2},
+                 order_result::kUnknown, At(3500));
+  return state;
+}
+
+// Guards against: a second instance was ordered while the first order could
+// still take effect; what the first acknowledged as primary was rolled back.
+TEST_CASE("no second instance is ordered while an order may take effect",
+          "[replacement][process]") {
+  group_health group;
+  replacement_state state = WithUnansweredOrder(group);
+  group[1].silent_since = At(3100);
+  CHECK_FALSE(Contains(Advance(state, group, 3550, 9000),
+                       replacement_action_kind::kPromote, "c"));
+
+  SECTION("until its instance has left") {
+    group[1].listed = false;
+    group[1].leaving = true;
+    CHECK(Contains(Advance(state, group, 9000, 9700),
+                   replacement_action_kind::kPromote, "c"));
+  }
+  SECTION("until its instance is down") {
+    Stop(group[1], 9000);
+    CHECK(Contains(Advance(state, group, 9050, 9700),
+                   replacement_action_kind::kPromote, "c"));
+  }
+}
+
+TEST_CASE(
+    "a primary that responds again waits for an order that may take effect",
+    "[replacement][process]") {
+  group_health group;
+  replacement_state state = WithUnansweredOrder(group);
+  group[0] = Instance("a", true, 12, At(3600));
+  const std::vector<replacement_action> actions =
+      Advance(state, group, 3650, 3950);
+  CHECK(state.phase != replacement_phase::kWatching);
+  CHECK(Contains(actions, replacement_action_kind::kStepDown, "a"));
+}
+
 }  // namespace
 }  // namespace sassafraswick
--- a/test/sassafraswick/failover/promotion_model.cc
+++ b/test/sassafraswick/failover/promotion_model.cc
@@ -613,7 +613,10 @@
       }
       AtHost(self, MessageDelay(), [this, &self, action, runs] {
         if (self.is_watching) {
-          RecordPromoted(self.replacement, action, runs, now_);
+          RecordPromoted(self.replacement, action,
+                         runs ? sassafraswick::order_result::kAccepted
+                              : sassafraswick::order_result::kNotRunning,
+                         now_);
         }
       });
     });
