Let a new holder of the failover lease count what left shortly before

What callers could see: a commit that only the lost primary and an instance that has left had is lost (LOST), though the holder waited as long as it knew of it.

Cause: members of the term were counted from the entries that are listed when the lease is taken. What had left before was remembered by the group for 10 s without a position, and then the best of the others counted as the most advanced of all. The first statuses also cleared the members, as a new term.

Change: a holder counts every instance that its group still remembers when it begins to observe, and keeps them while it learns of the term. One that has left is covered by what the primary had after that, as for any member; without the primary, the choice is unproved after 10 s, and the log says so.

Ruled out: a record of members in the store before an instance may confirm, which costs a call for each; what left more than 10 s before a holder took the lease stays open.

--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -97,6 +97,28 @@
   }
 }
 
+/// Forgets the members of earlier terms. What left shortly before this host
+/// began to observe the group may have been a member, too, and is kept while
+/// the host learns of the current term.
+void BeginTerm(replacement_state& state, const group_health& group,
+               const replacement_settings& settings, time_point now) {
+  const bool is_first = state.members.empty() && state.members_term == 0;
+  if (is_first) {
+    for (const instance_health& instance : group) {
+      state.members[ProcessOf(instance)] = group_member();
+    }
+  }
+  const term_number term = HighestTerm(group);
+  const bool learns =
+      state.observation_started_at.has_value() &&
+      now - *state.observation_started_at < settings.observation_period;
+  if (term != state.members_term && !learns) {
+    state.members.clear();
+    state.term_primaries.clear();
+  }
+  state.members_term = term;
+}
+
 }  // namespace
 
 process_key ProcessOf(const instance_health& instance) {
@@ -110,13 +132,8 @@
 }
 
 void TrackMembers(replacement_state& state, const group_health& group,
-                  time_point now) {
-  const term_number term = HighestTerm(group);
-  if (term != state.members_term) {
-    state.members.clear();
-    state.term_primaries.clear();
-    state.members_term = term;
-  }
+                  const replacement_settings& settings, time_point now) {
+  BeginTerm(state, group, settings, now);
   TrackPrimary(state, group);
   for (const instance_health& instance : group) {
     if (HasLeft(&instance, ProcessOf(instance))) {
--- a/src/sassafraswick/failover/group_members.h
+++ b/src/sassafraswick/failover/group_members.h
@@ -24,7 +24,7 @@
 /// that has left is kept, for however long, until a remaining replica has what
 /// the primary had after that, or a higher term begins.
 void TrackMembers(replacement_state& state, const group_health& group,
-                  time_point now);
+                  const replacement_settings& settings, time_point now);
 
 /// Returns when the last of the members left that may have confirmed writes
 /// which no remaining replica has; nothing if there is none.
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -175,7 +175,7 @@
     state.observation_started_at = now;
     state.unreplicated_since = now;
   }
-  TrackMembers(state, group, now);
+  TrackMembers(state, group, settings, now);
   if (state.order.has_value() &&
       !MayTakeEffect(*state.order, group, settings, now)) {
     state.order.reset();
--- a/test/sassafraswick/failover/process_change_test.cc
+++ b/test/sassafraswick/failover/process_change_test.cc
@@ -250,5 +250,29 @@
   CHECK(Contains(actions, replacement_action_kind::kStepDown, "a"));
 }
 
+// Guards against: a holder that took the lease after an instance had left took
+// the best of the others for the most advanced of all.
+TEST_CASE("a new holder counts an instance that left shortly before",
+          "[replacement][process]") {
+  replacement_state state;
+  group_health group = Healthy(0);
+  group[0].status.reset();
+  group[0].silent_since = At(0);
+  group[2].status.reset();
+  group[2].listed = false;
+  group[2].leaving = true;
+  CHECK(Advance(state, group, 0, 50).empty());
+  group[1].requested_at = At(600);
+  CHECK_FALSE(Advance(state, group, 600, 1100).empty());
+  RecordPause(state, group, 0, 10, 1110);
+  RecordPause(state, group, 1, 11, 1110);
+  group.pop_back();
+  CHECK_FALSE(Contains(Advance(state, group, 1150, 9000),
+                       replacement_action_kind::kPromote, "b"));
+  CHECK(Contains(Advance(state, group, 10'000, 11'000),
+                 replacement_action_kind::kPromote, "b"));
+  CHECK(state.proof == choice_proof::kUnproved);
+}
+
 }  // namespace
 }  // namespace sassafraswick
