Take the newest primary of a term, and end the wait for an order that is void

Of two instances whose last status says that they lead a term, the first in the list was taken, though the one heard last is the next start of the other. A process that took over an address while the primary was still answering others could be taken for one with the log of its predecessor.

Change: the choice goes on once the order is void; the primary of a term is the one heard last; a log counts as taken over only if its process started after the first request that the primary left unanswered.

Ruled out: to fence the older of two primaries as well, which has ended.

--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -45,6 +45,19 @@
                           : std::optional<log_point>(paused->second.received);
 }
 
+/// Returns when the primary was last known to respond.
+time_point PrimaryRespondedAt(const replacement_state& state,
+                              const group_health& group) {
+  const instance_health* const primary = FindInstance(group, state.primary);
+  if (primary == nullptr) {
+    return state.primary_responded_at;
+  }
+  const time_point lost_since =
+      primary->refused_since.value_or(time_point::min());
+  return std::max({state.primary_responded_at, lost_since,
+                   primary->silent_since.value_or(time_point::min())});
+}
+
 /// Returns the log position of the process that started at a process' address
 /// with its log. While no primary responds, it cannot have received its entries
 /// from one.
@@ -57,9 +70,10 @@
   }
   const instance_health* const successor =
       FindInstance(group, instance->successor);
-  const bool has_log = successor != nullptr && successor->status.has_value() &&
-                       successor->seen_since > state.primary_responded_at &&
-                       !IsBehind(successor->status->received, member.received);
+  const bool has_log =
+      successor != nullptr && successor->status.has_value() &&
+      successor->seen_since > PrimaryRespondedAt(state, group) &&
+      !IsBehind(successor->status->received, member.received);
   return has_log ? std::optional<log_point>(successor->status->received)
                  : std::nullopt;
 }
--- a/src/sassafraswick/failover/loss_detection.cc
+++ b/src/sassafraswick/failover/loss_detection.cc
@@ -78,13 +78,17 @@
 
 const instance_health* FindCurrentPrimary(const group_health& group) {
   const term_number highest = HighestTerm(group);
+  const instance_health* newest = nullptr;
   for (const instance_health& instance : group) {
-    if (instance.status.has_value() && !instance.replaced &&
-        instance.status->is_primary && instance.status->term == highest) {
-      return &instance;
+    const bool is_primary = instance.status.has_value() && !instance.replaced &&
+                            instance.status->is_primary &&
+                            instance.status->term == highest;
+    if (is_primary &&
+        (newest == nullptr || newest->requested_at < instance.requested_at)) {
+      newest = &instance;
     }
   }
-  return nullptr;
+  return newest;
 }
 
 void TrackReplication(replacement_state& state, const group_health& group,
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -179,6 +179,9 @@
   if (state.order.has_value() &&
       !MayTakeEffect(*state.order, group, settings, now)) {
     state.order.reset();
+    if (state.phase == replacement_phase::kPromoting) {
+      EnterPhase(state, replacement_phase::kWaiting, now);
+    }
   }
   const bool fencing = state.phase == replacement_phase::kFencing ||
                        state.phase == replacement_phase::kWaiting;
--- a/test/sassafraswick/failover/process_change_test.cc
+++ b/test/sassafraswick/failover/process_change_test.cc
@@ -2,6 +2,7 @@
 
 #include "sassafraswick/consistency/primary_view.h"
 #include "sassafraswick/failover/fence.h"
+#include "sassafraswick/failover/loss_detection.h"
 #include "sassafraswick/failover/replacement.h"
 #include "test/sassafraswick/failover/replacement_builder.h"
 
@@ -149,6 +150,14 @@
   CHECK_FALSE(Contains(actions, replacement_action_kind::kStepDown, "a"));
 }
 
+TEST_CASE("of two that were primary of a term, the one heard last is it",
+          "[replacement][process]") {
+  group_health group = Healthy(2000);
+  group[0].silent_since = At(2000);
+  group.push_back(Instance("a2", true, 12, At(2700)));
+  CHECK(FindCurrentPrimary(group)->id == "a2");
+}
+
 TEST_CASE("a claim to be the primary that is not confirmed is fenced",
           "[replacement][process]") {
   replacement_state state = Watching();
@@ -205,6 +214,17 @@
                  replacement_action_kind::kPromote, "c"));
 }
 
+TEST_CASE("another is chosen at once if the ordered instance has ended",
+          "[replacement][process]") {
+  group_health group;
+  replacement_state state = Fenced(group, 12, 12);
+  REQUIRE(Contains(Advance(state, group, 2970, 3020),
+                   replacement_action_kind::kPromote, "b"));
+  group[1].replaced = true;
+  CHECK(Contains(Advance(state, group, 3050, 3150),
+                 replacement_action_kind::kPromote, "c"));
+}
+
 /// Returns a state in which the order for `b` had no response.
 replacement_state WithUnansweredOrder(group_health& group) {
   replacement_state state = Fenced(group, 12, 12);
