Bind the primary and its step-down to a process, and let no term fall

What callers could see: acknowledged commits lost (LOST) where a primary started again with an empty log under its identifier. Its answer to the step-down proved every replica at position 0, or it was promoted itself as the old primary.

Change: the primary is a process, its step-down ends with it and isn't taken from one with less than it had; fewer entries within a term, or a lower term, show another process before its entry does; an answer to a request from before is dropped; each term has its own primaries; an instance keeps its highest term. Only an answer from the address shows that a process has ended, an entry is a hint to ask a returned primary first: clocks that jump can't turn it round. The rule by which a process took over the bound of its predecessor is taken out.

Ruled out: comparing starts, which another machine's clock gives.

--- a/src/sassafraswick/failover/fence.cc
+++ b/src/sassafraswick/failover/fence.cc
@@ -28,7 +28,8 @@
                           const replacement_settings& settings,
                           time_point now) {
   const instance_health* const primary = FindInstance(group, state.primary);
-  const bool has_ended = primary == nullptr || primary->replaced;
+  const bool has_ended =
+      primary == nullptr || primary->replaced || primary->may_be_replaced;
   return has_ended && state.phase != replacement_phase::kPromoting &&
          IsPresumedLost(state.cause) && !state.order.has_value() &&
          !state.stepped_down_position.has_value() && instance.claims_primary &&
@@ -103,6 +104,28 @@
   return unfenced;
 }
 
+void SetPrimary(replacement_state& state, const instance_health* primary) {
+  state.primary = primary == nullptr ? std::string() : primary->id;
+  state.primary_seen_since =
+      primary == nullptr ? time_point() : primary->seen_since;
+  state.stepped_down_position.reset();
+}
+
+void DropEndedPrimary(replacement_state& state, const group_health& group) {
+  const instance_health* const instance = FindInstance(group, state.primary);
+  if (instance == nullptr) {
+    return;
+  }
+  if (instance->seen_since != state.primary_seen_since) {
+    // The instance runs another process, which is one of the others.
+    SetPrimary(state, nullptr);
+    state.fence_requests.erase(instance->id);
+  } else if (instance->replaced) {
+    // Its next process must be fenced like any other.
+    state.stepped_down_position.reset();
+  }
+}
+
 void DropLapsedFences(replacement_state& state, const group_health& group) {
   for (const instance_health& instance : group) {
     const auto paused = state.paused.find(instance.id);
@@ -118,14 +141,14 @@
       state.fence_requests.erase(instance.id);
     }
   }
+  DropEndedPrimary(state, group);
   const instance_health* const primary = FindCurrentPrimary(group);
   const bool leads = primary != nullptr && IsResponsive(*primary) &&
                      (primary->id != state.primary ||
                       (state.stepped_down_position.has_value() &&
                        primary->requested_at > state.stepped_down_at));
   if (leads) {
-    state.primary = primary->id;
-    state.stepped_down_position.reset();
+    SetPrimary(state, primary);
     state.fence_requests.erase(primary->id);
   }
 }
--- a/src/sassafraswick/failover/fence.h
+++ b/src/sassafraswick/failover/fence.h
@@ -25,6 +25,14 @@
 [[nodiscard]] std::vector<std::string> ListUnfenced(
     const replacement_state& state, const group_health& group);
 
+/// Sets the primary that is replaced.
+/// @param primary Null if none is known.
+void SetPrimary(replacement_state& state, const instance_health* primary);
+
+/// Forgets the primary's step-down once its process has ended, and the primary
+/// if another process runs under its identifier.
+void DropEndedPrimary(replacement_state& state, const group_health& group);
+
 /// Removes what no longer holds: the pauses of replicas that replicate again
 /// because they were restarted or told to resume, and the step-down of a
 /// primary that was restarted and leads again, also under another identifier.
--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -29,8 +29,8 @@
       });
 }
 
-/// Returns the last entry that a process confirmed that it would receive before
-/// it paused replication; nothing if it did not pause.
+/// Returns the last entry that a process had received when it paused
+/// replication; nothing if it did not pause.
 std::optional<log_point> PausedAt(const replacement_state& state,
                                   const process_key& process,
                                   const instance_health* instance) {
@@ -45,42 +45,9 @@
                           : std::optional<log_point>(paused->second.received);
 }
 
-/// Returns when the primary was last known to respond.
-time_point PrimaryRespondedAt(const replacement_state& state,
-                              const group_health& group) {
-  const instance_health* const primary = FindInstance(group, state.primary);
-  if (primary == nullptr) {
-    return state.primary_responded_at;
-  }
-  const time_point lost_since =
-      primary->refused_since.value_or(time_point::min());
-  return std::max({state.primary_responded_at, lost_since,
-                   primary->silent_since.value_or(time_point::min())});
-}
-
-/// Returns the log position of the process that started at a process' address
-/// with its log. While no primary responds, it cannot have received its entries
-/// from one.
-std::optional<log_point> InheritedPosition(const replacement_state& state,
-                                           const group_health& group,
-                                           const group_member& member,
-                                           const instance_health* instance) {
-  if (instance == nullptr || !instance->replaced) {
-    return std::nullopt;
-  }
-  const instance_health* const successor =
-      FindInstance(group, instance->successor);
-  const bool has_log =
-      successor != nullptr && successor->status.has_value() &&
-      successor->seen_since > PrimaryRespondedAt(state, group) &&
-      !IsBehind(successor->status->received, member.received);
-  return has_log ? std::optional<log_point>(successor->status->received)
-                 : std::nullopt;
-}
-
 /// Updates the bound of what a process that has left may have confirmed: its
-/// last entry if it was paused before or if its log was taken over, otherwise a
-/// position of the primary from after it left.
+/// last entry if it was paused before, otherwise a position of the primary from
+/// after it left.
 void UpdateBound(group_member& member, const replacement_state& state,
                  const process_key& process, const group_health& group) {
   const instance_health* const instance = FindInstance(group, process.first);
@@ -94,9 +61,6 @@
   if (!member.bound.has_value() && is_position_known) {
     member.bound = primary->status->received;
   }
-  if (!member.bound.has_value()) {
-    member.bound = InheritedPosition(state, group, member, instance);
-  }
 }
 
 void TrackPrimary(replacement_state& state, const group_health& group) {
@@ -104,8 +68,6 @@
   if (primary == nullptr) {
     return;
   }
-  state.primary_responded_at =
-      std::max(state.primary_responded_at, primary->requested_at);
   if (!WasTermPrimary(state, ProcessOf(*primary))) {
     state.term_primaries.push_back(ProcessOf(*primary));
   }
@@ -126,9 +88,11 @@
   const bool learns =
       state.observation_started_at.has_value() &&
       now - *state.observation_started_at < settings.observation_period;
+  if (term != state.members_term) {
+    state.term_primaries.clear();
+  }
   if (term != state.members_term && !learns) {
     state.members.clear();
-    state.term_primaries.clear();
   }
   state.members_term = term;
 }
@@ -145,6 +109,13 @@
                    process) != state.term_primaries.end();
 }
 
+bool IsOtherProcess(const instance_status& earlier,
+                    const instance_status& later) {
+  return later.term < earlier.term ||
+         (later.term == earlier.term &&
+          IsBehind(later.received, earlier.received));
+}
+
 void TrackMembers(replacement_state& state, const group_health& group,
                   const replacement_settings& settings, time_point now) {
   BeginTerm(state, group, settings, now);
--- a/src/sassafraswick/failover/group_members.h
+++ b/src/sassafraswick/failover/group_members.h
@@ -20,6 +20,12 @@
 [[nodiscard]] bool WasTermPrimary(const replacement_state& state,
                                   const process_key& process);
 
+/// Returns whether a status is that of another process than an earlier status
+/// under the same identifier: a process' term never falls, and within a term it
+/// loses no entries.
+[[nodiscard]] bool IsOtherProcess(const instance_status& earlier,
+                                  const instance_status& later);
+
 /// Tracks which processes may have confirmed writes of the current term. One
 /// that has left is kept, for however long, until a remaining replica has what
 /// the primary had after that, or a higher term begins.
--- a/src/sassafraswick/failover/loss_detection.cc
+++ b/src/sassafraswick/failover/loss_detection.cc
@@ -55,6 +55,7 @@
 term_number HighestTerm(const group_health& group) {
   term_number highest = 0;
   for (const instance_health& instance : group) {
+    highest = std::max(highest, instance.highest_term);
     if (instance.status.has_value()) {
       highest = std::max(highest, instance.status->term);
     }
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -99,10 +99,8 @@
   if (cause == replacement_cause::kNone || must_wait) {
     return CleanUpAbandoned(state, group, settings, now);
   }
-  state.primary =
-      current_primary == nullptr ? std::string() : current_primary->id;
+  SetPrimary(state, current_primary);
   state.term = HighestTerm(group) + 1;
-  state.stepped_down_position.reset();
   state.paused.clear();
   state.fence_requests.clear();
   EnterPhase(state, replacement_phase::kFencing, now);
@@ -119,6 +117,23 @@
          IsResponsive(*primary) && primary->requested_at > state.since;
 }
 
+/// Returns whether a status shows that the replaced primary's process stepped
+/// down. One behind what the primary is known to have had is of a process that
+/// runs under its identifier since.
+bool IsStepDownOfPrimary(const replacement_state& state,
+                         const group_health& group,
+                         const replacement_action& action,
+                         const instance_status& status) {
+  const instance_health* const primary = FindInstance(group, state.primary);
+  if (action.instance != state.primary || status.is_primary ||
+      primary == nullptr || primary->seen_since != state.primary_seen_since) {
+    return false;
+  }
+  const auto member = state.members.find(ProcessOf(*primary));
+  return member == state.members.end() ||
+         !IsBehind(status.received, member->second.received);
+}
+
 action_list Wait(replacement_state& state, const group_health& group,
                  const replacement_settings& settings, time_point now) {
   DropLapsedFences(state, group);
@@ -176,6 +191,7 @@
     state.unreplicated_since = now;
   }
   TrackMembers(state, group, settings, now);
+  DropEndedPrimary(state, group);
   if (state.order.has_value() &&
       !MayTakeEffect(*state.order, group, settings, now)) {
     state.order.reset();
@@ -213,7 +229,7 @@
     return;
   }
   if (action.kind == replacement_action_kind::kStepDown &&
-      action.instance == state.primary && !status.is_primary) {
+      IsStepDownOfPrimary(state, group, action, status)) {
     if (!state.stepped_down_position.has_value()) {
       state.stepped_down_at = now;
     }
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -34,10 +34,13 @@
   /// When this process was first seen. Another process may have run under the
   /// same identifier before.
   time_point seen_since;
-  /// Another process runs at its address, so this one has ended.
+  /// Another process answers at its address, so this one has ended.
   bool replaced = false;
-  /// Identifier of that process, if it belongs to the same group.
-  std::string successor;
+  /// An entry of the list names another process at its address. The process may
+  /// be the next one of this instance, under another identifier.
+  bool may_be_replaced = false;
+  /// Highest term that any process of the instance reported.
+  term_number highest_term = 0;
   /// The instance announced that it will stop, or is no longer listed.
   bool leaving = false;
   bool listed = true;
@@ -204,6 +207,8 @@
   /// Term used for fencing, higher than the group's current term.
   term_number term = 0;
   std::string primary;
+  /// Since when the primary's process is known.
+  time_point primary_seen_since;
   /// Last log entry of the primary when it stepped down.
   std::optional<log_point> stepped_down_position;
   /// When the first response said so.
@@ -226,8 +231,6 @@
   /// The processes that were primary of `members_term`, one after the other. A
   /// primary confirms no writes of its own.
   std::vector<process_key> term_primaries;
-  /// When the request was sent to which the primary last responded.
-  time_point primary_responded_at;
   /// When the newest complete read of the list of instances was sent. Set by
   /// the caller before `AdvanceReplacement`.
   time_point list_read_at;
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -139,7 +139,8 @@
                           const group_health& group) {
   const instance_health* const primary = FindInstance(group, state.primary);
   return state.stepped_down_position.has_value() && primary != nullptr &&
-         primary->listed && IsResponsive(*primary);
+         primary->listed && IsResponsive(*primary) &&
+         !IsBehind(primary->status->received, *state.stepped_down_position);
 }
 
 }  // namespace
--- a/src/sassafraswick/gateway/gateway_state.h
+++ b/src/sassafraswick/gateway/gateway_state.h
@@ -176,7 +176,7 @@
     }
   }
 
-  /// Marks a target whose address another process has taken over.
+  /// Records that an entry names another process at a target's address.
   void MarkTargetReplaced(const std::string& id, const std::string& successor) {
     for (const std::pair<const std::string,
                          std::shared_ptr<target_group<Codec>>>& entry :
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -14,6 +14,7 @@
 #include "sassafraswick/config/catalog.h"
 #include "sassafraswick/consistency/primary_view.h"
 #include "sassafraswick/core/log.h"
+#include "sassafraswick/failover/group_members.h"
 #include "sassafraswick/failover/replacement_state.h"
 #include "sassafraswick/gateway/connection_pool.h"
 #include "sassafraswick/gateway/counters.h"
@@ -110,13 +111,12 @@
     }
   }
 
-  /// Marks an instance whose address another process has taken over.
+  /// Records that an entry names another process at an instance's address.
   /// @param successor Instance that the other process runs.
   void MarkReplaced(const std::string& id, const std::string& successor) {
     const target_pointer target = Find(id);
-    if (target != nullptr && !target->health.replaced) {
-      target->health.replaced = true;
-      target->health.successor = successor;
+    if (target != nullptr && !target->health.may_be_replaced) {
+      target->health.may_be_replaced = true;
       Log(log_level::kInfo, "target_replaced",
           {{"pool", name_}, {"target", id}, {"successor", successor}});
       changed_.NotifyAll();
@@ -268,6 +268,7 @@
     target.health.silent_since.reset();
     target.health.refused_since.reset();
     target.health.replaced = false;
+    target.health.may_be_replaced = false;
     if (response.failure == failure_code::kBusy) {
       // Overload makes an instance less likely to be chosen. Without it, its
       // load would overload the others.
@@ -481,7 +482,8 @@
     Observe(*target, outcome.results.front(), requested_at);
     const result<instance_status> status =
         Codec::ParseStatus(outcome.results.front());
-    if (!status) {
+    const bool is_of_this_process = requested_at >= target->health.seen_since;
+    if (!status || !is_of_this_process) {
       co_return std::nullopt;
     }
     ObserveStatus(*target, status.value(), requested_at);
@@ -568,6 +570,8 @@
     Log(log_level::kInfo, "target_restarted",
         {{"pool", name_}, {"target", target.record.id}});
     target.BeginProcess(target.record.id, monotonic_clock::now());
+    target.health.claims_primary = target.record.claims_primary;
+    ApplyEvacuation(target);
     HandleViewChange(RecordNotPrimary(view_, target.record.id, view_.term));
   }
 
@@ -582,8 +586,13 @@
 
   void ObserveStatus(target_state<Codec>& target, const instance_status& status,
                      time_point requested_at) {
-    if (!target.health.status.has_value() ||
-        requested_at >= target.health.requested_at) {
+    const bool is_newest = !target.health.status.has_value() ||
+                           requested_at >= target.health.requested_at;
+    if (is_newest && target.health.status.has_value() &&
+        IsOtherProcess(*target.health.status, status)) {
+      HandleProcessChange(target);
+    }
+    if (is_newest) {
       target.health.status = status;
       target.health.requested_at = requested_at;
     }
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -113,9 +113,15 @@
 
   /// Begins to track the process that runs the instance from now on.
   void BeginProcess(const std::string& id, time_point now) {
+    const term_number highest_term = std::max(
+        health.highest_term,
+        health.status.has_value() ? health.status->term : term_number(0));
+    const bool listed_before = health.listed;
     health = instance_health();
     health.id = id;
     health.seen_since = now;
+    health.listed = listed_before;
+    health.highest_term = highest_term;
     progress = replica_progress();
     answered_at = time_point();
     idle.clear();
