Pass on acknowledgements only under a proof of replication

The holder of the failover lease, cut off from the primary, pauses the other instances it knows and orders a promotion. An instance of a release joins the primary, confirms writes that had waited, and hosts on the primary's side pass them on.

Cause: any acknowledgement of a commit counted as a proof of leadership and was passed on, also when only an instance that no promoter knew had confirmed it. The holder ordered by a list of instances that could be older than the fence.

Change: a host passes an acknowledgement on, and counts it as a proof, only up to 250 ms after a proof of replication, else it asks a witness first (consistency/commit_proof); without an answer the outcome is in doubt. Proofs by status ask witnesses only. The holder orders behind a fence by pauses with a list read 450 ms after the fence or later, in an outage of the store 0.7 s after it.

Ruled out: holding back only once a new instance was seen (it can confirm before); proofs from positions of reads at replicas (an entry can be on a replica before the primary shows it).

--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -179,8 +179,7 @@
 
 bool AwaitsList(const replacement_state& state, time_point now) {
   return state.phase == replacement_phase::kWaiting &&
-         state.stepped_down_position.has_value() &&
-         now >= state.stepped_down_at + kEntryDelay && !IsListComplete(state);
+         now >= ListNeededAt(state) && !IsListComplete(state);
 }
 
 std::vector<replacement_action> AdvanceReplacement(
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -85,7 +85,8 @@
   duration catch_up_timeout = std::chrono::milliseconds(1500);
   /// Time after the fence for which a complete list of the instances is awaited
   /// if no instance has all that the primary had when it stepped down. Then the
-  /// primary is promoted again, while the failover lease is still valid.
+  /// primary is promoted again, while the failover lease is still valid; if it
+  /// did not step down, the most advanced instance.
   duration list_timeout = std::chrono::milliseconds(700);
   /// Time to wait for an instance that has left and may have confirmed writes
   /// that no other has. After it, an instance is promoted without proof.
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "sassafraswick/consistency/commit_proof.h"
 #include "sassafraswick/failover/group_members.h"
 #include "sassafraswick/failover/loss_detection.h"
 
@@ -89,15 +90,17 @@
 
 /// Chooses among instances that provably have every acknowledged write.
 /// Instances that leave or do not respond are chosen only after
-/// `catch_up_timeout`.
+/// `catch_up_timeout`. Behind a fence by pauses, an outage of the store does
+/// not prevent a promotion.
 promotion_choice ChooseProved(const replacement_state& state,
                               const group_health& group,
                               const std::vector<candidate>& candidates,
-                              bool timed_out) {
+                              bool timed_out, bool list_timed_out) {
   // An instance that is not listed yet may have confirmed what only the primary
   // has besides.
   const bool list_suffices =
-      !state.stepped_down_position.has_value() || IsListComplete(state);
+      IsListComplete(state) ||
+      (!state.stepped_down_position.has_value() && list_timed_out);
   const bool all_known = list_suffices && !candidates.empty() &&
                          candidates.size() >= CountOthers(state, group) &&
                          !LastMemberLeftAt(state, state.primary).has_value();
@@ -145,8 +148,14 @@
 
 }  // namespace
 
+time_point ListNeededAt(const replacement_state& state) {
+  return state.stepped_down_position.has_value()
+             ? state.stepped_down_at + kEntryDelay
+             : state.fenced_at + kListReadDelay;
+}
+
 bool IsListComplete(const replacement_state& state) {
-  return state.list_read_at >= state.stepped_down_at + kEntryDelay;
+  return state.list_read_at >= ListNeededAt(state);
 }
 
 promotion_choice ChooseInstance(const replacement_state& state,
@@ -157,12 +166,13 @@
   const duration waited =
       std::chrono::duration_cast<duration>(now - state.fenced_at);
   const bool timed_out = waited >= settings.catch_up_timeout;
-  promotion_choice chosen = ChooseProved(state, group, candidates, timed_out);
+  const bool list_timed_out =
+      !IsListComplete(state) && waited >= settings.list_timeout;
+  promotion_choice chosen =
+      ChooseProved(state, group, candidates, timed_out, list_timed_out);
   if (!chosen.id.empty()) {
     return chosen;
   }
-  const bool list_timed_out =
-      !IsListComplete(state) && waited >= settings.list_timeout;
   if ((timed_out || list_timed_out) && CanPromoteOldPrimary(state, group)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
--- a/src/sassafraswick/failover/successor_choice.h
+++ b/src/sassafraswick/failover/successor_choice.h
@@ -10,9 +10,6 @@
 
 namespace sassafraswick {
 
-/// Time from an instance's start within which the store lists it.
-inline constexpr duration kEntryDelay = std::chrono::milliseconds(200);
-
 /// An instance to promote, and why it was chosen.
 struct promotion_choice {
   /// Empty if no instance is to be promoted yet.
@@ -20,8 +17,12 @@
   choice_proof proof = choice_proof::kNone;
 };
 
-/// Returns whether every instance that confirmed a write before the primary
-/// stepped down is known: the list of instances was read after it had.
+/// Returns when the list of instances must be read, so that every instance that
+/// confirmed a write which was passed on is known: after the step-down of the
+/// primary or, without one, after the fence.
+[[nodiscard]] time_point ListNeededAt(const replacement_state& state);
+
+/// Returns whether the list of instances was read at that time or later.
 [[nodiscard]] bool IsListComplete(const replacement_state& state);
 
 /// Chooses an instance that has every acknowledged write; without proof only
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -144,6 +144,9 @@
       engine_.OnWrite();
     }
     const bool is_write = commits ? engine_.MayHaveWritten() : writes;
+    if (commits && is_write) {
+      group_->PrepareCommit();
+    }
     const sent_statement sent =
         co_await SendOn(query, std::nullopt, transaction.lease,
                         operation_.route.statement_timeout);
@@ -158,7 +161,9 @@
     }
     RecordStatement(is_write, target, sent.sent_at);
     if (response.failure == failure_code::kNone && commits && is_write) {
-      group_->ObserveCommit(target, response, sent.sent_at);
+      co_return co_await PassOnCommit(
+          target, std::move(response), sent.sent_at,
+          sent.sent_at + operation_.route.statement_timeout);
     }
     const bool reads = !commits && !writes;
     if (response.failure == failure_code::kNone && reads &&
@@ -375,6 +380,7 @@
       statement query, pooled_connection_lease<Codec> lease) {
     const duration left = std::chrono::duration_cast<duration>(
         operation_.Deadline() - monotonic_clock::now());
+    group_->PrepareCommit();
     const sent_statement sent =
         co_await SendOn(std::move(query), std::nullopt, lease, left);
     statement_result response = sent.response;
@@ -382,8 +388,29 @@
     if (response.failure == failure_code::kNoAnswer) {
       response.failure = failure_code::kInDoubt;
     } else if (response.failure == failure_code::kNone) {
-      group_->ObserveCommit(*lease.target, response, sent.sent_at);
       RecordStatement(true, *lease.target, sent.sent_at);
+      co_return co_await PassOnCommit(*lease.target, std::move(response),
+                                      sent.sent_at, operation_.Deadline());
+    }
+    co_return response;
+  }
+
+  /// Passes on the acknowledgement of a commit once it is certain that a
+  /// promotion cannot lose the commit.
+  /// @return A failure of unknown outcome if it is not by the deadline.
+  boost::asio::awaitable<statement_result> PassOnCommit(
+      target_state<Codec>& target, statement_result response,
+      time_point requested_at, time_point deadline) {
+    const time_point acknowledged_at = monotonic_clock::now();
+    group_->ObserveCommit(target, response, requested_at);
+    const term_number term =
+        response.position.has_value() ? response.position->term : 0;
+    const bool proved =
+        co_await group_->AwaitCommitProof(term, acknowledged_at, deadline);
+    if (!proved) {
+      response = statement_result();
+      response.failure = failure_code::kInDoubt;
+      response.detail = "the primary may have been replaced";
     }
     co_return response;
   }
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "sassafraswick/config/catalog.h"
+#include "sassafraswick/consistency/commit_proof.h"
 #include "sassafraswick/consistency/primary_view.h"
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/failover/group_members.h"
@@ -292,7 +293,8 @@
   }
 
   /// Records a write that the primary acknowledged. With synchronous replicas
-  /// the acknowledgement is a proof of leadership.
+  /// the acknowledgement is a proof of leadership, unless an instance may have
+  /// confirmed the write that a promoter does not know.
   void ObserveCommit(const target_state<Codec>& target,
                      const statement_result& response,
                      time_point requested_at) {
@@ -300,11 +302,46 @@
       return;
     }
     ObservePrimary(target, response);
-    if (sync_replicas_ > 0 && target.record.id == view_.primary) {
-      RecordProof(view_, response.position->term, requested_at);
+    const term_number term = response.position->term;
+    if (sync_replicas_ > 0 && target.record.id == view_.primary &&
+        IsCommitProved(replication_, term, monotonic_clock::now())) {
+      RecordProof(view_, term, requested_at);
+      RecordReplication(replication_, {term, requested_at});
     }
   }
 
+  /// Requests a proof for the acknowledgement of a commit that is about to be
+  /// sent, if the newest one will be too old by then.
+  void PrepareCommit() {
+    const bool is_recent = replication_.has_value() &&
+                           monotonic_clock::now() - replication_->requested_at <
+                               kCommitProofRenewal;
+    if (sync_replicas_ > 0 && !is_recent) {
+      RequestReplicationProof();
+    }
+  }
+
+  /// Waits until an acknowledgement of the primary may be passed on.
+  /// @param acknowledged_at When it arrived.
+  /// @return False at the deadline, or if a later term has begun.
+  boost::asio::awaitable<bool> AwaitCommitProof(term_number term,
+                                                time_point acknowledged_at,
+                                                time_point deadline) {
+    while (sync_replicas_ > 0 &&
+           !IsCommitProved(replication_, term, acknowledged_at)) {
+      const time_point now = monotonic_clock::now();
+      const bool is_replaced =
+          replication_.has_value() && replication_->term > term;
+      if (is_replaced || now >= deadline) {
+        co_return false;
+      }
+      RequestReplicationProof();
+      co_await changed_.Wait(
+          std::chrono::duration_cast<duration>(deadline - now));
+    }
+    co_return true;
+  }
+
   /// Records a response that only a primary can give.
   void ObservePrimary(const target_state<Codec>& target,
                       const statement_result& response) {
@@ -381,6 +418,13 @@
 
   /// Starts to obtain a proof of leadership, unless that is in progress.
   void RequestProof() {
+    wants_leadership_ = true;
+    RequestReplicationProof();
+  }
+
+  /// Starts to obtain a proof of replication, unless that is in progress. An
+  /// acknowledgement of the primary makes it a proof of leadership.
+  void RequestReplicationProof() {
     if (requesting_proof_) {
       return;
     }
@@ -397,6 +441,8 @@
 
   /// Applies the proof collector's report.
   void ApplyReport(const view_report& report, time_point request_sent_at) {
+    RecordReplication(replication_,
+                      {report.term, request_sent_at - report.proof_age});
     HandleViewChange(ApplyViewReport(view_, report, request_sent_at));
     if (IsPrimaryLeaseValid(view_, view_.primary, view_.term,
                             monotonic_clock::now())) {
@@ -714,47 +760,69 @@
       co_return;
     }
     const time_point requested_at = monotonic_clock::now();
+    const bool wants_leadership = std::exchange(wants_leadership_, false);
     const target_pointer primary = Primary();
-    if (primary != nullptr) {
-      const std::optional<instance_status> primary_status =
+    bool replicates = false;
+    if (primary != nullptr && wants_leadership) {
+      const std::optional<instance_status> status =
           co_await RequestStatus(primary);
-      const bool is_primary =
-          primary_status.has_value() && primary_status->is_primary;
-      const term_number term = is_primary ? primary_status->term : 0;
-      const bool replica_not_paused =
-          co_await CheckReplicaNotPaused(primary, term);
-      if (is_primary && replica_not_paused) {
+      const bool is_primary = status.has_value() && status->is_primary;
+      const term_number term = is_primary ? status->term : 0;
+      replicates = co_await CheckReplication(primary, term);
+      if (is_primary && replicates) {
         RecordProof(view_, term, requested_at);
+        RecordReplication(replication_, {term, requested_at});
+      }
+    } else if (primary != nullptr) {
+      const term_number term = view_.term;
+      replicates = co_await CheckReplication(primary, term);
+      if (replicates) {
+        RecordReplication(replication_, {term, requested_at});
       }
     }
-    if (!IsPrimaryLeaseValid(view_, view_.primary, view_.term,
-                             monotonic_clock::now())) {
+    if (!replicates) {
       co_await Sleep(kProofRetryDelay);
     }
     requesting_proof_ = false;
     changed_.NotifyAll();
   }
 
-  /// Returns whether a replica confirms that it is not paused in this term,
-  /// which proves that the group has not been fenced. True if the group has no
-  /// replica.
-  boost::asio::awaitable<bool> CheckReplicaNotPaused(target_pointer primary,
-                                                     term_number term) {
-    const std::vector<target_pointer> candidates = targets_;
-    bool has_replica = false;
-    for (const target_pointer& target : candidates) {
-      if (target == primary || !target->listed) {
-        continue;
+  /// Returns whether a witness, or every other instance, confirms that it is
+  /// not paused in this term, which proves that the group has not been fenced.
+  /// True if the group has no replica.
+  boost::asio::awaitable<bool> CheckReplication(target_pointer primary,
+                                                term_number term) {
+    std::vector<target_pointer> others;
+    for (const target_pointer& target : targets_) {
+      if (target != primary && target->listed && !target->health.replaced) {
+        others.push_back(target);
+      }
+    }
+    const auto first_new = std::stable_partition(
+        others.begin(), others.end(), [this](const target_pointer& target) {
+          return IsWitness(replication_, target->health.seen_since,
+                           monotonic_clock::now());
+        });
+    const std::size_t witnesses =
+        static_cast<std::size_t>(first_new - others.begin());
+    bool all_replicate = true;
+    for (std::size_t i = 0; i < others.size(); ++i) {
+      if (i >= witnesses && !all_replicate) {
+        break;
       }
-      has_replica = true;
+      const target_pointer target = others[i];
+      const time_point seen_since = target->health.seen_since;
       const std::optional<instance_status> status =
           co_await RequestStatus(target);
-      if (status.has_value() && status->term == term &&
-          status->paused_term == 0) {
+      const bool replicates = status.has_value() && status->term == term &&
+                              status->paused_term == 0 &&
+                              target->health.seen_since == seen_since;
+      if (replicates && i < witnesses) {
         co_return true;
       }
+      all_replicate = all_replicate && replicates;
     }
-    co_return !has_replica;
+    co_return all_replicate;
   }
 
   boost::asio::io_context& context_;
@@ -763,6 +831,7 @@
   gateway_counters& counters_;
   connection_pool<Codec> connection_pool_;
   primary_view view_;
+  std::optional<replication_proof> replication_;
   async_event changed_;
   std::vector<target_pointer> targets_;
   const evacuated_zones* evacuated_zones_ = nullptr;
@@ -775,6 +844,8 @@
   std::function<bool(const std::string& pool)> proof_source_;
   bool resolving_primary_ = false;
   bool requesting_proof_ = false;
+  /// The next proof must be one of leadership.
+  bool wants_leadership_ = false;
   /// Requests to which the proof collector supplied no proof in time, since its
   /// last one.
   int fruitless_rounds_ = 0;
--- /dev/null
+++ b/test/sassafraswick/consistency/commit_proof_test.cc
@@ -0,0 +1,61 @@
+#include "sassafraswick/consistency/commit_proof.h"
+
+#include <catch2/catch.hpp>
+
+namespace sassafraswick {
+namespace {
+
+time_point At(int milliseconds) {
+  return time_point(std::chrono::hours(1)) +
+         std::chrono::milliseconds(milliseconds);
+}
+
+/// A replica was not paused in term 2 at 0 ms.
+std::optional<replication_proof> Replicating() {
+  std::optional<replication_proof> newest;
+  RecordReplication(newest, {2, At(0)});
+  return newest;
+}
+
+// Writes that had waited behind a fence were acknowledged once an instance of a
+// release joined the old primary, and lost by the promotion. Seen with:
+// review/12.
+TEST_CASE("a commit that waited behind a fence is not passed on without proof",
+          "[commit_proof]") {
+  std::optional<replication_proof> newest = Replicating();
+  CHECK(IsCommitProved(newest, 2, At(250)));
+  CHECK_FALSE(IsCommitProved(newest, 2, At(251)));
+  RecordReplication(newest, {2, At(600)});
+  CHECK(IsCommitProved(newest, 2, At(620)));
+  CHECK_FALSE(IsCommitProved(std::nullopt, 2, At(0)));
+}
+
+TEST_CASE("a proof of a later term covers no commit of a replaced primary",
+          "[commit_proof]") {
+  std::optional<replication_proof> newest = Replicating();
+  RecordReplication(newest, {3, At(100)});
+  CHECK_FALSE(IsCommitProved(newest, 2, At(110)));
+  RecordReplication(newest, {2, At(200)});
+  CHECK(newest->term == 3);
+  CHECK(newest->requested_at == At(100));
+}
+
+// The instance that had joined the old primary was asked whether the group was
+// fenced, though no promoter had paused it yet.
+TEST_CASE("an instance that joined after the last proof is no witness",
+          "[commit_proof]") {
+  const std::optional<replication_proof> newest = Replicating();
+  CHECK(IsWitness(newest, At(-5000), At(3000)));
+  CHECK(IsWitness(newest, At(450), At(3000)));
+  CHECK_FALSE(IsWitness(newest, At(451), At(3000)));
+  CHECK(IsWitness(newest, At(249), At(250)));
+}
+
+TEST_CASE("a host without any proof relies on instances that it has known",
+          "[commit_proof]") {
+  CHECK_FALSE(IsWitness(std::nullopt, At(0), At(1999)));
+  CHECK(IsWitness(std::nullopt, At(0), At(2000)));
+}
+
+}  // namespace
+}  // namespace sassafraswick
--- a/test/sassafraswick/failover/replacement_builder.h
+++ b/test/sassafraswick/failover/replacement_builder.h
@@ -37,8 +37,10 @@
 }
 
 /// Returns a state that observed a healthy group beyond the observation period.
+/// The store answers each read of the list of instances at once.
 inline replacement_state Watching() {
   replacement_state state;
+  state.list_read_at = At(1'000'000);
   CHECK(AdvanceReplacement(state, Healthy(0), kSettings, At(0)).empty());
   CHECK(AdvanceReplacement(state, Healthy(2000), kSettings, At(2000)).empty());
   return state;
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -470,6 +470,46 @@
                  replacement_action_kind::kPromote, "c"));
 }
 
+// An instance joined the old primary after the fence, and confirmed writes that
+// the promoted replica lacked. Seen with: review/12.
+TEST_CASE("a promotion after a fence by pauses needs a list read after it",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 11, 2465);
+  RecordPause(state, group, 2, 12, 2470);
+  state.list_read_at = At(2470 + 449);
+  SECTION("it is requested before the primary lease has expired") {
+    CHECK_FALSE(AwaitsList(state, At(2919)));
+    CHECK(AwaitsList(state, At(2920)));
+    state.list_read_at = At(2920);
+    CHECK_FALSE(AwaitsList(state, At(2930)));
+    CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(2970)),
+                   replacement_action_kind::kPromote, "c"));
+  }
+  SECTION("an earlier one does not suffice while the store may answer") {
+    CHECK_FALSE(Contains(AdvanceReplacement(state, group, kSettings, At(3000)),
+                         replacement_action_kind::kPromote, "c"));
+    CHECK_FALSE(Contains(AdvanceReplacement(state, group, kSettings, At(3169)),
+                         replacement_action_kind::kPromote, "c"));
+  }
+  SECTION("in an outage of the store the promotion is ordered later") {
+    CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(3170)),
+                   replacement_action_kind::kPromote, "c"));
+    CHECK(state.proof == choice_proof::kMostAdvanced);
+  }
+  SECTION("a new instance in the list is fenced first") {
+    state.list_read_at = At(2920);
+    instance_health joined;
+    joined.id = "d";
+    group.push_back(joined);
+    const std::vector<replacement_action> actions =
+        AdvanceReplacement(state, group, kSettings, At(2970));
+    CHECK(Contains(actions, replacement_action_kind::kPauseReplication, "d"));
+    CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "c"));
+  }
+}
+
 TEST_CASE("without the primary an unproved instance is promoted late",
           "[replacement]") {
   group_health group;
