Let processes change in the stand-in platform and in the soak

Change: an instance starts again with its log, under a new identifier with its log, or empty; entries carry `born` and, with `entry_lifetime`, lapse after the process' end and follow its role; an entry may appear after the port opens. An order for an instance that isn't running has no effect (409), also if it starts meanwhile. A connection ends with the process that it was made to, and a stopped primary's log is not copied any more. A replica is emptied only if another has its log. The stand-in's store skipped what was written between a watch's last look at the events and its deadline; it now reports it to the next watch.

--- a/test/platform/soak.cc
+++ b/test/platform/soak.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "test/platform/line_workload.h"
+#include "test/platform/process_faults.h"
 #include "test/platform/standin_platform.h"
 
 namespace test_platform {
@@ -29,19 +30,22 @@
 /// a promotion, and a margin.
 constexpr milliseconds kRecoveryTimeout(15'000);
 
+/// Lifetime of an instance's entry in the store: three heartbeats and a margin.
+constexpr milliseconds kEntryLifetime(3600);
+/// Time of a promotion, for half of the seeds.
+constexpr milliseconds kPromotionDelay(400);
+
 /// A fault in progress.
 struct active_fault {
   time_point ends_at;
   std::function<void()> stop;
 };
 
-/// One kind of fault.
-struct fault_kind {
-  const char* name;
-  /// Starts the fault.
-  /// @return Function that ends the fault.
-  std::function<void()> (*start)(standin_platform& platform,
-                                 std::mt19937_64& random);
+/// Sources of the choices for each list of kinds.
+struct fault_sources {
+  std::mt19937_64 common;
+  std::mt19937_64 lost;
+  std::mt19937_64 process;
 };
 
 void SetFlag(standin_platform& platform, std::size_t index,
@@ -206,11 +210,12 @@
 };
 
 /// Generates start times and kinds of faults. Faults may overlap.
-/// @param random Draws faults of `kFaultKinds`.
-/// @param lost Draws one fault of `kLostResponseKinds`.
-std::vector<scheduled_fault> GenerateFaults(std::mt19937_64& random,
-                                            std::mt19937_64& lost,
+/// @param sources Draw faults of `kFaultKinds`, one fault of
+/// `kLostResponseKinds` and one or two of `ProcessFaults`.
+std::vector<scheduled_fault> GenerateFaults(fault_sources& sources,
                                             milliseconds fault_period) {
+  std::mt19937_64& random = sources.common;
+  std::mt19937_64& lost = sources.lost;
   constexpr std::size_t kMinFaults = 2;
   constexpr std::size_t kFaultCountRange = 4;
   const std::uint64_t period = static_cast<std::uint64_t>(fault_period.count());
@@ -221,7 +226,7 @@
   }
   std::sort(draws.begin(), draws.end());
   std::vector<scheduled_fault> schedule;
-  schedule.reserve(count + 1);
+  schedule.reserve(count + 3);
   for (const std::pair<milliseconds, std::size_t>& each : draws) {
     schedule.push_back({each.first, &kFaultKinds.at(each.second), &random});
   }
@@ -229,6 +234,13 @@
   schedule.push_back(
       {lost_start, &kLostResponseKinds.at(lost() % kLostResponseKinds.size()),
        &lost});
+  const std::vector<fault_kind>& changes = ProcessFaults();
+  const std::size_t change_count = 1 + sources.process() % 2;
+  for (std::size_t i = 0; i < change_count; ++i) {
+    const milliseconds start(sources.process() % period);
+    schedule.push_back({start, &changes.at(sources.process() % changes.size()),
+                        &sources.process});
+  }
   std::stable_sort(
       schedule.begin(), schedule.end(),
       [](const scheduled_fault& left, const scheduled_fault& right) {
@@ -239,12 +251,12 @@
 
 /// Starts and ends the scheduled faults; returns once all have ended.
 /// @return Description of the faults.
-std::string RunFaults(standin_platform& platform, std::mt19937_64& random,
-                      std::mt19937_64& lost, milliseconds fault_period) {
+std::string RunFaults(standin_platform& platform, fault_sources& sources,
+                      milliseconds fault_period) {
   std::string description;
   std::vector<active_fault> active;
   const std::vector<scheduled_fault> schedule =
-      GenerateFaults(random, lost, fault_period);
+      GenerateFaults(sources, fault_period);
   std::size_t next = 0;
   const time_point start = monotonic_clock::now();
   while (next < schedule.size() || !active.empty()) {
@@ -276,12 +288,16 @@
 
 soak_report RunSoak(std::uint64_t seed, milliseconds fault_period) {
   soak_report report;
-  std::mt19937_64 random(seed);
-  std::mt19937_64 lost(~seed);
+  constexpr std::uint64_t kProcessSalt = 0x5eed'0000'0000'0000;
+  fault_sources sources{std::mt19937_64(seed), std::mt19937_64(~seed),
+                        std::mt19937_64(seed ^ kProcessSalt)};
   standin_options options;
   options.gateways = kGateways;
   options.with_faults = true;
   options.replica_lag = milliseconds(20);
+  options.entry_lifetime = kEntryLifetime;
+  options.promotion_delay =
+      sources.process() % 2 == 0 ? milliseconds(0) : kPromotionDelay;
   standin_platform platform(options);
   if (!platform.WaitReady()) {
     throw std::runtime_error("gateways did not become ready");
@@ -289,7 +305,7 @@
   line_workload callers(platform, kGateways, kCallers, seed);
   callers.Start();
   Pause(kWarmUpTime);
-  report.faults = RunFaults(platform, random, lost, fault_period);
+  report.faults = RunFaults(platform, sources, fault_period);
   for (std::size_t i = 0; i < kGateways; ++i) {
     report.stuck_gateways +=
         WaitUntilServing(platform, i, kRecoveryTimeout) ? 0 : 1;
--- a/test/platform/standin_group.cc
+++ b/test/platform/standin_group.cc
@@ -26,6 +26,7 @@
     : name_(std::move(name)), replica_lag_(replica_lag), instances_(instances) {
   for (std::size_t i = 0; i < instances; ++i) {
     instances_[i].id = name_ + "-" + std::to_string(i);
+    instances_[i].born = NextBorn();
   }
   instances_.at(0).primary = true;
 }
@@ -36,7 +37,9 @@
   std::unique_lock<std::mutex> lock(mutex_);
   group_instance& instance = instances_.at(index);
   StepDownIfDue(instance);
-  if (instance.unresponsive) {
+  connection.born = connection.born == 0 ? instance.born : connection.born;
+  connection.ended = !instance.running || connection.born != instance.born;
+  if (instance.unresponsive || connection.ended) {
     return {};
   }
   std::string rest = line;
@@ -86,45 +89,6 @@
   return visible;
 }
 
-void standin_group::JoinNewPrimary(group_instance& instance) {
-  for (const group_instance& new_primary : instances_) {
-    if (new_primary.primary && new_primary.term > instance.term) {
-      instance.primary = false;
-      instance.paused_term = 0;
-      instance.term = new_primary.term;
-      instance.log = new_primary.log;
-      instance.visible_as_primary =
-          std::min(instance.visible_as_primary, instance.log.size());
-    }
-  }
-}
-
-void standin_group::StepDownIfDue(group_instance& instance) {
-  if (instance.steps_down_at.has_value() &&
-      monotonic_clock::now() >= *instance.steps_down_at) {
-    instance.steps_down_at.reset();
-    JoinNewPrimary(instance);
-    changed_.notify_all();
-  }
-}
-
-bool standin_group::IsRunning(const std::string& id) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return std::any_of(instances_.begin(), instances_.end(),
-                     [&id](const group_instance& each) {
-                       return each.id == id && each.running;
-                     });
-}
-
-void standin_group::Restart(std::size_t index) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  group_instance& instance = instances_.at(index);
-  instance.running = true;
-  instance.paused_term = 0;
-  JoinNewPrimary(instance);
-  changed_.notify_all();
-}
-
 std::string standin_group::MakeFailure(const group_instance& instance,
                                        line_connection& connection,
                                        const std::string& code) {
@@ -183,18 +147,21 @@
                            std::size_t index,
                            const std::vector<log_entry>& entries) {
   const std::uint64_t term = instances_.at(index).term;
+  const std::int64_t born = instances_.at(index).born;
   const auto receives = [this, index, term](const group_instance& other) {
     return &other != &instances_.at(index) && other.running &&
            !other.not_receiving && other.paused_term == 0 && other.term == term;
   };
   // A commit waits while no replica receives.
   while (!stopped_ && instances_.at(index).primary &&
+         instances_.at(index).born == born &&
          std::none_of(instances_.begin(), instances_.end(), receives)) {
     changed_.wait_for(lock, std::chrono::milliseconds(20));
     StepDownIfDue(instances_.at(index));
   }
   group_instance& primary = instances_.at(index);
-  if (stopped_ || !primary.primary || !primary.running) {
+  if (stopped_ || !primary.primary || !primary.running ||
+      primary.born != born) {
     return false;
   }
   for (const log_entry& entry : entries) {
@@ -251,6 +218,9 @@
   }
   if (word == "RESUME") {
     instance.paused_term = 0;
+    if (!instance.primary) {
+      JoinNewPrimary(instance);
+    }
     return MakeStatus(instance, connection);
   }
   if (word == "STEPDOWN") {
@@ -332,48 +302,6 @@
   return MakeFailure(instance, connection, "MALFORMED");
 }
 
-bool standin_group::Promote(const std::string& id) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  const auto successor =
-      std::find_if(instances_.begin(), instances_.end(),
-                   [&id](const group_instance& each) { return each.id == id; });
-  if (successor == instances_.end() || !successor->running) {
-    return false;
-  }
-  if (successor->primary) {
-    return true;
-  }
-  std::uint64_t term = 0;
-  for (const group_instance& each : instances_) {
-    term = std::max(term, each.term);
-  }
-  for (group_instance& each : instances_) {
-    if (each.running && each.primary) {
-      constexpr std::chrono::milliseconds kStepDownDelay(1000);
-      each.steps_down_at = monotonic_clock::now() + kStepDownDelay;
-    } else if (each.running) {
-      each.paused_term = 0;
-      each.term = term + 1;
-      each.log = successor->log;
-    }
-  }
-  successor->primary = true;
-  successor->steps_down_at.reset();
-  changed_.notify_all();
-  return true;
-}
-
-std::size_t standin_group::PrimaryIndex() {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  std::size_t best = 0;
-  for (std::size_t i = 0; i < instances_.size(); ++i) {
-    const bool newer =
-        !instances_[best].primary || instances_[i].term > instances_[best].term;
-    best = instances_[i].primary && newer ? i : best;
-  }
-  return best;
-}
-
 std::string standin_group::LastValue(std::size_t index,
                                      const std::string& item) {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/test/platform/standin_group.h
+++ b/test/platform/standin_group.h
@@ -28,8 +28,28 @@
   sassafraswick::time_point at;
 };
 
+/// What the process of an instance has of the one before it.
+enum class instance_start : std::uint8_t {
+  /// Its identifier and its log.
+  kSameId,
+  /// Its log. It has an identifier of its own.
+  kNewId,
+  /// Its identifier.
+  kEmpty,
+};
+
+/// An instance's process, as it sees itself.
+struct instance_process {
+  std::string id;
+  std::int64_t born = 0;
+  bool primary = false;
+  bool running = false;
+};
+
 struct group_instance {
   std::string id;
+  /// Unix milliseconds of its start, different for each start.
+  std::int64_t born = 0;
   bool primary = false;
   bool running = true;
   /// Runs, but receives no log entries.
@@ -56,6 +76,10 @@
 /// State of one caller's connection to an instance.
 struct line_connection {
   std::string organisation;
+  /// Start of the process that was connected to; zero before the first line.
+  std::int64_t born = 0;
+  /// That process has ended.
+  bool ended = false;
   bool started = false;
   bool in_transaction = false;
   bool read_only = false;
@@ -83,15 +107,23 @@
   /// Makes an instance the primary of the next term with the log that it has
   /// received. The old primary goes on for a second unless it receives
   /// STEPDOWN.
-  /// @return False if the instance is unknown or not running.
-  bool Promote(const std::string& id);
+  /// @param born Start of the process that is to lead.
+  /// @return False if that process is not running.
+  bool Promote(const std::string& id, std::int64_t born);
 
   /// @return Whether an instance exists and is running.
   [[nodiscard]] bool IsRunning(const std::string& id);
+  /// Returns the start of the process that runs as an instance.
+  [[nodiscard]] std::optional<std::int64_t> RunningSince(const std::string& id);
+
+  /// Starts a stopped instance, unless it runs. If another instance has been
+  /// promoted since, it is a replica, and loses its log once it can reach the
+  /// newer primary.
+  /// @return False if it was running.
+  bool Restart(std::size_t index, instance_start start);
 
-  /// Starts a stopped instance, which keeps its log unless there is a newer
-  /// primary.
-  void Restart(std::size_t index);
+  /// Returns what an instance's process says of itself.
+  [[nodiscard]] instance_process Process(std::size_t index);
 
   /// Modifies an instance while holding the lock, then wakes waiting commits.
   template <typename Change>
@@ -124,8 +156,9 @@
   /// Number of log entries that reads on an instance see.
   [[nodiscard]] std::size_t VisibleEntries(
       const group_instance& instance) const;
-  /// Makes an instance a replica of the primary of a newer term, if there is
-  /// one.
+  /// Returns the time of a new process' start, later than all before.
+  std::int64_t NextBorn();
+  /// Makes an instance a replica of the primary of a newer term, if one runs.
   void JoinNewPrimary(group_instance& instance);
   void StepDownIfDue(group_instance& instance);
   std::string MakeFailure(const group_instance& instance,
@@ -148,6 +181,9 @@
   std::condition_variable changed_;
   std::vector<group_instance> instances_;
   std::vector<std::string> organisations_;
+  /// Number of starts and time of the last one.
+  std::uint64_t starts_ = 0;
+  std::int64_t last_born_ = 0;
   bool stopped_ = false;
 };
 
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -115,6 +115,9 @@
     threads_.emplace_back(
         [this, i, listener = instances_[i]] { Accept(listener, i, true); });
   }
+  if (options_.entry_lifetime > std::chrono::milliseconds(0)) {
+    threads_.emplace_back([this] { KeepEntries(); });
+  }
   PublishConfiguration(1, "\"key-one\",\"key-two\"");
   for (std::size_t i = 0; i < options.gateways; ++i) {
     WriteSettings(i);
@@ -157,41 +160,6 @@
   }
 }
 
-listening_socket standin_platform::Listen(std::uint16_t port) {
-  listening_socket listener;
-  listener.descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(listener.descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  const sockaddr_in wanted = test_support::LoopbackAddress(port);
-  static_cast<void>(bind(listener.descriptor,
-                         reinterpret_cast<const sockaddr*>(&wanted),
-                         sizeof(wanted)));
-  listen(listener.descriptor, SOMAXCONN);
-  sockaddr_in bound{};
-  socklen_t size = sizeof(bound);
-  getsockname(listener.descriptor, reinterpret_cast<sockaddr*>(&bound), &size);
-  listener.port = ntohs(bound.sin_port);
-  return listener;
-}
-
-void standin_platform::PublishEntry(std::size_t index) {
-  const bool primary = group_.PrimaryIndex() == index;
-  const std::lock_guard<std::mutex> lock(mutex_);
-  const bool draining = draining_.contains(index);
-  const std::string id = group_.Name() + "-" + std::to_string(index);
-  const json::object entry = {{"service", group_.Name()},
-                              {"address", Address(instance_ports_.at(index))},
-                              {"zone", "zone-" + std::to_string(index)},
-                              {"slots", 3},
-                              {"state", draining ? "draining" : "ready"},
-                              {"db_role", primary ? "primary" : "replica"}};
-  store_.Put("servers/" + id, json::serialize(entry));
-}
-
-void standin_platform::ExpireEntry(std::size_t index) {
-  store_.Delete("servers/" + group_.Name() + "-" + std::to_string(index));
-}
-
 void standin_platform::PublishConfiguration(std::uint64_t version,
                                             const std::string& keys,
                                             std::size_t extra_routes) {
@@ -255,9 +223,7 @@
     configuration = configuration_;
   }
   store_.Put("op/config", configuration);
-  for (std::size_t i = 0; i < group_.Size(); ++i) {
-    PublishEntry(i);
-  }
+  PublishEntries();
 }
 
 void standin_platform::Accept(const listening_socket& listener,
@@ -303,8 +269,8 @@
     if (request.target == "/promote") {
       const std::string id(
           json::parse(request.body).as_object().at("id").as_string());
-      response.status = group_.IsRunning(id) ? 200 : 409;
-      PromoteLater(id);
+      response.status = PromoteLater(id) ? 200 : 409;
+      response.lost = loses_promotion_responses_;
     } else {
       response =
           store_.HandleRequest(request.method, request.target, request.body);
@@ -348,18 +314,10 @@
       return;
     }
     SendAll(descriptor, group_.HandleLine(index, connection, line));
-  }
-}
-
-void standin_platform::PromoteLater(const std::string& id) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  threads_.emplace_back([this, id] {
-    Pause(options_.promotion_delay);
-    static_cast<void>(group_.Promote(id));
-    for (std::size_t i = 0; i < group_.Size(); ++i) {
-      PublishEntry(i);
+    if (connection.ended) {
+      return;
     }
-  });
+  }
 }
 
 std::uint16_t standin_platform::MakeProxiedPort(const std::string& name,
@@ -465,46 +423,6 @@
   return true;
 }
 
-void standin_platform::Crash(std::size_t index) {
-  bool was_running = false;
-  group_.Modify(index, [&was_running](group_instance& each) {
-    was_running = std::exchange(each.running, false);
-  });
-  if (!was_running) {
-    return;
-  }
-  shutdown(instances_.at(index).descriptor, SHUT_RDWR);
-  close(instances_.at(index).descriptor);
-  const std::lock_guard<std::mutex> lock(mutex_);
-  for (const int descriptor : instance_connections_.at(index)) {
-    shutdown(descriptor, SHUT_RDWR);
-  }
-}
-
-void standin_platform::Restart(std::size_t index) {
-  if (group_.IsRunning(group_.Name() + "-" + std::to_string(index))) {
-    return;
-  }
-  group_.Restart(index);
-  const listening_socket listener = Listen(instances_.at(index).port);
-  const std::lock_guard<std::mutex> lock(mutex_);
-  instances_.at(index) = listener;
-  threads_.emplace_back(
-      [this, index, listener] { Accept(listener, index, true); });
-}
-
-void standin_platform::SetDraining(std::size_t index, bool draining) {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (draining) {
-      draining_.insert(index);
-    } else {
-      draining_.erase(index);
-    }
-  }
-  PublishEntry(index);
-}
-
 std::string standin_platform::GatewayLog(std::size_t gateway) const {
   std::ostringstream text;
   text << std::ifstream(directory_ + "/gateway" + std::to_string(gateway) +
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -35,6 +36,12 @@
   std::chrono::milliseconds replica_lag{0};
   /// Time from the promotion request to its effect.
   std::chrono::milliseconds promotion_delay{0};
+  /// Time after the end of an instance's process for which its entry stays. At
+  /// zero, entries change only when the test, a start or a promotion does so.
+  std::chrono::milliseconds entry_lifetime{0};
+  /// Time from the restart of an instance to its first entry. Needs
+  /// `entry_lifetime`.
+  std::chrono::milliseconds entry_delay{0};
   /// Rate and burst of the organisations `joinery` (key-three) and `glazier`
   /// (key-four); at zero they are not configured.
   std::int64_t limited_rate = 0;
@@ -85,13 +92,19 @@
 
   /// Removes an instance's entry from the store, as if it had expired.
   void ExpireEntry(std::size_t index);
-  /// Writes an instance's entry.
+  /// Writes an instance's entry, unless it is stopped.
   void PublishEntry(std::size_t index);
 
+  /// Sets whether responses to promotion requests are lost.
+  void LosePromotionResponses(bool lost) { loses_promotion_responses_ = lost; }
+  /// Identifiers of the accepted promotion requests, in order.
+  [[nodiscard]] std::vector<std::string> Promotions();
+
   /// Stops an instance, unless it is stopped: its port refuses connections.
   void Crash(std::size_t index);
   /// Starts an instance at the same port, unless it runs.
-  void Restart(std::size_t index);
+  void Restart(std::size_t index,
+               instance_start start = instance_start::kSameId);
   /// Publishes whether an instance is about to stop.
   void SetDraining(std::size_t index, bool draining);
 
@@ -129,7 +142,13 @@
   void Accept(const listening_socket& listener, std::size_t index,
               bool line_protocol);
   void WriteSettings(std::size_t index);
-  void PromoteLater(const std::string& id);
+  /// Accepts a promotion request, which takes effect after `promotion_delay`.
+  /// @return False, without effect, if the instance is not running.
+  bool PromoteLater(const std::string& id);
+  void PublishEntries();
+  /// Publishes changes of the instances' roles, and removes the entries of
+  /// processes that have ended, until the platform stops.
+  void KeepEntries();
   void StartFaultProxy();
   /// Returns the port at which gateways reach a service: one of the fault proxy
   /// if it is used, otherwise the service's own.
@@ -152,6 +171,12 @@
   /// Ports at which gateways reach the instances.
   std::vector<std::uint16_t> instance_ports_;
   std::set<std::size_t> draining_;
+  /// Orders reads of an instance's state with the writes of its entry.
+  std::mutex entries_mutex_;
+  /// Role that each running process last published, by identifier.
+  std::map<std::string, bool> published_roles_;
+  std::atomic<bool> loses_promotion_responses_{false};
+  std::vector<std::string> promotions_;
   std::vector<std::uint16_t> caller_ports_;
   std::vector<std::uint16_t> probe_ports_;
   std::vector<test_support::child_process> gateways_;
--- a/test/platform/standin_store.cc
+++ b/test/platform/standin_store.cc
@@ -175,9 +175,14 @@
   }
   json::array found;
   const std::uint64_t watch_losses = watch_losses_;
+  // What is written after the last look at the events belongs to the next
+  // watch.
+  std::int64_t seen_revision = after;
+  const std::uint64_t era = era_;
   ++waiting_watches_;
   while (found.empty() && !down_ && !stopped_ &&
          monotonic_clock::now() < deadline) {
+    seen_revision = revision_;
     for (const event& each : events_) {
       if (each.revision <= after || !each.key.starts_with(prefix)) {
         continue;
@@ -200,7 +205,8 @@
   if (down_ || stopped_) {
     return {kUnavailable, "{}"};
   }
-  const json::object page = {{"events", found}, {"store_revision", revision_}};
+  const std::int64_t revision = era == era_ ? seen_revision : revision_;
+  const json::object page = {{"events", found}, {"store_revision", revision}};
   return {.body = json::serialize(page), .lost = watch_losses != watch_losses_};
 }
 
