Split the simulation of promotions into its parts

Moved as they were: the group's instances, hosts, the store, callers and faults each have a file now, the class is declared in model.h, and what it consists of in model_types.h. No method changed.

Ruled out: separate classes for the parts. Each of them needs the queue of events, the random numbers and the partitions.

--- /dev/null
+++ b/test/sassafraswick/failover/model.h
@@ -0,0 +1,231 @@
+#ifndef TEST_SASSAFRASWICK_FAILOVER_MODEL_H_
+#define TEST_SASSAFRASWICK_FAILOVER_MODEL_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "test/sassafraswick/failover/model_types.h"
+#include "test/sassafraswick/failover/promotion_model.h"
+
+/// @file
+/// The simulation behind `RunSimulation`. Its parts are defined in
+/// `model_*.cc`.
+
+namespace promotion_model {
+
+class model {
+ public:
+  explicit model(const model_options& options)
+      : options_(options), random_(options.seed), now_(milliseconds(1000)) {}
+
+  model_report Run();
+
+ private:
+  struct event {
+    time_point at;
+    std::uint64_t order = 0;
+    std::function<void()> work;
+    friend bool operator<(const event& left, const event& right) {
+      return std::tie(left.at, left.order) > std::tie(right.at, right.order);
+    }
+  };
+
+  void After(duration span, std::function<void()> work);
+
+  /// Schedules work at a host; while the host is paused, the work is deferred.
+  void AtHost(host& self, duration span, std::function<void()> work);
+
+  duration RandomDuration(duration max_duration);
+
+  bool Chance(int percent);
+
+  /// Returns the delay of a message; a small fraction is delayed by much more.
+  duration MessageDelay();
+
+  bool IsPartitioned(const std::string& one, const std::string& other) const;
+
+  void Trace(const std::string& text);
+
+  void ReportViolation(const std::string& text);
+
+  [[nodiscard]] std::int64_t Milliseconds() const;
+
+  instance& Find(const std::string& id);
+
+  // Database group.
+
+  [[nodiscard]] static status_response MakeResponse(const instance& each);
+
+  void ApplyLog(instance& each);
+
+  void Write(instance& primary, std::function<void(log_point)> acknowledge);
+
+  /// Sends the primary's whole log to each replica that accepts entries.
+  void Replicate(instance& primary);
+
+  /// Handles a replica's confirmation of the primary's log up to `end`.
+  void ConfirmReplication(instance& primary, term_number term, std::size_t end);
+
+  void CompletePromotion(const std::string& id);
+
+  /// Makes an instance join the new primary once it can reach it. An old
+  /// primary joins after an additional delay.
+  void JoinNewPrimary(instance& each, instance& primary);
+
+  // Requests from hosts to instances.
+
+  /// Sends a request that has an effect on an instance. Calls `on_response`
+  /// with the response, or with nothing after `kControlTimeout`.
+  void SendRequest(
+      host& from, const std::string& id, std::function<void(instance&)> effect,
+      std::function<void(std::optional<status_response>)> on_response);
+
+  void RecordResponse(host& self, const std::string& id,
+                      const status_response& response, time_point requested_at);
+
+  void RequestStatus(
+      host& self, const std::string& id,
+      std::function<void(std::optional<status_response>)> on_response = nullptr,
+      std::function<void(instance&)> effect = [](instance&) {});
+
+  // Periodic work of hosts.
+
+  void Tick(host& self);
+
+  [[nodiscard]] bool HoldsFailover(const host& self) const;
+
+  void Watch(host& self);
+
+  [[nodiscard]] static sassafraswick::group_health GroupHealth(
+      const host& self);
+
+  void ExecuteAction(host& self, const replacement_action& action);
+
+  /// Replicates from all primaries, so that a replica that accepts entries
+  /// again catches up and pending writes complete.
+  void ReplicateAll();
+
+  void Promote(host& self, replacement_action action);
+
+  // Store and leases.
+
+  /// Calls the store. A call whose response is lost may still take effect, up
+  /// to seconds later.
+  void CallStore(host& from, std::function<bool()> effect,
+                 std::function<void(bool answered, bool applied)> on_response);
+
+  /// Era that hosts read from the store's responses.
+  [[nodiscard]] sassafraswick::store_era StoreEra() const;
+
+  void ObserveEra(host& self, sassafraswick::store_era era);
+
+  /// Reads the holder of the failover lease again in a new era.
+  void ReadRegistry(host& self);
+
+  /// Keeps copies of the store, from which `RestoreStore` restores it.
+  void CopyStore();
+
+  /// Restores the store from an older copy, after it was unavailable.
+  void RestoreStore(duration unavailable);
+
+  [[nodiscard]] sassafraswick::store_item HolderItem() const;
+
+  void MaintainLease(host& self);
+
+  void ReleaseStrayRecord(host& self);
+
+  void ClaimFailover(host& self);
+
+  /// Notifies every host that can reach the store of the failover lease's
+  /// holder.
+  void PublishHolder();
+
+  void Notify(host& to, const sassafraswick::store_item& item);
+
+  void ExpireLeases();
+
+  // Operations of callers.
+
+  void RunOperation(host& self);
+
+  void SendWrite(host& self);
+
+  /// Handles the response to a write and acknowledges the write to the caller.
+  void Acknowledge(host& self, const std::string& id, std::uint64_t number,
+                   log_point end, time_point requested_at);
+
+  /// Returns writes acknowledged before `moment`, which a read must contain.
+  [[nodiscard]] std::vector<std::uint64_t> RequiredWrites(
+      time_point moment) const;
+
+  /// Returns a required write that is not visible on an instance, if any.
+  [[nodiscard]] std::optional<std::uint64_t> FindMissingWrite(
+      const instance& source, const std::vector<std::uint64_t>& required);
+
+  void SendPrimaryRead(host& self);
+
+  /// Completes a read once the primary lease is valid, as a host does. Retries
+  /// until then, for up to 2 s.
+  void CompleteRead(host& self, const std::string& id, term_number term,
+                    time_point requested_at,
+                    const std::optional<std::uint64_t>& missing);
+
+  void RequestProof(host& self);
+
+  void SendBoundedRead(host& self);
+
+  // Fault injection.
+
+  void InjectFault();
+
+  host& Holder();
+
+  void Crash(instance& each, duration length);
+
+  void InjectInstanceFault(std::set<std::string>& affected,
+                           const std::string& id, duration length,
+                           const std::string& what);
+
+  void Partition(const std::string& one, const std::string& other,
+                 duration length);
+
+  model_options options_;
+  std::mt19937_64 random_;
+  time_point now_;
+  std::priority_queue<event> events_;
+  std::uint64_t order_ = 0;
+  std::vector<instance> instances_;
+  std::vector<host> hosts_;
+  std::vector<pending_write> pending_writes_;
+  std::set<std::uint64_t> commits_after_replacement_;
+  std::set<std::uint64_t> acknowledged_;
+  std::map<std::uint64_t, time_point> acknowledged_at_;
+  /// For each entry, the number of the last check that found it; avoids
+  /// clearing a set for each check.
+  std::vector<std::uint64_t> entry_stamps_;
+  std::uint64_t check_stamp_ = 0;
+  std::uint64_t last_number_ = 0;
+  term_number newest_term_ = 1;
+  std::int64_t highest_token_ = 0;
+  store_state store_;
+  std::vector<store_copy> copies_;
+  bool store_loses_calls_ = false;
+  std::multiset<std::pair<std::string, std::string>> partitions_;
+  std::set<std::string> unresponsive_;
+  std::set<std::string> not_receiving_;
+  duration max_apply_delay_ = milliseconds(40);
+  sassafraswick::replacement_settings settings_;
+  model_report report_;
+};
+
+}  // namespace promotion_model
+
+#endif  // TEST_SASSAFRASWICK_FAILOVER_MODEL_H_
--- /dev/null
+++ b/test/sassafraswick/failover/model_types.h
@@ -0,0 +1,135 @@
+#ifndef TEST_SASSAFRASWICK_FAILOVER_MODEL_TYPES_H_
+#define TEST_SASSAFRASWICK_FAILOVER_MODEL_TYPES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sassafraswick/consistency/primary_view.h"
+#include "sassafraswick/failover/replacement.h"
+#include "sassafraswick/gateway/registry.h"
+
+/// @file
+/// What the simulation consists of: instances, hosts and the store.
+
+namespace promotion_model {
+
+using sassafraswick::duration;
+using sassafraswick::instance_status;
+using sassafraswick::log_point;
+using sassafraswick::primary_view;
+using sassafraswick::replacement_action;
+using sassafraswick::replacement_action_kind;
+using sassafraswick::replacement_phase;
+using sassafraswick::term_number;
+using sassafraswick::time_point;
+using std::chrono::milliseconds;
+
+inline constexpr std::size_t kInstanceCount = 3;
+/// Maximum time from a promotion call to its effect; the platform specifies 640
+/// ms. The simulation draws shorter times too, since no guarantee may depend on
+/// promotions being slow.
+inline constexpr duration kMaxPromotionDelay = milliseconds(640);
+inline constexpr duration kTickInterval = milliseconds(50);
+inline constexpr duration kStatusInterval = milliseconds(150);
+inline constexpr duration kControlTimeout = milliseconds(400);
+inline constexpr duration kLeaseTtl = milliseconds(3000);
+/// Time after which an old primary that can reach the new one joins it.
+inline constexpr duration kOldPrimaryRejoinDelay = milliseconds(1000);
+inline constexpr duration kMeanOperationInterval = milliseconds(15);
+inline constexpr duration kMaxStaleness = milliseconds(1500);
+/// Part of a run in which no fault starts: 2.5 s at its start, the rest at its
+/// end. A fault lasts up to 4.8 s, so that a run ends without faults.
+inline constexpr duration kQuietPeriod = milliseconds(15'000);
+/// Time before the end within which each host must have had a write
+/// acknowledged.
+inline constexpr duration kMaxTimeSinceWrite = milliseconds(2000);
+/// Bounds of the check of a read: the number of most recent acknowledged writes
+/// that it must contain, and the number of last log entries that are searched.
+inline constexpr std::size_t kMaxWritesChecked = 100;
+inline constexpr std::size_t kMaxLogEntriesChecked = 20'000;
+
+/// One log entry. `number` is unique within a run, so that a discarded entry
+/// differs from the entry that replaces it at its position.
+struct log_entry {
+  term_number term = 0;
+  std::uint64_t number = 0;
+};
+
+struct instance {
+  std::string id;
+  bool running = true;
+  bool is_primary = false;
+  term_number term = 1;
+  term_number paused_term = 0;
+  std::vector<log_entry> log;
+  /// Number of entries visible to readers; a replica applies entries later than
+  /// it receives them.
+  std::size_t applied = 0;
+  std::uint64_t incarnation = 0;
+
+  [[nodiscard]] log_point LogEnd() const {
+    return {term, static_cast<sassafraswick::log_position>(log.size())};
+  }
+};
+
+/// A write that no replica has confirmed yet.
+struct pending_write {
+  log_entry written;
+  std::size_t end = 0;
+  term_number term = 0;
+  std::uint64_t incarnation = 0;
+  std::function<void(log_point)> acknowledge;
+};
+
+struct host {
+  std::string name;
+  time_point paused_until;
+  /// When this host last acknowledged a write.
+  time_point last_write_at;
+  primary_view view;
+  sassafraswick::host_registry registry;
+  sassafraswick::held_lease lease;
+  sassafraswick::store_era_tracker eras{true};
+  bool registry_read_pending = false;
+  sassafraswick::replacement_state replacement;
+  bool is_watching = false;
+  bool registration_pending = false;
+  bool renewal_pending = false;
+  bool proof_pending = false;
+  std::map<std::string, sassafraswick::instance_health> health;
+  std::map<std::string, time_point> requested_at;
+  std::map<std::string, time_point> answered_at;
+};
+
+struct store_state {
+  sassafraswick::store_era era = 1;
+  bool down = false;
+  bool leases_frozen = false;
+  time_point down_since;
+  std::uint64_t next_lease = 1;
+  std::int64_t revision = 1;
+  std::map<std::uint64_t, time_point> leases;
+  std::string holder;
+  std::int64_t holder_revision = 0;
+  std::uint64_t holder_lease = 0;
+};
+
+/// The store as it was at a time.
+struct store_copy {
+  time_point made_at;
+  store_state state;
+};
+
+/// Response of an instance to any request.
+struct status_response {
+  instance_status status;
+  log_point position;
+};
+
+}  // namespace promotion_model
+
+#endif  // TEST_SASSAFRASWICK_FAILOVER_MODEL_TYPES_H_
