--- a/test/platform/standin_group.cc
+++ b/test/platform/standin_group.cc
@@ -5,6 +5,8 @@
 #include <sstream>
 #include <utility>
 
+#include "test/platform/standin_group_processes.h"
+
 namespace test_platform {
 namespace {
 
--- a/test/platform/standin_group.h
+++ b/test/platform/standin_group.h
@@ -110,6 +110,8 @@
   /// @param born Start of the process that is to lead.
   /// @return False if that process is not running.
   bool Promote(const std::string& id, std::int64_t born);
+  /// Makes the process that runs as an instance now the primary.
+  bool Promote(const std::string& id);
 
   /// @return Whether an instance exists and is running.
   [[nodiscard]] bool IsRunning(const std::string& id);
--- a/test/platform/standin_group_processes.cc
+++ b/test/platform/standin_group_processes.h
@@ -1,10 +1,14 @@
+#ifndef TEST_PLATFORM_STANDIN_GROUP_PROCESSES_H_
+#define TEST_PLATFORM_STANDIN_GROUP_PROCESSES_H_
+
 #include <algorithm>
 #include <chrono>
 
 #include "test/platform/standin_group.h"
 
 /// @file
-/// Starts of a stand-in group's instances, and who leads which term.
+/// Starts of a stand-in group's instances, and who leads which term. Included
+/// by `standin_group.cc` only, which programs outside this build compile, too.
 
 namespace test_platform {
 
@@ -134,6 +138,11 @@
   return true;
 }
 
+bool standin_group::Promote(const std::string& id) {
+  const std::optional<std::int64_t> born = RunningSince(id);
+  return born.has_value() && Promote(id, *born);
+}
+
 std::size_t standin_group::PrimaryIndex() {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::size_t best = 0;
@@ -146,3 +155,5 @@
 }
 
 }  // namespace test_platform
+
+#endif  // TEST_PLATFORM_STANDIN_GROUP_PROCESSES_H_
--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -14,6 +14,8 @@
 #include <sstream>
 #include <utility>
 
+#include "test/platform/standin_processes.h"
+
 namespace test_platform {
 namespace {
 
--- a/test/platform/standin_processes.cc
+++ b/test/platform/standin_processes.h
@@ -1,3 +1,6 @@
+#ifndef TEST_PLATFORM_STANDIN_PROCESSES_H_
+#define TEST_PLATFORM_STANDIN_PROCESSES_H_
+
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,7 +13,8 @@
 
 /// @file
 /// Starts and ends of the stand-in platform's instances, their entries in the
-/// store and their promotions.
+/// store and their promotions. Included by `standin_platform.cc` only, which
+/// programs outside this build compile, too.
 
 namespace test_platform {
 
@@ -175,3 +179,5 @@
 }
 
 }  // namespace test_platform
+
+#endif  // TEST_PLATFORM_STANDIN_PROCESSES_H_
