Bound unheard members, empty logs and the choice without proof

Tests with real gateways showed a group that waited 16 s where another instance had answered before its entry came, and a returned primary that was stepped down after a holder had stood still.

The 10 s before a choice without proof ran from the last departure, not from when the better instance stopped.

Change: a pause behind what the process had isn't its own; one that may have more is awaited for 10 s from when it stopped; an empty log is no proof where others had entries. A process that took over an address is named whatever came first, and its log bounds its predecessor if the address refused connections after the primary's did. A claim to lead is asked until it is answered, fails, or a second has passed.

Ruled out: the start of a process as its entry gives it, by another clock.

--- a/src/sassafraswick/failover/fence.cc
+++ b/src/sassafraswick/failover/fence.cc
@@ -29,12 +29,13 @@
                           time_point now) {
   const instance_health* const primary = FindInstance(group, state.primary);
   const bool has_ended =
-      primary == nullptr || primary->replaced || primary->may_be_replaced;
+      primary == nullptr || primary->replaced || !primary->successor.empty();
   return has_ended && state.phase != replacement_phase::kPromoting &&
          IsPresumedLost(state.cause) && !state.order.has_value() &&
          !state.stepped_down_position.has_value() && instance.claims_primary &&
-         !instance.status.has_value() &&
-         now - instance.seen_since < settings.retry_interval;
+         !instance.status.has_value() && !instance.silent_since.has_value() &&
+         !instance.refused_since.has_value() &&
+         now - instance.seen_since < settings.claim_timeout;
 }
 
 /// Returns whether a fencing request has not been sent yet, or was sent
--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -33,11 +33,16 @@
 /// replication; nothing if it did not pause.
 std::optional<log_point> PausedAt(const replacement_state& state,
                                   const process_key& process,
+                                  const group_member& member,
                                   const instance_health* instance) {
   const auto paused = state.paused.find(process.first);
   if (paused == state.paused.end() || paused->second.since < process.second) {
     return std::nullopt;
   }
+  if (IsBehind(paused->second.received, member.received)) {
+    // Another process answered, before its entry was known.
+    return std::nullopt;
+  }
   const bool by_other_process = instance != nullptr &&
                                 instance->seen_since != process.second &&
                                 instance->seen_since <= paused->second.since;
@@ -45,13 +50,39 @@
                           : std::optional<log_point>(paused->second.received);
 }
 
+/// Returns the log position of the next process at an address, which has the
+/// log of the one that ended there. It has no entries of the primary's besides,
+/// as nothing listened at its address after the primary had ended.
+std::optional<log_point> InheritedPosition(const replacement_state& state,
+                                           const group_health& group,
+                                           const group_member& member,
+                                           const instance_health* instance) {
+  const instance_health* const primary = FindInstance(group, state.primary);
+  const bool started_later = instance != nullptr && instance->replaced &&
+                             primary != nullptr &&
+                             primary->refused_since.has_value() &&
+                             instance->refused_since.has_value() &&
+                             instance->refused_at > *primary->refused_since;
+  if (!started_later || member.received.term == 0) {
+    return std::nullopt;
+  }
+  const instance_health* const successor =
+      FindInstance(group, instance->successor);
+  const bool has_log = successor != nullptr && successor->status.has_value() &&
+                       !successor->replaced &&
+                       !IsBehind(successor->status->received, member.received);
+  return has_log ? std::optional<log_point>(successor->status->received)
+                 : std::nullopt;
+}
+
 /// Updates the bound of what a process that has left may have confirmed: its
-/// last entry if it was paused before, otherwise a position of the primary from
-/// after it left.
+/// last entry if it was paused before or if its log was taken over, otherwise a
+/// position of the primary from after it left.
 void UpdateBound(group_member& member, const replacement_state& state,
                  const process_key& process, const group_health& group) {
   const instance_health* const instance = FindInstance(group, process.first);
-  const std::optional<log_point> paused_at = PausedAt(state, process, instance);
+  const std::optional<log_point> paused_at =
+      PausedAt(state, process, member, instance);
   if (paused_at.has_value()) {
     member.bound = paused_at;
   }
@@ -61,6 +92,9 @@
   if (!member.bound.has_value() && is_position_known) {
     member.bound = primary->status->received;
   }
+  if (!member.bound.has_value()) {
+    member.bound = InheritedPosition(state, group, member, instance);
+  }
 }
 
 void TrackPrimary(replacement_state& state, const group_health& group) {
@@ -127,7 +161,8 @@
     group_member& member = state.members[ProcessOf(instance)];
     member.left_at.reset();
     member.bound.reset();
-    if (instance.status.has_value()) {
+    if (instance.status.has_value() &&
+        IsBehind(member.received, instance.status->received)) {
       member.received = instance.status->received;
     }
   }
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -36,9 +36,10 @@
   time_point seen_since;
   /// Another process answers at its address, so this one has ended.
   bool replaced = false;
-  /// An entry of the list names another process at its address. The process may
-  /// be the next one of this instance, under another identifier.
-  bool may_be_replaced = false;
+  /// Instance whose entry names a later process at the same address; empty if
+  /// there is none. It may be the next process of this instance, under another
+  /// identifier.
+  std::string successor;
   /// Highest term that any process of the instance reported.
   term_number highest_term = 0;
   /// The instance announced that it will stop, or is no longer listed.
@@ -76,6 +77,9 @@
   duration single_replica_cut_off_after = std::chrono::milliseconds(4000);
   /// Time for which a group may have no primary before one is promoted.
   duration orphaned_after = std::chrono::milliseconds(300);
+  /// Time that an instance has to confirm its entry's claim to be the primary
+  /// before it is fenced.
+  duration claim_timeout = std::chrono::milliseconds(1000);
   /// Interval at which a step is retried.
   duration retry_interval = std::chrono::milliseconds(250);
   /// Time after which a promotion without effect is retried. The platform
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "sassafraswick/consistency/commit_proof.h"
@@ -26,6 +28,8 @@
   log_point end;
   bool leaving = false;
   usability usable = usability::kNone;
+  /// Since when it has not responded.
+  std::optional<time_point> unusable_since;
 };
 
 bool IsBetter(const candidate& left, const candidate& right) {
@@ -67,12 +71,14 @@
     const auto paused = state.paused.find(instance.id);
     const bool current =
         IsResponsive(instance) && instance.requested_at >= state.fenced_at;
+    const std::optional<time_point> unusable_since =
+        std::max(instance.silent_since, instance.refused_since);
     if (current) {
-      found.push_back(
-          {instance.id, instance.status->received, instance.leaving, usable});
+      found.push_back({instance.id, instance.status->received, instance.leaving,
+                       usable, unusable_since});
     } else if (paused != state.paused.end()) {
-      found.push_back(
-          {instance.id, paused->second.received, instance.leaving, usable});
+      found.push_back({instance.id, paused->second.received, instance.leaving,
+                       usable, unusable_since});
     }
   }
   std::sort(found.begin(), found.end(), IsBetter);
@@ -88,6 +94,16 @@
       }));
 }
 
+/// Returns whether any process is known to have had entries of this term. An
+/// instance without any then proves nothing.
+bool HadEntries(const replacement_state& state) {
+  return std::any_of(
+      state.members.begin(), state.members.end(),
+      [](const std::pair<const process_key, group_member>& member) {
+        return member.second.received.position > 0;
+      });
+}
+
 /// Chooses among instances that provably have every acknowledged write.
 /// Instances that leave or do not respond are chosen only after
 /// `catch_up_timeout`. Behind a fence by pauses, an outage of the store does
@@ -106,6 +122,9 @@
                          !LastMemberLeftAt(state, state.primary).has_value();
   promotion_choice late;
   for (const candidate& each : candidates) {
+    if (each.end.position == 0 && HadEntries(state)) {
+      continue;
+    }
     const bool has_primary_log =
         state.stepped_down_position.has_value() &&
         !IsBehind(each.end, *state.stepped_down_position);
@@ -126,12 +145,20 @@
   return timed_out ? late : promotion_choice();
 }
 
-/// Chooses the most advanced instance that responds.
-promotion_choice ChooseUnproved(const std::vector<candidate>& candidates) {
+/// Chooses the most advanced instance that responds, once those that may have
+/// more have been away for `member_return_timeout`.
+promotion_choice ChooseUnproved(const std::vector<candidate>& candidates,
+                                time_point left_at,
+                                const replacement_settings& settings,
+                                time_point now) {
+  time_point away_since = left_at;
   for (const candidate& each : candidates) {
     if (each.usable == usability::kResponds) {
-      return {each.id, choice_proof::kUnproved};
+      const bool gives_up = now - away_since >= settings.member_return_timeout;
+      return gives_up ? promotion_choice{each.id, choice_proof::kUnproved}
+                      : promotion_choice();
     }
+    away_since = std::max(away_since, each.unusable_since.value_or(now));
   }
   return {};
 }
@@ -181,9 +208,14 @@
   }
   const std::optional<time_point> last_left_at =
       LastMemberLeftAt(state, state.primary);
-  const bool gives_up = last_left_at.has_value() &&
-                        now - *last_left_at >= settings.member_return_timeout;
-  return gives_up ? ChooseUnproved(candidates) : chosen;
+  const bool is_empty = !candidates.empty() &&
+                        candidates.front().end.position == 0 &&
+                        HadEntries(state);
+  if (!last_left_at.has_value() && !is_empty) {
+    return chosen;
+  }
+  return ChooseUnproved(candidates, last_left_at.value_or(state.fenced_at),
+                        settings, now);
 }
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -116,8 +116,8 @@
   /// @param successor Instance that the other process runs.
   void MarkReplaced(const std::string& id, const std::string& successor) {
     const target_pointer target = Find(id);
-    if (target != nullptr && !target->health.may_be_replaced) {
-      target->health.may_be_replaced = true;
+    if (target != nullptr && target->health.successor != successor) {
+      target->health.successor = successor;
       Log(log_level::kInfo, "target_replaced",
           {{"pool", name_}, {"target", id}, {"successor", successor}});
       changed_.NotifyAll();
@@ -269,7 +269,7 @@
     target.health.silent_since.reset();
     target.health.refused_since.reset();
     target.health.replaced = false;
-    target.health.may_be_replaced = false;
+    target.health.successor.clear();
     if (response.failure == failure_code::kBusy) {
       // Overload makes an instance less likely to be chosen. Without it, its
       // load would overload the others.
