--- a/test/integration/process_change_test.cc
+++ b/test/integration/process_change_test.cc
@@ -231,7 +231,6 @@
   CheckReturnedReplica(fleet_kind::kThisBuild, milliseconds(0));
 }
 
-<<<<<<< HEAD
 // Guards against: an instance whose address answers for another identifier
 // before the entry of that one is read is never taken for its successor. Seen
 // with: gateway_soak, seeds 208 and 209.
@@ -240,8 +239,6 @@
   CheckReturnedReplica(fleet_kind::kThisBuild, milliseconds(300));
 }
 
-=======
->>>>>>> 644fe45 (Test replacements of a primary beside changed processes with real gateways)
 /// A primary that comes back while the promotion of another is under way.
 struct late_order {
   milliseconds promotion_delay{0};
