Let no process that has left cover itself, and let witnesses be found again

Cause: what a process that has left confirmed counted as covered by its own last status, so that it was forgotten; and an instance that started after the newest proof never became a witness.

Change: a process doesn't cover itself; an instance that a host has known for 10 s is a witness in any case, by when an order that it doesn't know of shows in the list of instances.

--- a/src/sassafraswick/consistency/commit_proof.cc
+++ b/src/sassafraswick/consistency/commit_proof.cc
@@ -25,6 +25,9 @@
   if (!newest.has_value()) {
     return requested_at - seen_since >= kFirstWitnessAge;
   }
+  if (requested_at - seen_since >= kWitnessAge) {
+    return true;
+  }
   // An instance that the host has seen is listed, one that only responds may
   // not be yet.
   return seen_since <= newest->requested_at + kListReadDelay ||
--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -18,13 +18,15 @@
          (instance->leaving && !IsResponsive(*instance));
 }
 
-/// Returns whether a listed replica has received all entries up to a position.
+/// Returns whether a listed replica other than a process that has left has
+/// received all entries up to a position.
 bool IsCovered(const group_health& group, const std::string& primary,
-               const log_point& bound) {
+               const process_key& left, const log_point& bound) {
   return std::any_of(
       group.begin(), group.end(), [&](const instance_health& instance) {
-        return instance.id != primary && instance.listed &&
-               !instance.replaced && instance.status.has_value() &&
+        return instance.id != primary && ProcessOf(instance) != left &&
+               instance.listed && !instance.replaced &&
+               instance.status.has_value() &&
                !IsBehind(instance.status->received, bound);
       });
 }
@@ -175,9 +177,9 @@
       member.left_at = member.left_at.value_or(now);
       UpdateBound(member, state, each->first, group);
     }
-    const bool is_covered = member.left_at.has_value() &&
-                            member.bound.has_value() &&
-                            IsCovered(group, primary, *member.bound);
+    const bool is_covered =
+        member.left_at.has_value() && member.bound.has_value() &&
+        IsCovered(group, primary, each->first, *member.bound);
     each = is_covered ? state.members.erase(each) : std::next(each);
   }
 }
--- a/test/sassafraswick/consistency/commit_proof_test.cc
+++ b/test/sassafraswick/consistency/commit_proof_test.cc
@@ -48,6 +48,9 @@
   CHECK(IsWitness(newest, At(-5000), At(3000)));
   CHECK(IsWitness(newest, At(450), At(3000)));
   CHECK_FALSE(IsWitness(newest, At(451), At(3000)));
+  // Otherwise a group whose instances were all replaced would never be proved.
+  CHECK_FALSE(IsWitness(newest, At(451), At(10'450)));
+  CHECK(IsWitness(newest, At(451), At(10'451)));
   CHECK(IsWitness(newest, At(249), At(250)));
 }
 
--- a/test/sassafraswick/failover/process_change_test.cc
+++ b/test/sassafraswick/failover/process_change_test.cc
@@ -174,6 +174,20 @@
   CHECK(state.proof == choice_proof::kUnproved);
 }
 
+// Guards against: the last status of an instance that had left covered what it
+// had confirmed itself.
+TEST_CASE("what an instance that has left confirmed is not covered by itself",
+          "[replacement][process]") {
+  group_health group;
+  replacement_state state = Fenced(group, 12, 11);
+  group[1].leaving = true;
+  group[1].silent_since = At(2600);
+  CHECK(Advance(state, group, 2650, 2700).empty());
+  group[1].replaced = true;
+  CHECK_FALSE(Contains(Advance(state, group, 2700, 9000),
+                       replacement_action_kind::kPromote, "c"));
+}
+
 // Guards against: two empty replicas counted as the most advanced of all.
 TEST_CASE("an empty instance is not proved where others had entries",
           "[replacement][process]") {
