Simulate acknowledgements under proof and changed processes

Cause: the simulation of promotions was written before hosts dropped answers of earlier processes, told a successor's entry from a misrouted answer, and passed an acknowledgement on only under a proof of replication. It checked hosts that no longer exist.

Change: the simulated hosts call IsOtherProcess, IsCommitProved, IsWitness and RecordReplication. Each host holds an acknowledgement until it is proved, asks witnesses one after the other, and reports the write in doubt after 2 s. The list read behind a fence by pauses was there already and is unchanged.

Ruled out: letting replicas rejoin a primary that returns under another identifier. It would hide that hosts wait for ever; left to decide.

--- a/test/sassafraswick/failover/model_types.h
+++ b/test/sassafraswick/failover/model_types.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "sassafraswick/config/catalog.h"
+#include "sassafraswick/consistency/commit_proof.h"
 #include "sassafraswick/consistency/primary_view.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/fleet/address_owners.h"
@@ -41,6 +42,10 @@
 inline constexpr duration kControlTimeout = milliseconds(400);
 /// Time after which a host gives up on the response to an order.
 inline constexpr duration kOrderTimeout = milliseconds(1500);
+/// Time within which a caller gets the result of a statement.
+inline constexpr duration kStatementTimeout = milliseconds(2000);
+/// Delay before a proof is requested again after a failure. As in the product.
+inline constexpr duration kProofRetryDelay = milliseconds(30);
 inline constexpr duration kLeaseTtl = milliseconds(3000);
 /// Time after which an old primary that can reach the new one joins it.
 inline constexpr duration kOldPrimaryRejoinDelay = milliseconds(1000);
@@ -121,6 +126,25 @@
   time_point answered_at;
 };
 
+/// The query of a group's instances for a proof of replication.
+struct replication_check {
+  /// Instances to ask and their processes; witnesses come first.
+  std::vector<sassafraswick::process_key> others;
+  std::size_t witnesses = 0;
+  term_number term = 0;
+  bool all_replicate = true;
+  std::function<void(bool)> on_result;
+};
+
+/// An acknowledgement of the primary that waits to be passed on.
+struct held_acknowledgement {
+  std::string id;
+  std::uint64_t number = 0;
+  term_number term = 0;
+  time_point acknowledged_at;
+  time_point deadline;
+};
+
 /// An instance's entry in the store.
 struct list_entry {
   sassafraswick::target_record record;
@@ -139,6 +163,7 @@
   /// When this host last acknowledged a write.
   time_point last_write_at;
   primary_view view;
+  std::optional<sassafraswick::replication_proof> replication;
   sassafraswick::host_registry registry;
   sassafraswick::held_lease lease;
   sassafraswick::store_era_tracker eras{true};
@@ -148,6 +173,8 @@
   bool registration_pending = false;
   bool renewal_pending = false;
   bool proof_pending = false;
+  /// The next proof must be one of leadership.
+  bool wants_leadership = false;
   std::map<std::string, known_target> targets;
   sassafraswick::address_owners owners;
   std::uint64_t list_version = 0;
--- a/test/sassafraswick/failover/promotion_model.h
+++ b/test/sassafraswick/failover/promotion_model.h
@@ -36,6 +36,9 @@
   kIgnoreProcessChange,
   /// An order without response counts as not executed.
   kForgetUnansweredOrder,
+  /// Acknowledgements of the primary are passed on without a proof of
+  /// replication.
+  kPassOnUnproved,
 };
 
 /// Faults that are drawn more often than others.
@@ -45,6 +48,8 @@
   kProcesses,
   /// Lost orders beside a primary that crashes.
   kOrders,
+  /// Stores that are restored from a copy, beside a primary that crashes.
+  kStore,
 };
 
 struct model_options {
@@ -63,6 +68,8 @@
   /// Events of the run, for debugging a seed.
   std::vector<std::string> trace;
   std::uint64_t writes_acknowledged = 0;
+  /// Writes whose acknowledgement by the primary was not passed on.
+  std::uint64_t writes_in_doubt = 0;
   std::uint64_t reads_answered = 0;
   std::uint64_t promotions = 0;
   /// Processes that started after others.
