Name the one red check of the simulation, and satisfy the linter

The simulation's cases had become one test that KNOWN-RED.txt passes over.

Change: only that check is a test of its own, forgotten_order, and stays red; all others are part of unit again. No check changes. A const kept a choice from being moved (linter).

--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -134,9 +134,9 @@
         (!has_primary_log && !is_most_advanced)) {
       continue;
     }
-    const promotion_choice choice = {
-        each.id, has_primary_log ? choice_proof::kHasPrimaryLog
-                                 : choice_proof::kMostAdvanced};
+    promotion_choice choice = {each.id, has_primary_log
+                                            ? choice_proof::kHasPrimaryLog
+                                            : choice_proof::kMostAdvanced};
     if (!each.leaving && each.usable == usability::kResponds) {
       return choice;
     }
--- a/test/sassafraswick/failover/promotion_model_test.cc
+++ b/test/sassafraswick/failover/promotion_model_test.cc
@@ -102,6 +102,16 @@
                              .failed_seeds == 0;
 }
 
+/// Returns the first seed that shows a bug; more than `kSeedCount` if none of
+/// those does.
+std::uint64_t FirstDetectingSeed(injected_bug bug) {
+  std::uint64_t seed = 1;
+  while (seed <= kSeedCount && !IsDetected(seed, bug)) {
+    ++seed;
+  }
+  return seed;
+}
+
 TEST_CASE("no simulated run with many faults of a kind violates a guarantee",
           "[promotion_model]") {
   const fault_focus focus =
@@ -118,13 +128,14 @@
       injected_bug::kIgnorePrimaryLease, injected_bug::kSkipLeaseWait,
       injected_bug::kPromoteAnyInstance, injected_bug::kIgnoreLeaseExpiry,
       injected_bug::kIgnoreStoreEra, injected_bug::kIgnoreProcessChange,
-      injected_bug::kForgetUnansweredOrder, injected_bug::kPassOnUnproved);
+      injected_bug::kPassOnUnproved);
   CAPTURE(static_cast<int>(bug));
-  std::uint64_t seed = 1;
-  while (seed <= kSeedCount && !IsDetected(seed, bug)) {
-    ++seed;
-  }
-  CHECK(seed <= kSeedCount);
+  CHECK(FirstDetectingSeed(bug) <= kSeedCount);
+}
+
+// A case of its own: see KNOWN-RED.txt.
+TEST_CASE("the simulation detects a forgotten order", "[forgotten_order]") {
+  CHECK(FirstDetectingSeed(injected_bug::kForgetUnansweredOrder) <= kSeedCount);
 }
 
 // Runs many seeds. Hidden, so it must be started manually:
