--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -19,7 +19,6 @@
 namespace test_platform {
 namespace {
 
-namespace json = boost::json;
 using test_support::BuildPath;
 using test_support::Pause;
 
