Name all ends of an order in its doc comment

Cause: the conditions were added after the comment. Change: the comment only. Measured: formatter clean and the file compiles; no test was run, as no code changes.

--- a/src/sassafraswick/failover/promotion_order.h
+++ b/src/sassafraswick/failover/promotion_order.h
@@ -11,8 +11,8 @@
 namespace sassafraswick {
 
 /// Returns whether an order may still take effect. It cannot once its instance
-/// has left, and no longer does once the instance reports that it is a replica
-/// after `promotion_timeout`.
+/// has left. After `promotion_timeout` it does not if the instance is down or
+/// reports that it is a replica, and after `member_return_timeout` in any case.
 [[nodiscard]] bool MayTakeEffect(const promotion_order& order,
                                  const group_health& group,
                                  const replacement_settings& settings,
