Log how an order of promotion ended

The logs don't tell when an order took effect, or why it was no longer awaited, so that an order taken for void too early, one that the next holder didn't know of and a wrong choice look alike.

`promotion_ended` gives pool, instance, reason and age of an order once it is forgotten: took_effect, other_leads, not_executed, instance_left, instance_down, instance_is_replica or timed_out. What is decided is the same as before: `MayTakeEffect` now says why not. Not measured: no behaviour changes.

--- a/src/sassafraswick/failover/promotion_order.h
+++ b/src/sassafraswick/failover/promotion_order.h
@@ -10,13 +10,17 @@
 
 namespace sassafraswick {
 
-/// Returns whether an order may still take effect. It cannot once its instance
-/// has left. After `promotion_timeout` it does not if the instance is down or
-/// reports that it is a replica, and after `member_return_timeout` in any case.
-[[nodiscard]] bool MayTakeEffect(const promotion_order& order,
-                                 const group_health& group,
-                                 const replacement_settings& settings,
-                                 time_point now);
+/// Returns why an order can no longer take effect, or `kNone`. It cannot once
+/// its instance has left. After `promotion_timeout` it does not if the instance
+/// is down or reports that it is a replica, and after `member_return_timeout`
+/// in any case.
+[[nodiscard]] order_end FindOrderEnd(const promotion_order& order,
+                                     const group_health& group,
+                                     const replacement_settings& settings,
+                                     time_point now);
+
+/// Forgets the order, if there is one.
+void EndOrder(replacement_state& state, order_end reason);
 
 }  // namespace sassafraswick
 
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -21,7 +21,6 @@
   state.paused.clear();
   state.chosen.clear();
   state.proof = choice_proof::kNone;
-  state.order.reset();
   state.not_running.clear();
   state.unreplicated = log_point();
   state.unreplicated_since = now;
@@ -191,9 +190,11 @@
   }
   TrackMembers(state, group, settings, now);
   DropEndedPrimary(state, group);
-  if (state.order.has_value() &&
-      !MayTakeEffect(*state.order, group, settings, now)) {
-    state.order.reset();
+  const order_end end = state.order.has_value()
+                            ? FindOrderEnd(*state.order, group, settings, now)
+                            : order_end::kNone;
+  if (end != order_end::kNone) {
+    EndOrder(state, end);
     if (state.phase == replacement_phase::kPromoting) {
       EnterPhase(state, replacement_phase::kWaiting, now);
     }
@@ -203,6 +204,11 @@
   const bool replaced = state.phase != replacement_phase::kWatching &&
                         HighestTerm(group) >= state.term;
   if (replaced || (fencing && HasRecovered(state, group))) {
+    const instance_health* const leader = FindCurrentPrimary(group);
+    const bool is_ordered = state.order.has_value() && leader != nullptr &&
+                            leader->id == state.order->instance;
+    EndOrder(state,
+             is_ordered ? order_end::kTookEffect : order_end::kOtherLeads);
     ResetToWatching(state, now);
   }
   // An instance that kept the fence from being complete may have left.
@@ -253,12 +259,12 @@
       return;
     case order_result::kNotRunning:
       state.not_running[action.instance] = now;
-      state.order.reset();
+      EndOrder(state, order_end::kNotExecuted);
       // The fence holds and its wait is over: another is chosen at once.
       EnterPhase(state, replacement_phase::kWaiting, now);
       return;
     case order_result::kNotExecuted:
-      state.order.reset();
+      EndOrder(state, order_end::kNotExecuted);
       EnterPhase(state, replacement_phase::kFencing, now);
       return;
   }
--- a/src/sassafraswick/failover/replacement_state.cc
+++ b/src/sassafraswick/failover/replacement_state.cc
@@ -50,6 +50,28 @@
   return "unknown";
 }
 
+std::string_view OrderEndName(order_end end) noexcept {
+  switch (end) {
+    case order_end::kNone:
+      return "none";
+    case order_end::kTookEffect:
+      return "took_effect";
+    case order_end::kOtherLeads:
+      return "other_leads";
+    case order_end::kNotExecuted:
+      return "not_executed";
+    case order_end::kInstanceLeft:
+      return "instance_left";
+    case order_end::kInstanceDown:
+      return "instance_down";
+    case order_end::kInstanceIsReplica:
+      return "instance_is_replica";
+    case order_end::kTimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
 void EnterPhase(replacement_state& state, replacement_phase phase,
                 time_point now) {
   state.phase = phase;
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -188,6 +188,24 @@
   time_point sent_at;
 };
 
+/// Why an order is no longer expected to take effect.
+enum class order_end : std::uint8_t {
+  kNone,
+  /// Its instance leads.
+  kTookEffect,
+  /// Another instance leads a later term.
+  kOtherLeads,
+  /// The platform did not carry it out, or it was not sent.
+  kNotExecuted,
+  kInstanceLeft,
+  kInstanceDown,
+  kInstanceIsReplica,
+  kTimedOut,
+};
+
+/// Returns the name of the end of an order as written to logs.
+[[nodiscard]] std::string_view OrderEndName(order_end end) noexcept;
+
 /// The platform's response to a promotion request.
 enum class order_result : std::uint8_t {
   /// The promotion takes effect soon.
@@ -227,6 +245,8 @@
   choice_proof proof = choice_proof::kNone;
   /// The last promotion that was requested, while it may still take effect.
   std::optional<promotion_order> order;
+  /// Why the last order was forgotten.
+  order_end last_order_end = order_end::kNone;
   /// When the platform said that an instance is not running.
   std::map<std::string, time_point> not_running;
   /// Processes listed in `members_term`, except those that have left and whose
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -82,6 +82,7 @@
     watched_group& watched = watched_[group->Name()];
     QueryDueInstances(group, watched, now);
     const replacement_phase previous_phase = watched.state.phase;
+    const std::optional<promotion_order> previous_order = watched.state.order;
     watched.state.list_read_at = fleet_.TargetsReadAt();
     const std::vector<replacement_action> actions =
         AdvanceReplacement(watched.state, group->Health(), settings_, now);
@@ -89,6 +90,7 @@
       fleet_.RequestTargets();
     }
     OnPhase(*group, watched, previous_phase);
+    LogOrderEnd(group->Name(), previous_order, watched.state, now);
     LogIncompleteFenceRarely(*group, watched, now);
     for (const replacement_action& action : actions) {
       if (NeedsRelay(watched.state, group->Health(), action)) {
@@ -221,8 +223,11 @@
                               : accepted.error().message}});
     const auto watched = watched_.find(group->Name());
     if (watched != watched_.end()) {
+      const time_point now = monotonic_clock::now();
+      const std::optional<promotion_order> order = watched->second.state.order;
       RecordPromoted(watched->second.state, action,
-                     ResultOf(accepted, was_sent), monotonic_clock::now());
+                     ResultOf(accepted, was_sent), now);
+      LogOrderEnd(group->Name(), order, watched->second.state, now);
     }
   }
 
