Let replicas of an earlier term follow a returned primary in the simulation

A replica that was cut off from the promoted instance until that one crashed never joined the term: the simulation let it ask for the ended process only, not for the one that came back under another identifier and led. An instance of a real group follows whoever leads the newest term. No check changes; runs without such a return draw the same faults as before.

--- a/test/sassafraswick/failover/model_processes.cc
+++ b/test/sassafraswick/failover/model_processes.cc
@@ -39,6 +39,14 @@
         std::to_string(started.term) + "." +
         std::to_string(started.log.size()) +
         (started.is_primary ? ", and leads" : ""));
+  if (started.is_primary) {
+    // Those that had not joined the term follow its primary's next process.
+    for (instance& each : instances_) {
+      if (each.running && each.term < started.term) {
+        JoinAnyPrimary(each);
+      }
+    }
+  }
   ReplicateAll();
 }
 
