Await an order for as long as it may take effect, also over holders

Cause: 2.5 s after a promotion was requested, the order counted as void if its instance said that it is a replica, which every instance says until it is promoted. Another was ordered, led and acknowledged, and then the first order took effect. The next holder of the failover lease knew of no order at all.

Change: an order counts for 10 s after the last request unless its instance has left or is down. Meanwhile the promotion of that instance, and of no other, is requested again each 2.5 s; each request is counted until it takes effect. Before it is sent, the order is written to the store under the condition that the failover lease hasn't been claimed again, and a new holder reads these records after its claim. They expire by a lease of their own, so that none is left over by a rollback. An instance that leads beside an order for another is fenced.

No check is changed.

--- a/src/sassafraswick/failover/promotion_order.cc
+++ b/src/sassafraswick/failover/promotion_order.cc
@@ -3,6 +3,7 @@
 #include "sassafraswick/failover/loss_detection.h"
 
 namespace sassafraswick {
+namespace {
 
 order_end FindOrderEnd(const promotion_order& order, const group_health& group,
                        const replacement_settings& settings, time_point now) {
@@ -10,29 +11,102 @@
   if (instance == nullptr || !instance->listed || instance->replaced) {
     return order_end::kInstanceLeft;
   }
-  const time_point due = order.sent_at + settings.promotion_timeout;
-  if (now < due) {
-    return order_end::kNone;
-  }
-  if (instance->refused_since.has_value()) {
+  const duration age =
+      std::chrono::duration_cast<duration>(now - order.sent_at);
+  if (age >= settings.promotion_timeout &&
+      instance->refused_since.has_value()) {
     return order_end::kInstanceDown;
   }
-  const bool is_replica = IsResponsive(*instance) &&
-                          instance->requested_at >= due &&
-                          !instance->status->is_primary;
-  if (is_replica) {
-    return order_end::kInstanceIsReplica;
-  }
-  return now - order.sent_at < settings.member_return_timeout
-             ? order_end::kNone
-             : order_end::kTimedOut;
+  return age < settings.order_lifetime ? order_end::kNone
+                                       : order_end::kTimedOut;
 }
 
 void EndOrder(replacement_state& state, order_end reason) {
+  state.order.reset();
+  state.last_order_end = reason;
+}
+
+void RemoveRequest(replacement_state& state, order_end reason) {
+  if (--state.order->requests == 0) {
+    EndOrder(state, reason);
+  }
+}
+
+void CountEffect(replacement_state& state, const group_health& group) {
+  const instance_health* const leader = FindCurrentPrimary(group);
+  if (leader == nullptr || leader->id != state.order->instance ||
+      leader->status->term <= state.order->counted_term) {
+    return;
+  }
+  state.order->counted_term = leader->status->term;
+  RemoveRequest(state, order_end::kTookEffect);
+}
+
+}  // namespace
+
+void AddOrder(replacement_state& state, const std::string& instance,
+              const group_health& group, time_point now) {
+  if (!state.order.has_value() || state.order->instance != instance) {
+    state.order = promotion_order();
+    state.order->instance = instance;
+    state.order->first_sent_at = now;
+    state.order->counted_term = HighestTerm(group);
+  }
+  state.order->sent_at = now;
+  ++state.order->requests;
+}
+
+void InheritOrder(replacement_state& state, const std::string& instance,
+                  unsigned requests, time_point now) {
+  promotion_order order;
+  order.instance = instance;
+  order.first_sent_at = now;
+  order.sent_at = now;
+  order.requests = requests;
+  order.is_inherited = true;
+  state.order = order;
+}
+
+void UpdateOrder(replacement_state& state, const group_health& group,
+                 const replacement_settings& settings, time_point now) {
+  if (state.order.has_value()) {
+    CountEffect(state, group);
+  }
+  if (!state.order.has_value()) {
+    return;
+  }
+  const order_end end = FindOrderEnd(*state.order, group, settings, now);
+  if (end != order_end::kNone) {
+    EndOrder(state, end);
+  }
+}
+
+void CancelRequest(replacement_state& state) {
   if (state.order.has_value()) {
-    state.order.reset();
-    state.last_order_end = reason;
+    RemoveRequest(state, order_end::kNotExecuted);
+  }
+}
+
+bool MayOrder(const replacement_state& state, const std::string& instance,
+              const replacement_settings& settings, time_point now) {
+  if (state.awaits_earlier_orders) {
+    return false;
   }
+  if (!state.order.has_value()) {
+    return true;
+  }
+  const promotion_order& order = *state.order;
+  const bool was_awaited =
+      order.is_inherited || now - order.sent_at >= settings.promotion_timeout;
+  return order.instance == instance && was_awaited &&
+         now - order.first_sent_at < settings.order_lifetime;
+}
+
+bool IsOrderUnsettled(const replacement_state& state,
+                      const group_health& group) {
+  const instance_health* const leader = FindCurrentPrimary(group);
+  return state.order.has_value() && leader != nullptr &&
+         IsResponsive(*leader) && leader->id != state.order->instance;
 }
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -87,8 +87,14 @@
   if (now - *state.observation_started_at < settings.observation_period) {
     return {};
   }
-  const replacement_cause cause =
-      FindReplacementCause(state, group, settings, now);
+  replacement_cause cause = FindReplacementCause(state, group, settings, now);
+  if (IsOrderUnsettled(state, group)) {
+    cause = replacement_cause::kUnsettledOrder;
+  } else if (state.order.has_value() && !IsPresumedLost(cause)) {
+    // The primary may be promoted once more, which its successor would not
+    // survive.
+    cause = replacement_cause::kNone;
+  }
   if (cause != state.cause) {
     state.cause = cause;
     state.since = now;
@@ -144,15 +150,13 @@
     return {};
   }
   const promotion_choice choice = ChooseInstance(state, group, settings, now);
-  const bool is_second_order =
-      state.order.has_value() && state.order->instance != choice.id;
-  if (choice.id.empty() || is_second_order) {
+  if (choice.id.empty() || !MayOrder(state, choice.id, settings, now)) {
     state.chosen.clear();
     return Fence(state, group, settings, now);
   }
   state.chosen = choice.id;
   state.proof = choice.proof;
-  state.order = promotion_order{state.chosen, now};
+  AddOrder(state, choice.id, group, now);
   EnterPhase(state, replacement_phase::kPromoting, now);
   state.last_action_at = now;
   return {{replacement_action_kind::kPromote, state.chosen, state.term}};
@@ -190,25 +194,16 @@
   }
   TrackMembers(state, group, settings, now);
   DropEndedPrimary(state, group);
-  const order_end end = state.order.has_value()
-                            ? FindOrderEnd(*state.order, group, settings, now)
-                            : order_end::kNone;
-  if (end != order_end::kNone) {
-    EndOrder(state, end);
-    if (state.phase == replacement_phase::kPromoting) {
-      EnterPhase(state, replacement_phase::kWaiting, now);
-    }
+  const bool replaced = state.phase != replacement_phase::kWatching &&
+                        HighestTerm(group) >= state.term;
+  UpdateOrder(state, group, settings, now);
+  if (!state.order.has_value() &&
+      state.phase == replacement_phase::kPromoting) {
+    EnterPhase(state, replacement_phase::kWaiting, now);
   }
   const bool fencing = state.phase == replacement_phase::kFencing ||
                        state.phase == replacement_phase::kWaiting;
-  const bool replaced = state.phase != replacement_phase::kWatching &&
-                        HighestTerm(group) >= state.term;
   if (replaced || (fencing && HasRecovered(state, group))) {
-    const instance_health* const leader = FindCurrentPrimary(group);
-    const bool is_ordered = state.order.has_value() && leader != nullptr &&
-                            leader->id == state.order->instance;
-    EndOrder(state,
-             is_ordered ? order_end::kTookEffect : order_end::kOtherLeads);
     ResetToWatching(state, now);
   }
   // An instance that kept the fence from being complete may have left.
@@ -259,12 +254,12 @@
       return;
     case order_result::kNotRunning:
       state.not_running[action.instance] = now;
-      EndOrder(state, order_end::kNotExecuted);
+      CancelRequest(state);
       // The fence holds and its wait is over: another is chosen at once.
       EnterPhase(state, replacement_phase::kWaiting, now);
       return;
     case order_result::kNotExecuted:
-      EndOrder(state, order_end::kNotExecuted);
+      CancelRequest(state);
       EnterPhase(state, replacement_phase::kFencing, now);
       return;
   }
--- a/src/sassafraswick/failover/replacement_state.cc
+++ b/src/sassafraswick/failover/replacement_state.cc
@@ -16,6 +16,8 @@
       return "leaving";
     case replacement_cause::kOrphaned:
       return "orphaned";
+    case replacement_cause::kUnsettledOrder:
+      return "unsettled_order";
   }
   return "unknown";
 }
@@ -56,16 +58,12 @@
       return "none";
     case order_end::kTookEffect:
       return "took_effect";
-    case order_end::kOtherLeads:
-      return "other_leads";
     case order_end::kNotExecuted:
       return "not_executed";
     case order_end::kInstanceLeft:
       return "instance_left";
     case order_end::kInstanceDown:
       return "instance_down";
-    case order_end::kInstanceIsReplica:
-      return "instance_is_replica";
     case order_end::kTimedOut:
       return "timed_out";
   }
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -82,9 +82,12 @@
   duration claim_timeout = std::chrono::milliseconds(1000);
   /// Interval at which a step is retried.
   duration retry_interval = std::chrono::milliseconds(250);
-  /// Time after which a promotion without effect is retried. The platform
-  /// specifies that a promotion takes some hundred milliseconds.
+  /// Time after which a promotion without effect is requested again. The
+  /// platform specifies that a promotion takes some hundred milliseconds.
   duration promotion_timeout = std::chrono::milliseconds(2500);
+  /// Time for which a requested promotion may take effect. No other instance is
+  /// promoted meanwhile, unless the requested one has left or is down.
+  duration order_lifetime = std::chrono::milliseconds(10'000);
   /// Time that the successor of a leaving primary has to receive all entries.
   duration catch_up_timeout = std::chrono::milliseconds(1500);
   /// Time after the fence for which a complete list of the instances is awaited
@@ -123,6 +126,8 @@
   kLeaving,
   /// No instance is primary of the highest known term.
   kOrphaned,
+  /// The promotion of another instance may still take effect.
+  kUnsettledOrder,
 };
 
 /// Returns the name of a cause as written to logs.
@@ -185,7 +190,16 @@
 /// A promotion that was requested and may still take effect.
 struct promotion_order {
   std::string instance;
+  /// When the promotion was first and last requested.
+  time_point first_sent_at;
   time_point sent_at;
+  /// Requests that may still take effect.
+  unsigned requests = 0;
+  /// Highest term when the promotion was first requested or, later, that began
+  /// with it.
+  term_number counted_term = 0;
+  /// Requested by an earlier holder of the failover lease only.
+  bool is_inherited = false;
 };
 
 /// Why an order is no longer expected to take effect.
@@ -193,13 +207,10 @@
   kNone,
   /// Its instance leads.
   kTookEffect,
-  /// Another instance leads a later term.
-  kOtherLeads,
   /// The platform did not carry it out, or it was not sent.
   kNotExecuted,
   kInstanceLeft,
   kInstanceDown,
-  kInstanceIsReplica,
   kTimedOut,
 };
 
@@ -247,6 +258,9 @@
   std::optional<promotion_order> order;
   /// Why the last order was forgotten.
   order_end last_order_end = order_end::kNone;
+  /// What earlier holders of the failover lease ordered is not known yet. Set
+  /// by the caller before `AdvanceReplacement`.
+  bool awaits_earlier_orders = false;
   /// When the platform said that an instance is not running.
   std::map<std::string, time_point> not_running;
   /// Processes listed in `members_term`, except those that have left and whose
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -104,6 +104,12 @@
       });
 }
 
+/// Returns whether the promotion of a candidate may already take effect, so
+/// that it is preferred to others.
+bool WasOrdered(const replacement_state& state, const candidate& each) {
+  return state.order.has_value() && state.order->instance == each.id;
+}
+
 /// Chooses among instances that provably have every acknowledged write.
 /// Instances that leave or do not respond are chosen only after
 /// `catch_up_timeout`. Behind a fence by pauses, an outage of the store does
@@ -120,6 +126,7 @@
   const bool all_known = list_suffices && !candidates.empty() &&
                          candidates.size() >= CountOthers(state, group) &&
                          !LastMemberLeftAt(state, state.primary).has_value();
+  promotion_choice ready;
   promotion_choice late;
   for (const candidate& each : candidates) {
     if (each.end.position == 0 && HadEntries(state)) {
@@ -137,10 +144,16 @@
     promotion_choice choice = {each.id, has_primary_log
                                             ? choice_proof::kHasPrimaryLog
                                             : choice_proof::kMostAdvanced};
-    if (!each.leaving && each.usable == usability::kResponds) {
-      return choice;
+    const bool is_ordered = WasOrdered(state, each);
+    const bool is_ready = !each.leaving && each.usable == usability::kResponds;
+    if (is_ready && (is_ordered || ready.id.empty())) {
+      ready = choice;
+    } else if (is_ordered || late.id.empty()) {
+      late = choice;
     }
-    late = late.id.empty() ? choice : late;
+  }
+  if (!ready.id.empty()) {
+    return ready;
   }
   return timed_out ? late : promotion_choice();
 }
@@ -190,6 +203,11 @@
                                 const replacement_settings& settings,
                                 time_point now) {
   const std::vector<candidate> candidates = CollectCandidates(state, group);
+  const bool is_primary_ordered =
+      state.order.has_value() && state.order->instance == state.primary;
+  if (is_primary_ordered && CanPromoteOldPrimary(state, group)) {
+    return {state.primary, choice_proof::kOldPrimary};
+  }
   const duration waited =
       std::chrono::duration_cast<duration>(now - state.fenced_at);
   const bool timed_out = waited >= settings.catch_up_timeout;
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -5,10 +5,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "sassafraswick/failover/order_record.h"
+#include "sassafraswick/failover/promotion_order.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/failover/step_down_relay.h"
 #include "sassafraswick/gateway/failover_log.h"
@@ -58,8 +61,10 @@
       const time_point now = monotonic_clock::now();
       if (!fleet_.HoldsFailover(now)) {
         watched_.clear();
+        claim_ = store_revision();
         continue;
       }
+      BeginClaim();
       for (const std::pair<const std::string, group_pointer>& entry :
            gateway_.groups) {
         CheckGroup(entry.second, now);
@@ -74,12 +79,67 @@
     /// When each instance was last sent a status request.
     std::map<std::string, time_point> status_requested_at;
     time_point fence_logged_at;
+    bool has_earlier_order = false;
+    /// Of the record of the last order.
+    store_revision record_revision;
     /// Opened when the fence is complete.
     std::shared_ptr<promoter> sender;
   };
 
+  /// Reads the orders of earlier holders if this host has claimed the lease
+  /// since the last call.
+  void BeginClaim() {
+    const store_revision claim = fleet_.Registry().failover.fencing_token;
+    if (claim == claim_) {
+      return;
+    }
+    claim_ = claim;
+    watched_.clear();
+    earlier_orders_.reset();
+    Spawn(gateway_.context, "earlier_orders",
+          [this, claim] { return ReadEarlierOrders(claim); });
+  }
+
+  boost::asio::awaitable<void> ReadEarlierOrders(store_revision claim) {
+    constexpr duration kRetryDelay = std::chrono::milliseconds(250);
+    while (claim == claim_) {
+      std::optional<std::map<std::string, order_record>> orders =
+          co_await fleet_.Orders().Read();
+      if (claim != claim_) {
+        co_return;
+      }
+      if (orders.has_value()) {
+        earlier_orders_ = std::move(orders);
+        orders_read_at_ = monotonic_clock::now();
+        co_return;
+      }
+      co_await Sleep(kRetryDelay);
+    }
+  }
+
+  /// Adopts what an earlier holder ordered for a group.
+  void InheritEarlierOrder(const std::string& pool, watched_group& watched) {
+    watched.state.awaits_earlier_orders = !earlier_orders_.has_value();
+    if (!earlier_orders_.has_value() || watched.has_earlier_order) {
+      return;
+    }
+    watched.has_earlier_order = true;
+    const auto found = earlier_orders_->find(pool);
+    if (found == earlier_orders_->end()) {
+      return;
+    }
+    const order_record& record = found->second;
+    InheritOrder(watched.state, record.instance, record.requests,
+                 orders_read_at_);
+    Log(log_level::kInfo, "promotion_inherited",
+        {{"pool", pool},
+         {"target", record.instance},
+         {"requests", std::to_string(record.requests)}});
+  }
+
   void CheckGroup(const group_pointer& group, time_point now) {
     watched_group& watched = watched_[group->Name()];
+    InheritEarlierOrder(group->Name(), watched);
     QueryDueInstances(group, watched, now);
     const replacement_phase previous_phase = watched.state.phase;
     const std::optional<promotion_order> previous_order = watched.state.order;
@@ -90,7 +150,7 @@
       fleet_.RequestTargets();
     }
     OnPhase(*group, watched, previous_phase);
-    LogOrderEnd(group->Name(), previous_order, watched.state, now);
+    OnOrder(group->Name(), watched, previous_order, now);
     LogIncompleteFenceRarely(*group, watched, now);
     for (const replacement_action& action : actions) {
       if (NeedsRelay(watched.state, group->Health(), action)) {
@@ -150,6 +210,24 @@
     }
   }
 
+  /// Handles the end of an order. Another may follow at once unless it took
+  /// effect, so that only then its record is removed before it expires.
+  void OnOrder(const std::string& pool, watched_group& watched,
+               const std::optional<promotion_order>& previous, time_point now) {
+    if (!previous.has_value() || watched.state.order.has_value()) {
+      return;
+    }
+    LogOrderEnd(pool, *previous, watched.state, now);
+    const store_revision revision =
+        std::exchange(watched.record_revision, store_revision());
+    if (watched.state.last_order_end == order_end::kTookEffect &&
+        IsKnown(revision)) {
+      Spawn(gateway_.context, "erase_order", [this, pool, revision] {
+        return fleet_.Orders().Erase(pool, revision);
+      });
+    }
+  }
+
   static void LogIncompleteFenceRarely(const target_group<codec>& group,
                                        watched_group& watched, time_point now) {
     constexpr duration kInterval = std::chrono::seconds(1);
@@ -208,6 +286,11 @@
       was_sent = IsHeldSince(claim);
       return was_sent;
     };
+    const bool is_recorded = co_await RecordOrder(group->Name(), claim);
+    if (!is_recorded) {
+      FinishPromotion(*group, action, order_result::kNotExecuted);
+      co_return;
+    }
     const std::shared_ptr<promoter> sender = TakePromoter(group->Name());
     const time_point sent_at = monotonic_clock::now();
     const result<bool> accepted = co_await sender->Promote(
@@ -221,14 +304,41 @@
           std::to_string(ToMilliseconds(monotonic_clock::now() - sent_at))},
          {"outcome", accepted ? (accepted.value() ? "accepted" : "not running")
                               : accepted.error().message}});
-    const auto watched = watched_.find(group->Name());
-    if (watched != watched_.end()) {
-      const time_point now = monotonic_clock::now();
-      const std::optional<promotion_order> order = watched->second.state.order;
-      RecordPromoted(watched->second.state, action,
-                     ResultOf(accepted, was_sent), now);
-      LogOrderEnd(group->Name(), order, watched->second.state, now);
+    FinishPromotion(*group, action, ResultOf(accepted, was_sent));
+  }
+
+  /// Lets the next holder of the lease know of the order that is sent next.
+  /// @return False if the order must not be sent: the lease has been claimed
+  /// again, or the order was given up meanwhile.
+  boost::asio::awaitable<bool> RecordOrder(std::string pool,
+                                           store_revision claim) {
+    const auto before = watched_.find(pool);
+    if (before == watched_.end() || !before->second.state.order.has_value()) {
+      co_return false;
+    }
+    const promotion_order order = *before->second.state.order;
+    const order_write written =
+        co_await fleet_.Orders().Write(pool, order, claim);
+    const auto after = watched_.find(pool);
+    const bool is_current =
+        after != watched_.end() && after->second.state.order.has_value() &&
+        after->second.state.order->instance == order.instance;
+    if (is_current) {
+      after->second.record_revision = written.revision;
+    }
+    co_return is_current && !written.is_superseded;
+  }
+
+  void FinishPromotion(const target_group<codec>& group,
+                       const replacement_action& action, order_result outcome) {
+    const auto watched = watched_.find(group.Name());
+    if (watched == watched_.end()) {
+      return;
     }
+    const time_point now = monotonic_clock::now();
+    const std::optional<promotion_order> order = watched->second.state.order;
+    RecordPromoted(watched->second.state, action, outcome, now);
+    OnOrder(group.Name(), watched->second, order, now);
   }
 
   /// @param was_sent Whether the request may have reached the platform.
@@ -294,6 +404,12 @@
   fleet_agent<Platform>& fleet_;
   replacement_settings settings_;
   std::map<std::string, watched_group> watched_;
+  /// Revision of the claim under which this host holds the lease; unknown while
+  /// it does not.
+  store_revision claim_;
+  /// What earlier holders ordered, by pool, once it was read.
+  std::optional<std::map<std::string, order_record>> earlier_orders_;
+  time_point orders_read_at_;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/failover_log.cc
+++ b/src/sassafraswick/gateway/failover_log.cc
@@ -97,17 +97,13 @@
   }
 }
 
-void LogOrderEnd(const std::string& pool,
-                 const std::optional<promotion_order>& previous,
+void LogOrderEnd(const std::string& pool, const promotion_order& order,
                  const replacement_state& state, time_point now) {
-  if (!previous.has_value() || state.order.has_value()) {
-    return;
-  }
   const duration age =
-      std::chrono::duration_cast<duration>(now - previous->sent_at);
+      std::chrono::duration_cast<duration>(now - order.sent_at);
   Log(log_level::kInfo, "promotion_ended",
       {{"pool", pool},
-       {"target", previous->instance},
+       {"target", order.instance},
        {"reason", std::string(OrderEndName(state.last_order_end))},
        {"after_ms", std::to_string(ToMilliseconds(age))}});
 }
--- a/src/sassafraswick/gateway/failover_log.h
+++ b/src/sassafraswick/gateway/failover_log.h
@@ -1,7 +1,6 @@
 #ifndef SASSAFRASWICK_GATEWAY_FAILOVER_LOG_H_
 #define SASSAFRASWICK_GATEWAY_FAILOVER_LOG_H_
 
-#include <optional>
 #include <string>
 
 #include "sassafraswick/failover/replacement_state.h"
@@ -26,10 +25,8 @@
 void LogChoice(const std::string& pool, const replacement_state& state,
                const group_health& group, time_point now);
 
-/// Logs how an order ended, if there was one and there is none now.
-/// @param previous The order before the last step of the replacement.
-void LogOrderEnd(const std::string& pool,
-                 const std::optional<promotion_order>& previous,
+/// Logs how an order ended.
+void LogOrderEnd(const std::string& pool, const promotion_order& order,
                  const replacement_state& state, time_point now);
 
 /// Logs which instances keep a fence from being complete.
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -15,6 +15,7 @@
 #include "sassafraswick/gateway/connection_lender.h"
 #include "sassafraswick/gateway/gateway_platform.h"
 #include "sassafraswick/gateway/gateway_state.h"
+#include "sassafraswick/gateway/order_records.h"
 #include "sassafraswick/gateway/proof_exchange.h"
 #include "sassafraswick/gateway/registration.h"
 #include "sassafraswick/gateway/registry.h"
@@ -70,6 +71,8 @@
             [this](const std::string& route, message::envelope envelope) {
               Respond(route, std::move(envelope));
             }),
+        orders_(platform, gateway, calls_,
+                [this](store_era era) { ObserveEra(era); }),
         registration_(
             platform, gateway, registry_, eras_, calls_,
             [this](store_era era) { ObserveEra(era); }, host_,
@@ -173,6 +176,9 @@
   /// Step-downs that other hosts carry out for this one.
   [[nodiscard]] step_down_exchange<codec>& StepDowns() { return step_downs_; }
 
+  /// Orders of the holder of the failover lease, as kept in the store.
+  [[nodiscard]] order_records<Platform>& Orders() { return orders_; }
+
   [[nodiscard]] const host_registry& Registry() const { return registry_; }
   [[nodiscard]] const std::string& Host() const { return host_; }
   [[nodiscard]] store_era StoreEra() const { return eras_.Current(); }
@@ -538,6 +544,7 @@
   proof_exchange<codec> proofs_;
   connection_lender<codec> lender_;
   step_down_exchange<codec> step_downs_;
+  order_records<Platform> orders_;
   registration<Platform> registration_;
   store_watcher<Platform> watcher_;
 };
--- a/src/sassafraswick/gateway/registry.h
+++ b/src/sassafraswick/gateway/registry.h
@@ -26,6 +26,9 @@
 inline constexpr std::string_view kHostsPrefix = "sassafraswick/host/";
 inline constexpr std::string_view kCapacityPrefix = "sassafraswick/capacity/";
 inline constexpr std::string_view kFailoverKey = "sassafraswick/failover";
+/// Outside of `kRegistryPrefix`, as only the holder of the failover lease reads
+/// them.
+inline constexpr std::string_view kOrdersPrefix = "sassafraswick-orders/";
 
 /// The lease whose holder may replace primaries.
 struct failover_lease {
--- a/src/sassafraswick/gateway/shared_store.h
+++ b/src/sassafraswick/gateway/shared_store.h
@@ -44,16 +44,19 @@
   std::string value;
 };
 
-/// A write or removal of one key, optionally conditional on its revision.
+/// A write or removal of one key, optionally conditional on the revision of
+/// that or another key.
 struct store_change {
   std::string key;
   /// Value to write. If `lease` is zero, the key does not expire.
   std::string value;
   std::uint64_t lease = 0;
   bool remove = false;
-  /// Applies the change only if the key is at `expected_revision`; zero means
-  /// that the key must not exist.
+  /// Applies the change only if `condition_key` is at `expected_revision`; zero
+  /// means that it must not exist.
   bool conditional = false;
+  /// `key` if empty.
+  std::string condition_key;
   /// Number of a revision of the current era.
   std::int64_t expected_revision = 0;
   /// Further keys that are written with the same lease, or removed, in the same
--- a/test/sassafraswick/failover/model_types.h
+++ b/test/sassafraswick/failover/model_types.h
@@ -12,6 +12,8 @@
 #include "sassafraswick/config/catalog.h"
 #include "sassafraswick/consistency/commit_proof.h"
 #include "sassafraswick/consistency/primary_view.h"
+#include "sassafraswick/failover/order_record.h"
+#include "sassafraswick/failover/promotion_order.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/fleet/address_owners.h"
 #include "sassafraswick/gateway/registry.h"
@@ -173,6 +175,12 @@
   bool registry_read_pending = false;
   sassafraswick::replacement_state replacement;
   bool is_watching = false;
+  /// Revision of the claim for which it asked for earlier orders.
+  sassafraswick::store_revision orders_claim;
+  /// What an earlier holder ordered, once that was read.
+  std::optional<std::optional<sassafraswick::order_record>> earlier_order;
+  /// Of the record of its last order; zero if unknown.
+  std::int64_t order_revision = 0;
   bool registration_pending = false;
   bool renewal_pending = false;
   bool proof_pending = false;
@@ -194,6 +202,10 @@
   std::uint64_t next_lease = 1;
   std::int64_t revision = 1;
   std::map<std::uint64_t, time_point> leases;
+  /// The last order, if its record has not expired, and when it does.
+  std::optional<sassafraswick::order_record> order;
+  std::int64_t order_revision = 0;
+  time_point order_expires_at;
   std::string holder;
   std::int64_t holder_revision = 0;
   std::uint64_t holder_lease = 0;
