Await an order also while its instance is down

Cause: an order that is under way outlives its instance's restart. Class as before: what may still happen is taken for over. Change: an order ends with its instance only if that has left for good, or another process answers at its address. What it costs: a group whose primary is lost, and whose ordered instance crashes before the order takes effect, has no primary until that instance's address answers for another process or 10 s have passed, instead of 2.5 s.

--- a/src/sassafraswick/failover/promotion_order.cc
+++ b/src/sassafraswick/failover/promotion_order.cc
@@ -8,17 +8,14 @@
 order_end FindOrderEnd(const promotion_order& order, const group_health& group,
                        const replacement_settings& settings, time_point now) {
   const instance_health* const instance = FindInstance(group, order.instance);
-  if (instance == nullptr || !instance->listed || instance->replaced) {
+  const bool has_left = instance == nullptr || instance->replaced ||
+                        (instance->leaving && !instance->listed);
+  if (has_left) {
     return order_end::kInstanceLeft;
   }
-  const duration age =
-      std::chrono::duration_cast<duration>(now - order.sent_at);
-  if (age >= settings.promotion_timeout &&
-      instance->refused_since.has_value()) {
-    return order_end::kInstanceDown;
-  }
-  return age < settings.order_lifetime ? order_end::kNone
-                                       : order_end::kTimedOut;
+  // One that is down may be back in time.
+  return now - order.sent_at < settings.order_lifetime ? order_end::kNone
+                                                       : order_end::kTimedOut;
 }
 
 void EndOrder(replacement_state& state, order_end reason) {
--- a/src/sassafraswick/failover/promotion_order.h
+++ b/src/sassafraswick/failover/promotion_order.h
@@ -24,8 +24,8 @@
 
 /// Counts a request as carried out if its instance leads a term that began
 /// since. Forgets the order once all requests were, or can no longer be: its
-/// instance has left, is down `promotion_timeout` after the last request, or
-/// `order_lifetime` has passed since.
+/// instance has left for good, or `order_lifetime` has passed since the last
+/// request.
 void UpdateOrder(replacement_state& state, const group_health& group,
                  const replacement_settings& settings, time_point now);
 
--- a/src/sassafraswick/failover/replacement_state.cc
+++ b/src/sassafraswick/failover/replacement_state.cc
@@ -62,8 +62,6 @@
       return "not_executed";
     case order_end::kInstanceLeft:
       return "instance_left";
-    case order_end::kInstanceDown:
-      return "instance_down";
     case order_end::kTimedOut:
       return "timed_out";
   }
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -86,7 +86,7 @@
   /// platform specifies that a promotion takes some hundred milliseconds.
   duration promotion_timeout = std::chrono::milliseconds(2500);
   /// Time for which a requested promotion may take effect. No other instance is
-  /// promoted meanwhile, unless the requested one has left or is down.
+  /// promoted meanwhile, unless the requested one has left for good.
   duration order_lifetime = std::chrono::milliseconds(10'000);
   /// Time that the successor of a leaving primary has to receive all entries.
   duration catch_up_timeout = std::chrono::milliseconds(1500);
@@ -210,7 +210,6 @@
   /// The platform did not carry it out, or it was not sent.
   kNotExecuted,
   kInstanceLeft,
-  kInstanceDown,
   kTimedOut,
 };
 
--- a/test/sassafraswick/failover/process_change_test.cc
+++ b/test/sassafraswick/failover/process_change_test.cc
@@ -416,11 +416,19 @@
     CHECK(Contains(Advance(state, group, 9000, 9700),
                    replacement_action_kind::kPromote, "c"));
   }
-  SECTION("until its instance is down") {
+  SECTION("while its instance is down, as it may be back in time") {
     Stop(group[1], 9000);
-    CHECK(Contains(Advance(state, group, 9050, 9700),
+    CHECK_FALSE(Contains(Advance(state, group, 9050, 13'000),
+                         replacement_action_kind::kPromote, "c"));
+    CHECK(Contains(Advance(state, group, 13'000, 13'700),
                    replacement_action_kind::kPromote, "c"));
   }
+  SECTION("while its instance is down and its entry is gone") {
+    Stop(group[1], 9000);
+    group[1].listed = false;
+    CHECK_FALSE(Contains(Advance(state, group, 9050, 13'000),
+                         replacement_action_kind::kPromote, "c"));
+  }
 }
 
 TEST_CASE(
