--- a/test/sassafraswick/failover/model_faults.cc
+++ b/test/sassafraswick/failover/model_faults.cc
@@ -179,6 +179,7 @@
     each.draining = false;
     After(RandomDuration(kFirstEntryDelay), [this, &each] { Register(each); });
     each.paused_term = 0;
+    each.start_id = ++last_start_;
     ++each.incarnation;
     Trace("restart " + each.id);
     const bool replaced = each.term < newest_term_;
