Reset the connection of a call that is given up

Cause: after a time-out the HTTP client closed its connection in order, so that the kernel still delivered what was unacknowledged. The time-out of an order was a constant, also with less than that left of the lease.

Change: from the first byte of a request until its response is complete, the connection closes by a reset, also when the time-out, a destructor or the end of the process closes it. This is so for all calls, as a conditional write has the same fault. The option is set on the descriptor, as Asio's destructor undoes one that was set through it. An order is given up when the lease of its sender ends, write and response taken together: `time_left` replaces `may_send` and still is asked last.

Not closed: a suspension while an order is held up.

--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -282,9 +282,10 @@
     const std::int64_t token = ToFencingToken(claim);
     // Asked right before the request is written.
     bool was_sent = false;
-    const std::function<bool()> may_send = [this, claim, &was_sent] {
-      was_sent = IsHeldSince(claim);
-      return was_sent;
+    const std::function<duration()> time_left = [this, claim, &was_sent] {
+      const duration left = TimeLeft(claim);
+      was_sent = left > duration::zero();
+      return left;
     };
     const bool is_recorded = co_await RecordOrder(group->Name(), claim);
     if (!is_recorded) {
@@ -294,7 +295,7 @@
     const std::shared_ptr<promoter> sender = TakePromoter(group->Name());
     const time_point sent_at = monotonic_clock::now();
     const result<bool> accepted = co_await sender->Promote(
-        group->Name(), action.instance, fleet_.Host(), token, may_send);
+        group->Name(), action.instance, fleet_.Host(), token, time_left);
     gateway_.counters.promotions += was_sent ? 1 : 0;
     Log(log_level::kInfo, "promotion",
         {{"pool", group->Name()},
@@ -384,8 +385,15 @@
   /// at a revision. What it sends in the name of the lease after its end could
   /// arrive after something that the next holder sent.
   [[nodiscard]] bool IsHeldSince(const store_revision& claim) const {
-    return fleet_.HoldsFailover(monotonic_clock::now()) &&
-           fleet_.Registry().failover.fencing_token == claim;
+    return TimeLeft(claim) > duration::zero();
+  }
+
+  /// Returns for how much longer that is so, or zero.
+  [[nodiscard]] duration TimeLeft(const store_revision& claim) const {
+    if (fleet_.Registry().failover.fencing_token != claim) {
+      return duration::zero();
+    }
+    return fleet_.FailoverTimeLeft(monotonic_clock::now());
   }
 
   static control_statement StatementOf(replacement_action_kind kind) {
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -172,6 +172,9 @@
   [[nodiscard]] bool HoldsFailover(time_point now) const {
     return registration_.HoldsFailover(now);
   }
+  [[nodiscard]] duration FailoverTimeLeft(time_point now) const {
+    return registration_.FailoverTimeLeft(now);
+  }
 
   /// Step-downs that other hosts carry out for this one.
   [[nodiscard]] step_down_exchange<codec>& StepDowns() { return step_downs_; }
--- a/src/sassafraswick/gateway/gateway_platform.h
+++ b/src/sassafraswick/gateway/gateway_platform.h
@@ -12,6 +12,7 @@
 
 #include "sassafraswick/config/catalog.h"
 #include "sassafraswick/core/error.h"
+#include "sassafraswick/core/time.h"
 #include "sassafraswick/gateway/shared_store.h"
 #include "sassafraswick/session/codec.h"
 
@@ -24,14 +25,15 @@
 template <typename Promoter>
 concept promotion_sender = requires(Promoter promoter, std::string text,
                                     std::int64_t token,
-                                    std::function<bool()> may_send) {
+                                    std::function<duration()> time_left) {
   /// Opens the connection for the next request.
   { promoter.Connect() } -> std::same_as<boost::asio::awaitable<result<void>>>;
   { promoter.IsConnected() } -> std::same_as<bool>;
   /// Requests the promotion of an instance; false if the instance is not
-  /// running. Asks `may_send` right before the request is sent.
+  /// running. Asks `time_left` right before the request is sent, sends nothing
+  /// if no time is left, and gives the request up by then.
   {
-    promoter.Promote(text, text, text, token, may_send)
+    promoter.Promote(text, text, text, token, time_left)
     } -> std::same_as<boost::asio::awaitable<result<bool>>>;
 };
 
--- a/src/sassafraswick/gateway/registration.h
+++ b/src/sassafraswick/gateway/registration.h
@@ -113,6 +113,13 @@
            now < failover_lease_.ValidUntil();
   }
 
+  /// Returns for how much longer this host may act on the failover lease; zero
+  /// if it does not hold it.
+  [[nodiscard]] duration FailoverTimeLeft(time_point now) const {
+    return HoldsFailover(now) ? failover_lease_.TimeLeft(now)
+                              : duration::zero();
+  }
+
  private:
   [[nodiscard]] bool IsRecordedHolder() const {
     return registry_.failover.holder == identity_ &&
--- a/src/sassafraswick/gateway/registry.h
+++ b/src/sassafraswick/gateway/registry.h
@@ -1,6 +1,8 @@
 #ifndef SASSAFRASWICK_GATEWAY_REGISTRY_H_
 #define SASSAFRASWICK_GATEWAY_REGISTRY_H_
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -136,6 +138,12 @@
   [[nodiscard]] time_point ValidUntil() const {
     return id == 0 ? time_point() : renewed_at + ttl - ttl / 4;
   }
+
+  /// Time for which this host may still act on the lease, or zero.
+  [[nodiscard]] duration TimeLeft(time_point now) const {
+    return std::max(duration::zero(),
+                    std::chrono::duration_cast<duration>(ValidUntil() - now));
+  }
 };
 
 /// Returns whether the failover lease names this host as its holder though the
--- a/src/sassafraswick/net/http_client.cc
+++ b/src/sassafraswick/net/http_client.cc
@@ -59,6 +59,10 @@
   return encoded;
 }
 
+duration BoundTimeout(duration timeout, duration left) {
+  return std::max(duration::zero(), std::min(timeout, left));
+}
+
 std::string http_response::Header(std::string_view name) const {
   const auto found = std::find_if(
       headers.begin(), headers.end(), [name](const http_header& header) {
@@ -126,19 +130,32 @@
   connected_ = false;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponseBytes);
-  if (!failure && request.may_send && !request.may_send()) {
-    co_return MakeError(error_kind::kConflict,
-                        FormatEndpoint(address_) +
-                            request.target.substr(0, kMaxLoggedTarget) +
-                            ": no longer valid, not sent");
-  }
+  duration timeout = request.timeout;
   if (!failure) {
-    stream_->expires_after(request.timeout);
+    // Beforehand, as the timeout or the end of the process may close it.
+    SetResetOnClose(stream_->socket(), true);
+    if (request.time_left) {
+      timeout = BoundTimeout(timeout, request.time_left());
+    }
+    if (timeout <= duration::zero()) {
+      SetResetOnClose(stream_->socket(), false);
+      co_return MakeError(error_kind::kConflict,
+                          FormatEndpoint(address_) +
+                              request.target.substr(0, kMaxLoggedTarget) +
+                              ": no longer valid, not sent");
+    }
+    const time_point sent_at = monotonic_clock::now();
+    stream_->expires_after(timeout);
     co_await http::async_write(
         *stream_, message, asio::redirect_error(asio::use_awaitable, failure));
+    if (request.time_left) {
+      timeout = BoundTimeout(timeout,
+                             std::chrono::duration_cast<duration>(
+                                 sent_at + timeout - monotonic_clock::now()));
+    }
   }
   if (!failure) {
-    failure = co_await Receive(parser, request.timeout);
+    failure = co_await Receive(parser, timeout);
   }
   if (failure) {
     stream_.reset();
@@ -148,6 +165,7 @@
                             failure.message());
   }
   stream_->expires_never();
+  SetResetOnClose(stream_->socket(), false);
   http::response<http::string_body> response = parser.release();
   if (!response.keep_alive()) {
     stream_.reset();
--- a/src/sassafraswick/net/http_client.h
+++ b/src/sassafraswick/net/http_client.h
@@ -44,12 +44,18 @@
   /// Timeout for sending and, separately, until the first byte of the response.
   /// The rest of the response is bounded by `transfer_deadline`.
   duration timeout = std::chrono::seconds(1);
-  /// Asked once the connection is open, right before the first byte is sent:
-  /// the process may have been suspended since the request was made. If it
-  /// returns false, nothing is sent. May be empty.
-  std::function<bool()> may_send;
+  /// For how much longer the request is valid. Asked once the connection is
+  /// open, right before the first byte is sent: the process may have been
+  /// suspended since the request was made. If no time is left, nothing is sent;
+  /// otherwise the request is given up by then if no response has begun. May be
+  /// empty.
+  std::function<duration()> time_left;
 };
 
+/// Returns for how long a request that is valid for `left` may wait; zero if it
+/// must not be sent.
+[[nodiscard]] duration BoundTimeout(duration timeout, duration left);
+
 struct http_response {
   unsigned status = 0;
   std::string body;
@@ -61,7 +67,8 @@
 
 /// Sends one request at a time. After a failure the next request opens a new
 /// connection, because one on which a response was lost delivers no further
-/// responses.
+/// responses. While a request has no response, its connection is closed by a
+/// reset: what a partition holds up is then lost rather than delivered later.
 class http_client {
  public:
   /// The connection is opened by the first request.
@@ -81,8 +88,8 @@
 
   /// Sends a request and receives the response.
   /// @return The response of any status, `error_kind::kConflict` if
-  /// `http_request::may_send` returned false, or `error_kind::kUnavailable` if
-  /// no response was received.
+  /// `http_request::time_left` returned no time, or `error_kind::kUnavailable`
+  /// if no response was received.
   boost::asio::awaitable<result<http_response>> Call(http_request request);
 
   /// Closes the connection. A request in flight fails.
--- a/src/sassafraswick/net/tcp.cc
+++ b/src/sassafraswick/net/tcp.cc
@@ -1,6 +1,7 @@
 #include "sassafraswick/net/tcp.h"
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/connect.hpp>
@@ -98,6 +99,14 @@
   acceptor.set_option(asio::socket_base::send_buffer_size(bytes), ignored);
 }
 
+void SetResetOnClose(stream_socket& socket, bool enabled) {
+  // Asio's destructor turns off a linger time that was set by `set_option`.
+  ::linger option{};
+  option.l_onoff = enabled ? 1 : 0;
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option,
+               sizeof(option));
+}
+
 void EnableKeepalive(stream_socket& socket) {
   using idle_option =
       asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
--- a/src/sassafraswick/net/tcp.h
+++ b/src/sassafraswick/net/tcp.h
@@ -54,6 +54,11 @@
 /// accepts, in bytes.
 void LimitSocketBuffers(boost::asio::ip::tcp::acceptor& acceptor, int bytes);
 
+/// Chooses how a connection ends, also by the socket's destructor or with the
+/// process: by a reset, which discards what the peer has not received, or in
+/// order, after which the kernel still delivers it for seconds.
+void SetResetOnClose(stream_socket& socket, bool enabled);
+
 /// Enables detection of a peer that became unreachable without a reset.
 void EnableKeepalive(stream_socket& socket);
 
--- a/test/sassafraswick/gateway/registry_test.cc
+++ b/test/sassafraswick/gateway/registry_test.cc
@@ -141,6 +141,21 @@
   CHECK(lease.ValidUntil() == At(13));
 }
 
+// Guards against: an order is awaited beyond the lease of its sender. Seen
+// with: review/8.
+TEST_CASE("the time left of a held lease ends with its validity",
+          "[registry]") {
+  held_lease lease;
+  lease.ttl = std::chrono::seconds(4);
+  lease.renewed_at = At(10);
+  CHECK(lease.TimeLeft(At(10)) == duration::zero());
+  lease.id = 1;
+  CHECK(lease.TimeLeft(At(10)) == std::chrono::seconds(3));
+  CHECK(lease.TimeLeft(At(12)) == std::chrono::seconds(1));
+  CHECK(lease.TimeLeft(At(13)) == duration::zero());
+  CHECK(lease.TimeLeft(At(20)) == duration::zero());
+}
+
 // A copy of the store may lack hosts that registered since. If they vanished
 // until they have registered again, all hubs would change meanwhile.
 TEST_CASE("hosts that a new era lacks stay until they had time to register",
