Reset the connection of an exchange that is given up

What callers saw: nothing in a record. A RESUME has no term, so that a late one undoes a later fence; a late PAUSE or STEPDOWN of a replacement that was abandoned has the newest term and is obeyed; a statement runs though its caller was answered.

Cause: a pooled connection that timed out was closed in order.

Change: while a response is outstanding, a pooled connection closes by a reset; after a complete exchange it closes in order. The option is set at the close, so that an exchange costs no more system calls. Responses read before are delivered. Ruled out: a reset for control statements only, as both share connections. Not covered: a process that is killed during an exchange, and what is held up between two hosts.

--- a/src/sassafraswick/gateway/pooled_connection.h
+++ b/src/sassafraswick/gateway/pooled_connection.h
@@ -106,10 +106,15 @@
     co_return outcome;
   }
 
+  /// Closes the connection, by a reset while a response is outstanding: a
+  /// request that a partition holds up must not run once it has been given up.
   void Close() {
     if (borrowed_ != nullptr) {
       borrowed_->Close();
     }
+    if (awaits_response_ && socket_.is_open()) {
+      SetResetOnClose(socket_, true);
+    }
     boost::system::error_code ignored;
     socket_.close(ignored);
   }
@@ -200,6 +205,7 @@
     exchange_outcome outcome;
     StartTimer(timeout);
     traffic += bytes.size();
+    awaits_response_ = true;
     boost::system::error_code failure;
     co_await asio::async_write(
         socket_, asio::buffer(bytes),
@@ -228,6 +234,7 @@
       outcome.closed = !timed_out_;
       Close();
     }
+    awaits_response_ = false;
     co_return outcome;
   }
 
@@ -280,6 +287,7 @@
   std::optional<std::size_t> skipped_;
   typename Codec::result_reader reader_;
   bool timed_out_ = false;
+  bool awaits_response_ = false;
   /// Counts exchanges, so that an outdated timer does not close the connection
   /// during the next one.
   std::uint64_t exchange_ = 0;
