Order only an instance that has just responded

Callers lost acknowledged writes: a replica that had paused crashed, ran again under its identifier with an empty log 0.39 s later, and was promoted 33 ms after that by the position of before.

Cause: an instance counts as responsive until a request has been unanswered for 400 ms. That is longer than a process may take to end and another to start.

An instance that responds is ordered only if the request that it answered last was sent at most 250 ms before; the status interval during a replacement is 150 ms, 200 ms with the tick. Another with the same log is ordered at once instead. The same is asked again right before the order is sent, as its record may take 250 ms to write.

The tests' instances now answer status requests during a replacement, as real ones do. Two tests whose instances must not answer advance without.

Not covered: an instance that is ordered though it is silent.

--- a/src/sassafraswick/failover/loss_detection.cc
+++ b/src/sassafraswick/failover/loss_detection.cc
@@ -77,6 +77,12 @@
          !instance.refused_since.has_value();
 }
 
+bool HasJustResponded(const instance_health& instance,
+                      const replacement_settings& settings, time_point now) {
+  return IsResponsive(instance) &&
+         now - instance.requested_at <= settings.heard_within;
+}
+
 const instance_health* FindCurrentPrimary(const group_health& group) {
   const term_number highest = HighestTerm(group);
   const instance_health* newest = nullptr;
--- a/src/sassafraswick/failover/loss_detection.h
+++ b/src/sassafraswick/failover/loss_detection.h
@@ -29,6 +29,12 @@
 /// has not ended since.
 [[nodiscard]] bool IsResponsive(const instance_health& instance);
 
+/// Returns whether an instance answered a request that was sent at most
+/// `heard_within` ago, so that the process that answered still runs.
+[[nodiscard]] bool HasJustResponded(const instance_health& instance,
+                                    const replacement_settings& settings,
+                                    time_point now);
+
 /// Tracks whether replicas receive the primary's entries. Once one of them has
 /// received the entry `state.unreplicated`, the primary's last entry replaces
 /// it.
--- a/src/sassafraswick/failover/promotion_order.cc
+++ b/src/sassafraswick/failover/promotion_order.cc
@@ -45,13 +45,17 @@
 }  // namespace
 
 void AddOrder(replacement_state& state, const std::string& instance,
-              const group_health& group, time_point now) {
+              const group_health& group, const replacement_settings& settings,
+              time_point now) {
   if (!state.order.has_value() || state.order->instance != instance) {
     state.order = promotion_order();
     state.order->instance = instance;
     state.order->first_sent_at = now;
     state.order->counted_term = HighestTerm(group);
   }
+  const instance_health* const ordered = FindInstance(group, instance);
+  state.order->responded =
+      ordered != nullptr && HasJustResponded(*ordered, settings, now);
   state.order->sent_at = now;
   ++state.order->requests;
 }
@@ -102,6 +106,18 @@
          now - order.first_sent_at < settings.order_lifetime;
 }
 
+bool MaySendOrder(const replacement_state& state, const group_health& group,
+                  const replacement_settings& settings, time_point now) {
+  if (!state.order.has_value()) {
+    return false;
+  }
+  const instance_health* const instance =
+      FindInstance(group, state.order->instance);
+  return instance != nullptr && !instance->replaced &&
+         (!state.order->responded ||
+          HasJustResponded(*instance, settings, now));
+}
+
 bool IsOrderUnsettled(const replacement_state& state,
                       const group_health& group) {
   const instance_health* const leader = FindCurrentPrimary(group);
--- a/src/sassafraswick/failover/promotion_order.h
+++ b/src/sassafraswick/failover/promotion_order.h
@@ -15,7 +15,8 @@
 /// Records that the promotion of an instance is requested now, perhaps once
 /// more.
 void AddOrder(replacement_state& state, const std::string& instance,
-              const group_health& group, time_point now);
+              const group_health& group, const replacement_settings& settings,
+              time_point now);
 
 /// Takes over an order of an earlier holder of the failover lease.
 /// @param requests How often the promotion was requested.
@@ -41,6 +42,13 @@
                             const replacement_settings& settings,
                             time_point now);
 
+/// Returns whether the last request may be sent now, some time after it was
+/// decided: its instance still responds, if it did then.
+[[nodiscard]] bool MaySendOrder(const replacement_state& state,
+                                const group_health& group,
+                                const replacement_settings& settings,
+                                time_point now);
+
 /// Returns whether an instance other than the one whose promotion may take
 /// effect leads the group.
 [[nodiscard]] bool IsOrderUnsettled(const replacement_state& state,
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -156,7 +156,7 @@
   }
   state.chosen = choice.id;
   state.proof = choice.proof;
-  AddOrder(state, choice.id, group, now);
+  AddOrder(state, choice.id, group, settings, now);
   EnterPhase(state, replacement_phase::kPromoting, now);
   state.last_action_at = now;
   return {{replacement_action_kind::kPromote, state.chosen, state.term}};
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -88,6 +88,11 @@
   /// Time for which a requested promotion may take effect. No other instance is
   /// promoted meanwhile, unless the requested one has left or is down.
   duration order_lifetime = std::chrono::milliseconds(10'000);
+  /// Longest time since the request that an instance answered last for which it
+  /// is ordered as one that responds. More than the interval of status requests
+  /// during a replacement; less than a process takes to end and another to run
+  /// under its identifier, with an empty log.
+  duration heard_within = std::chrono::milliseconds(250);
   /// Time that the successor of a leaving primary has to receive all entries.
   duration catch_up_timeout = std::chrono::milliseconds(1500);
   /// Time after the fence for which a complete list of the instances is awaited
@@ -200,6 +205,8 @@
   term_number counted_term = 0;
   /// Requested by an earlier holder of the failover lease only.
   bool is_inherited = false;
+  /// The instance responded when the promotion was last requested.
+  bool responded = false;
 };
 
 /// Why an order is no longer expected to take effect.
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -18,7 +18,7 @@
   kResponds,
   /// It does not respond to this host. It may run all the same.
   kSilent,
-  /// It is not running.
+  /// It is not running, or is only asked again whether it is.
   kNone,
 };
 
@@ -43,7 +43,8 @@
 }
 
 usability UsabilityOf(const replacement_state& state,
-                      const instance_health& instance) {
+                      const instance_health& instance,
+                      const replacement_settings& settings, time_point now) {
   const auto not_running = state.not_running.find(instance.id);
   const bool is_down = not_running != state.not_running.end() &&
                        instance.requested_at <= not_running->second;
@@ -51,7 +52,8 @@
     return usability::kNone;
   }
   if (IsResponsive(instance)) {
-    return usability::kResponds;
+    return HasJustResponded(instance, settings, now) ? usability::kResponds
+                                                     : usability::kNone;
   }
   return instance.listed ? usability::kSilent : usability::kNone;
 }
@@ -61,13 +63,15 @@
 /// comes first. The position of one that has stopped since tells what it may
 /// have confirmed.
 std::vector<candidate> CollectCandidates(const replacement_state& state,
-                                         const group_health& group) {
+                                         const group_health& group,
+                                         const replacement_settings& settings,
+                                         time_point now) {
   std::vector<candidate> found;
   for (const instance_health& instance : group) {
     if (instance.id == state.primary || instance.replaced) {
       continue;
     }
-    const usability usable = UsabilityOf(state, instance);
+    const usability usable = UsabilityOf(state, instance, settings, now);
     const auto paused = state.paused.find(instance.id);
     const bool current =
         IsResponsive(instance) && instance.requested_at >= state.fenced_at;
@@ -179,10 +183,12 @@
 /// Returns whether the old primary stepped down and still responds. It has
 /// every acknowledged write.
 bool CanPromoteOldPrimary(const replacement_state& state,
-                          const group_health& group) {
+                          const group_health& group,
+                          const replacement_settings& settings,
+                          time_point now) {
   const instance_health* const primary = FindInstance(group, state.primary);
   return state.stepped_down_position.has_value() && primary != nullptr &&
-         primary->listed && IsResponsive(*primary) &&
+         primary->listed && HasJustResponded(*primary, settings, now) &&
          !IsBehind(primary->status->received, *state.stepped_down_position);
 }
 
@@ -202,10 +208,11 @@
                                 const group_health& group,
                                 const replacement_settings& settings,
                                 time_point now) {
-  const std::vector<candidate> candidates = CollectCandidates(state, group);
+  const std::vector<candidate> candidates =
+      CollectCandidates(state, group, settings, now);
   const bool is_primary_ordered =
       state.order.has_value() && state.order->instance == state.primary;
-  if (is_primary_ordered && CanPromoteOldPrimary(state, group)) {
+  if (is_primary_ordered && CanPromoteOldPrimary(state, group, settings, now)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
   const duration waited =
@@ -218,7 +225,8 @@
   if (!chosen.id.empty()) {
     return chosen;
   }
-  if ((timed_out || list_timed_out) && CanPromoteOldPrimary(state, group)) {
+  if ((timed_out || list_timed_out) &&
+      CanPromoteOldPrimary(state, group, settings, now)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
   if (!timed_out) {
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -282,8 +282,11 @@
     const std::int64_t token = ToFencingToken(claim);
     // Asked right before the request is written.
     bool was_sent = false;
-    const std::function<bool()> may_send = [this, claim, &was_sent] {
-      was_sent = IsHeldSince(claim);
+    const std::function<bool()> may_send = [this, group, claim, &was_sent] {
+      const auto watched = watched_.find(group->Name());
+      was_sent = IsHeldSince(claim) && watched != watched_.end() &&
+                 MaySendOrder(watched->second.state, group->Health(), settings_,
+                              monotonic_clock::now());
       return was_sent;
     };
     const bool is_recorded = co_await RecordOrder(group->Name(), claim);
--- a/test/sassafraswick/failover/model_promoter.cc
+++ b/test/sassafraswick/failover/model_promoter.cc
@@ -153,7 +153,9 @@
         std::string(ProofName(self.replacement.proof)));
   TraceKnowledge(self);
   WriteOrder(self, [this, &self, action, token](bool may_send) {
-    if (!may_send || !HoldsFailover(self)) {
+    const bool is_heard =
+        MaySendOrder(self.replacement, GroupHealth(self), settings_, now_);
+    if (!may_send || !HoldsFailover(self) || !is_heard) {
       RecordOrder(self, action, sassafraswick::order_result::kNotExecuted);
     } else {
       SendOrder(self, action, token);
--- a/test/sassafraswick/failover/process_change_test.cc
+++ b/test/sassafraswick/failover/process_change_test.cc
@@ -4,6 +4,7 @@
 #include "sassafraswick/failover/fence.h"
 #include "sassafraswick/failover/group_members.h"
 #include "sassafraswick/failover/loss_detection.h"
+#include "sassafraswick/failover/promotion_order.h"
 #include "sassafraswick/failover/replacement.h"
 #include "test/sassafraswick/failover/replacement_builder.h"
 
@@ -46,15 +47,14 @@
   return state;
 }
 
-/// Advances a replacement without new statuses.
+/// Advances a replacement while the replicas that respond keep their status.
 std::vector<replacement_action> Advance(replacement_state& state,
-                                        const group_health& group, int from,
-                                        int to) {
+                                        group_health& group, int from, int to) {
   constexpr int kTick = 50;
   std::vector<replacement_action> all;
   for (int now = from; now < to; now += kTick) {
     const std::vector<replacement_action> actions =
-        AdvanceReplacement(state, group, kSettings, At(now));
+        AdvanceHeard(state, group, At(now));
     all.insert(all.end(), actions.begin(), actions.end());
   }
   return all;
@@ -103,6 +103,69 @@
   CHECK(Contains(then, replacement_action_kind::kPromote, "c"));
 }
 
+// Guards against: a replica that had crashed unnoticed after it paused, and ran
+// again with an empty log, was promoted by the position of before.
+TEST_CASE("a replica that has not just responded is not promoted",
+          "[replacement][process]") {
+  group_health group;
+  replacement_state state = Fenced(group, 12, 12);
+  Hear(group, At(2700));
+  SECTION("another with the same log is") {
+    group[2].requested_at = At(2990);
+    const std::vector<replacement_action> actions =
+        AdvanceReplacement(state, group, kSettings, At(3000));
+    CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "b"));
+    CHECK(Contains(actions, replacement_action_kind::kPromote, "c"));
+  }
+  SECTION("until it responds, at whatever time") {
+    CHECK_FALSE(Contains(AdvanceReplacement(state, group, kSettings, At(3000)),
+                         replacement_action_kind::kPromote, "b"));
+    CHECK_FALSE(Contains(AdvanceReplacement(state, group, kSettings, At(5000)),
+                         replacement_action_kind::kPromote, "b"));
+    group[1].requested_at = At(4995);
+    CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(5050)),
+                   replacement_action_kind::kPromote, "b"));
+  }
+}
+
+// Guards against: a replica that crashed while the record of its order was
+// written, and ran again with an empty log, got the order.
+TEST_CASE("an order is not sent if its instance responded but no longer does",
+          "[replacement][process]") {
+  group_health group;
+  replacement_state state = Fenced(group, 12, 12);
+  REQUIRE(Contains(Advance(state, group, 2970, 3020),
+                   replacement_action_kind::kPromote, "b"));
+  CHECK(MaySendOrder(state, group, kSettings, At(3030)));
+  SECTION("not heard of since") {
+    CHECK_FALSE(MaySendOrder(state, group, kSettings, At(3270)));
+    group[1].requested_at = At(3200);
+    CHECK(MaySendOrder(state, group, kSettings, At(3270)));
+  }
+  SECTION("silent") {
+    group[1].silent_since = At(3025);
+    CHECK_FALSE(MaySendOrder(state, group, kSettings, At(3030)));
+  }
+  SECTION("its process has ended") {
+    group[1].replaced = true;
+    CHECK_FALSE(MaySendOrder(state, group, kSettings, At(3030)));
+  }
+  SECTION("the order was given up") {
+    CancelRequest(state);
+    CHECK_FALSE(MaySendOrder(state, group, kSettings, At(3030)));
+  }
+}
+
+TEST_CASE("an order to an instance that was silent is sent",
+          "[replacement][process]") {
+  group_health group;
+  replacement_state state = Fenced(group, 12, 11);
+  group[1].silent_since = At(2600);
+  REQUIRE(Contains(Advance(state, group, 2970, 4100),
+                   replacement_action_kind::kPromote, "b"));
+  CHECK(MaySendOrder(state, group, kSettings, At(4300)));
+}
+
 // Guards against: an identifier that nobody runs any more kept a group without
 // a primary. Seen with: replica-then-domain, replica-then-primary.
 TEST_CASE("a process whose address another took over need not be fenced",
@@ -211,7 +274,7 @@
   CHECK_FALSE(Contains(asked, replacement_action_kind::kStepDown, "a2"));
   Answer(group[3], {1, true, {1, 12}, 0}, 2755);
   const std::vector<replacement_action> actions =
-      AdvanceReplacement(state, group, kSettings, At(3000));
+      AdvanceHeard(state, group, At(3000));
   CHECK(state.phase == replacement_phase::kWatching);
   CHECK(Contains(actions, replacement_action_kind::kResumeReplication, "b"));
   CHECK_FALSE(Contains(actions, replacement_action_kind::kStepDown, "a"));
@@ -248,11 +311,11 @@
   group_health group;
   replacement_state state = Promoting(group);
   TakeOver(group, 0, "a2", true, 3040);
-  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(3050)),
+  CHECK(Contains(AdvanceHeard(state, group, At(3050)),
                  replacement_action_kind::kStepDown, "a2"));
   Answer(group[3], {1, true, {1, 30}, 0}, 3060);
   const std::vector<replacement_action> actions =
-      AdvanceReplacement(state, group, kSettings, At(3100));
+      AdvanceHeard(state, group, At(3100));
   CHECK(state.phase == replacement_phase::kPromoting);
   CHECK(Contains(actions, replacement_action_kind::kStepDown, "a2"));
   CHECK(state.primary == "a2");
@@ -263,7 +326,7 @@
   replacement_state state = Watching();
   group_health group = Healthy(2000);
   group[0].leaving = true;
-  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(2050)),
+  CHECK(Contains(AdvanceHeard(state, group, At(2050)),
                  replacement_action_kind::kStepDown, "a"));
   Answer(group[0], {1, false, {1, 15}, 0}, 2055);
   RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
@@ -310,7 +373,7 @@
   replacement_state state = Watching();
   group_health group = Healthy(2000);
   group[0].leaving = true;
-  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(2050)),
+  CHECK(Contains(AdvanceHeard(state, group, At(2050)),
                  replacement_action_kind::kStepDown, "a"));
   Answer(group[0], {1, false, {1, 15}, 0}, 2055);
   RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
@@ -375,7 +438,8 @@
   REQUIRE(Contains(first, replacement_action_kind::kPromote, "b"));
   RecordPromoted(state, {replacement_action_kind::kPromote, "b", 2},
                  order_result::kNotRunning, At(3025));
-  CHECK(Contains(Advance(state, group, 3050, 3100),
+  group[2].requested_at = At(3045);
+  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(3050)),
                  replacement_action_kind::kPromote, "c"));
 }
 
--- a/test/sassafraswick/failover/replacement_builder.h
+++ b/test/sassafraswick/failover/replacement_builder.h
@@ -55,6 +55,30 @@
       });
 }
 
+/// Lets the replicas that respond answer a status request once more, as they do
+/// during a replacement.
+inline void Hear(group_health& group, time_point now) {
+  for (instance_health& instance : group) {
+    const bool is_replica =
+        instance.status.has_value() && !instance.status->is_primary;
+    if (is_replica && !instance.silent_since.has_value() &&
+        !instance.refused_since.has_value()) {
+      instance.requested_at =
+          std::max(instance.requested_at, now - std::chrono::milliseconds(1));
+    }
+  }
+}
+
+/// Advances a replacement while the replicas respond.
+inline std::vector<replacement_action> AdvanceHeard(replacement_state& state,
+                                                    group_health& group,
+                                                    time_point now) {
+  if (state.phase != replacement_phase::kWatching) {
+    Hear(group, now);
+  }
+  return AdvanceReplacement(state, group, kSettings, now);
+}
+
 /// Returns the group after its primary became unresponsive and fencing started.
 inline group_health FenceUnresponsivePrimary(replacement_state& state) {
   group_health group = Healthy(2000);
@@ -81,7 +105,7 @@
   RecordPause(state, group, 1, 11, 2465);
   RecordPause(state, group, 2, 12, 2470);
   const std::vector<replacement_action> promote =
-      AdvanceReplacement(state, group, kSettings, At(3000));
+      AdvanceHeard(state, group, At(3000));
   CHECK(Contains(promote, replacement_action_kind::kPromote, "c"));
   return state;
 }
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -15,9 +15,9 @@
   replacement_state state = Watching();
   group_health group = Healthy(2000);
   group[0].silent_since = At(2000);
-  CHECK(AdvanceReplacement(state, group, kSettings, At(2400)).empty());
+  CHECK(AdvanceHeard(state, group, At(2400)).empty());
   const std::vector<replacement_action> fence =
-      AdvanceReplacement(state, group, kSettings, At(2460));
+      AdvanceHeard(state, group, At(2460));
   CHECK(Contains(fence, replacement_action_kind::kStepDown, "a"));
   CHECK(Contains(fence, replacement_action_kind::kPauseReplication, "b"));
   CHECK(Contains(fence, replacement_action_kind::kPauseReplication, "c"));
@@ -25,9 +25,9 @@
   CHECK(state.phase == replacement_phase::kFencing);
   RecordPause(state, group, 2, 12, 2470);
   CHECK(state.phase == replacement_phase::kWaiting);
-  CHECK(AdvanceReplacement(state, group, kSettings, At(2960)).empty());
-  const std::vector<replacement_action> promote = AdvanceReplacement(
-      state, group, kSettings, At(2470) + kPrimaryLeaseDuration);
+  CHECK(AdvanceHeard(state, group, At(2960)).empty());
+  const std::vector<replacement_action> promote =
+      AdvanceHeard(state, group, At(2470) + kPrimaryLeaseDuration);
   REQUIRE(promote.size() == 1);
   CHECK(promote[0].kind == replacement_action_kind::kPromote);
   CHECK(promote[0].instance == "c");
@@ -40,11 +40,11 @@
   group[0].silent_since = At(2000);
   group[2].refused_since = At(1900);
   group[2].refused_at = At(2300);
-  CHECK_FALSE(AdvanceReplacement(state, group, kSettings, At(2460)).empty());
+  CHECK_FALSE(AdvanceHeard(state, group, At(2460)).empty());
   RecordPause(state, group, 1, 11, 2465);
   for (int now = 2500; now < 9000; now += 50) {
     for (const replacement_action& action :
-         AdvanceReplacement(state, group, kSettings, At(now))) {
+         AdvanceHeard(state, group, At(now))) {
       CHECK(action.kind != replacement_action_kind::kPromote);
     }
   }
@@ -58,7 +58,7 @@
   RecordPause(state, group, 2, 10, 2465);
   group[0] = Instance("a", true, 10, At(2600));
   const std::vector<replacement_action> actions =
-      AdvanceReplacement(state, group, kSettings, At(2800));
+      AdvanceHeard(state, group, At(2800));
   CHECK(state.phase == replacement_phase::kWatching);
   CHECK(Contains(actions, replacement_action_kind::kResumeReplication, "b"));
   CHECK(Contains(actions, replacement_action_kind::kResumeReplication, "c"));
@@ -98,13 +98,13 @@
   replacement_state state = Watching();
   group_health group = Healthy(2000);
   group[0].status->received = {1, 20};
-  CHECK(AdvanceReplacement(state, group, kSettings, At(2050)).empty());
+  CHECK(AdvanceHeard(state, group, At(2050)).empty());
   RefreshReplicas(group, 2800);
-  CHECK(AdvanceReplacement(state, group, kSettings, At(2850)).empty());
+  CHECK(AdvanceHeard(state, group, At(2850)).empty());
   CHECK_FALSE(MayBeCutOff(state, kSettings, At(2850)));
   CHECK(MayBeCutOff(state, kSettings, At(2950)));
   RefreshReplicas(group, 2950);
-  CHECK_FALSE(AdvanceReplacement(state, group, kSettings, At(2955)).empty());
+  CHECK_FALSE(AdvanceHeard(state, group, At(2955)).empty());
   CHECK(state.cause == replacement_cause::kCutOff);
 }
 
@@ -116,11 +116,11 @@
   group_health group = Healthy(2000);
   group[0].status->received = {1, 20};
   for (int now = 2050; now < 9000; now += 50) {
-    CHECK(AdvanceReplacement(state, group, kSettings, At(now)).empty());
+    CHECK(AdvanceHeard(state, group, At(now)).empty());
   }
   RefreshReplicas(group, 9000);
   group[1].status->received = {1, 20};
-  CHECK(AdvanceReplacement(state, group, kSettings, At(9010)).empty());
+  CHECK(AdvanceHeard(state, group, At(9010)).empty());
   CHECK(state.cause == replacement_cause::kNone);
 }
 
@@ -136,10 +136,10 @@
   group[2].silent_since = At(2000);
   for (int now = 2050; now < 5950; now += 50) {
     group[1].requested_at = At(now);
-    CHECK(AdvanceReplacement(state, group, kSettings, At(now)).empty());
+    CHECK(AdvanceHeard(state, group, At(now)).empty());
   }
   group[1].requested_at = At(6100);
-  CHECK_FALSE(AdvanceReplacement(state, group, kSettings, At(6100)).empty());
+  CHECK_FALSE(AdvanceHeard(state, group, At(6100)).empty());
 }
 
 // An observation period of 1.5 s was too long: it was part of a write outage of
@@ -150,9 +150,9 @@
   replacement_state state;
   group_health group = Healthy(0);
   group[0].silent_since = At(-5000);
-  CHECK(AdvanceReplacement(state, group, kSettings, At(0)).empty());
-  CHECK(AdvanceReplacement(state, group, kSettings, At(450)).empty());
-  CHECK_FALSE(AdvanceReplacement(state, group, kSettings, At(500)).empty());
+  CHECK(AdvanceHeard(state, group, At(0)).empty());
+  CHECK(AdvanceHeard(state, group, At(450)).empty());
+  CHECK_FALSE(AdvanceHeard(state, group, At(500)).empty());
 }
 
 TEST_CASE("replicas paused by an abandoned replacement resume replication",
@@ -161,7 +161,7 @@
   group_health group = Healthy(2000);
   group[1].status->paused_term = 2;
   const std::vector<replacement_action> actions =
-      AdvanceReplacement(state, group, kSettings, At(2300));
+      AdvanceHeard(state, group, At(2300));
   CHECK(Contains(actions, replacement_action_kind::kResumeReplication, "b"));
 }
 
@@ -171,7 +171,7 @@
   group_health group = FenceUnresponsivePrimary(state);
   group[1].status = instance_status{2, true, {2, 12}, 0};
   const std::vector<replacement_action> actions =
-      AdvanceReplacement(state, group, kSettings, At(2500));
+      AdvanceHeard(state, group, At(2500));
   CHECK(state.phase == replacement_phase::kWatching);
   REQUIRE(actions.size() == 1);
   CHECK(Contains(actions, replacement_action_kind::kStepDown, "a"));
@@ -187,15 +187,15 @@
   group_health group = Healthy(0);
   group[0].status.reset();
   group[0].silent_since = At(0);
-  CHECK(AdvanceReplacement(state, group, kSettings, At(0)).empty());
-  CHECK(AdvanceReplacement(state, group, kSettings, At(600)).empty());
-  CHECK_FALSE(AdvanceReplacement(state, group, kSettings, At(1000)).empty());
+  CHECK(AdvanceHeard(state, group, At(0)).empty());
+  CHECK(AdvanceHeard(state, group, At(600)).empty());
+  CHECK_FALSE(AdvanceHeard(state, group, At(1000)).empty());
   CHECK(state.cause == replacement_cause::kOrphaned);
   RecordPause(state, group, 1, 10, 1010);
   RecordPause(state, group, 2, 10, 1010);
   group[0] = Instance("a", true, 12, At(1100));
   const std::vector<replacement_action> actions =
-      AdvanceReplacement(state, group, kSettings, At(1300));
+      AdvanceHeard(state, group, At(1300));
   CHECK(state.phase == replacement_phase::kWatching);
   CHECK(Contains(actions, replacement_action_kind::kResumeReplication, "b"));
   CHECK(Contains(actions, replacement_action_kind::kResumeReplication, "c"));
@@ -211,10 +211,10 @@
   group[0].status = instance_status{3, false, {3, 10}, 0};
   group[1].status = instance_status{2, true, {2, 10}, 0};
   group[2].status = instance_status{3, false, {3, 10}, 0};
-  CHECK(AdvanceReplacement(state, group, kSettings, At(0)).empty());
-  CHECK(AdvanceReplacement(state, group, kSettings, At(600)).empty());
+  CHECK(AdvanceHeard(state, group, At(0)).empty());
+  CHECK(AdvanceHeard(state, group, At(600)).empty());
   const std::vector<replacement_action> fence =
-      AdvanceReplacement(state, group, kSettings, At(1000));
+      AdvanceHeard(state, group, At(1000));
   CHECK(Contains(fence, replacement_action_kind::kPauseReplication, "a"));
   CHECK(Contains(fence, replacement_action_kind::kStepDown, "b"));
   CHECK_FALSE(Contains(fence, replacement_action_kind::kPauseReplication, "b"));
@@ -222,7 +222,7 @@
   RecordFenced(state, group, {replacement_action_kind::kStepDown, "b", 4},
                *group[1].status, At(1010));
   CHECK_FALSE(state.stepped_down_position.has_value());
-  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(1300)),
+  CHECK(Contains(AdvanceHeard(state, group, At(1300)),
                  replacement_action_kind::kPauseReplication, "b"));
 }
 
@@ -236,12 +236,12 @@
   group[1].status = instance_status{2, true, {2, 10}, 0};
   group[2].status = instance_status{1, false, {1, 10}, 2};
   const std::vector<replacement_action> first =
-      AdvanceReplacement(state, group, kSettings, At(2400));
+      AdvanceHeard(state, group, At(2400));
   CHECK(Contains(first, replacement_action_kind::kStepDown, "a"));
   CHECK_FALSE(
       Contains(first, replacement_action_kind::kResumeReplication, "c"));
   group[0].status->is_primary = false;
-  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(2800)),
+  CHECK(Contains(AdvanceHeard(state, group, At(2800)),
                  replacement_action_kind::kResumeReplication, "c"));
 }
 
@@ -255,8 +255,8 @@
   // The replica was restarted and lost the paused state.
   group[1].status->paused_term = 0;
   group[1].requested_at = At(2700);
-  const std::vector<replacement_action> again = AdvanceReplacement(
-      state, group, kSettings, At(2470) + kPrimaryLeaseDuration);
+  const std::vector<replacement_action> again =
+      AdvanceHeard(state, group, At(2470) + kPrimaryLeaseDuration);
   CHECK(state.phase == replacement_phase::kFencing);
   CHECK(Contains(again, replacement_action_kind::kPauseReplication, "b"));
   CHECK_FALSE(Contains(again, replacement_action_kind::kPromote, "c"));
@@ -269,7 +269,7 @@
           "[replacement]") {
   group_health group;
   replacement_state state = Promoting(group);
-  CHECK(AdvanceReplacement(state, group, kSettings, At(3050)).size() <= 1);
+  CHECK(AdvanceHeard(state, group, At(3050)).size() <= 1);
   instance_health returned;
   returned.id = "a-again";
   returned.claims_primary = true;
@@ -278,7 +278,7 @@
   started.id = "d";
   group.push_back(started);
   const std::vector<replacement_action> actions =
-      AdvanceReplacement(state, group, kSettings, At(3100));
+      AdvanceHeard(state, group, At(3100));
   CHECK(Contains(actions, replacement_action_kind::kStepDown, "a-again"));
   CHECK(Contains(actions, replacement_action_kind::kPauseReplication, "d"));
   CHECK_FALSE(
@@ -288,7 +288,7 @@
   // Once it has stepped down, it must not follow another primary either.
   group[3].status = instance_status{1, false, {1, 12}, 0};
   const std::vector<replacement_action> then =
-      AdvanceReplacement(state, group, kSettings, At(3150));
+      AdvanceHeard(state, group, At(3150));
   CHECK(Contains(then, replacement_action_kind::kPauseReplication, "a-again"));
   CHECK_FALSE(Contains(then, replacement_action_kind::kPauseReplication, "d"));
 }
@@ -299,7 +299,7 @@
   replacement_state state = Promoting(group);
   group[1].status->paused_term = 0;
   group[1].requested_at = At(3040);
-  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(3050)),
+  CHECK(Contains(AdvanceHeard(state, group, At(3050)),
                  replacement_action_kind::kPauseReplication, "b"));
 }
 
@@ -314,7 +314,7 @@
   returned.claims_primary = true;
   group.push_back(returned);
   const std::vector<replacement_action> actions =
-      AdvanceReplacement(state, group, kSettings, At(3000));
+      AdvanceHeard(state, group, At(3000));
   CHECK(Contains(actions, replacement_action_kind::kStepDown, "a-again"));
   CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "c"));
 }
@@ -325,10 +325,10 @@
   replacement_state state;
   group = Healthy(0);
   group.push_back(Instance("d", false, 10, At(0)));
-  CHECK(AdvanceReplacement(state, group, kSettings, At(0)).empty());
+  CHECK(AdvanceHeard(state, group, At(0)).empty());
   group[0].status->received = {1, 20};
   group[3].status->received = {1, 20};
-  CHECK(AdvanceReplacement(state, group, kSettings, At(2000)).empty());
+  CHECK(AdvanceHeard(state, group, At(2000)).empty());
   group.pop_back();
   return state;
 }
@@ -369,7 +369,7 @@
   replacement_state state;
   group_health group = Healthy(0);
   group.push_back(Instance("d", false, 10, At(0)));
-  CHECK(AdvanceReplacement(state, group, kSettings, At(0)).empty());
+  CHECK(AdvanceHeard(state, group, At(0)).empty());
   group[0].status->received = {1, 20};
   group[0].leaving = true;
   CHECK(Contains(AdvanceResponsive(state, group, 2000, 2050),
@@ -393,7 +393,7 @@
 replacement_state CutOffAndSteppedDown(group_health& group) {
   replacement_state state;
   group = Healthy(0);
-  CHECK(AdvanceReplacement(state, group, kSettings, At(0)).empty());
+  CHECK(AdvanceHeard(state, group, At(0)).empty());
   group[0].status->received = {1, 20};
   CHECK(Contains(AdvanceResponsive(state, group, 500, 2050),
                  replacement_action_kind::kStepDown, "a"));
@@ -442,7 +442,7 @@
     instance_health joined;
     joined.id = "d";
     group.push_back(joined);
-    CHECK_FALSE(Contains(AdvanceReplacement(state, group, kSettings, At(2650)),
+    CHECK_FALSE(Contains(AdvanceHeard(state, group, At(2650)),
                          replacement_action_kind::kPromote, "b"));
     group[3] = Instance("d", false, 20, At(2660));
     const std::vector<replacement_action> actions =
@@ -463,10 +463,10 @@
                instance_status{1, false, {1, 20}, 0}, At(2800));
   state.list_read_at = At(2900);
   CHECK(AwaitsList(state, At(3000)));
-  CHECK_FALSE(Contains(AdvanceReplacement(state, group, kSettings, At(3000)),
+  CHECK_FALSE(Contains(AdvanceHeard(state, group, At(3000)),
                        replacement_action_kind::kPromote, "c"));
   state.list_read_at = At(3000);
-  CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(3050)),
+  CHECK(Contains(AdvanceHeard(state, group, At(3050)),
                  replacement_action_kind::kPromote, "c"));
 }
 
@@ -484,17 +484,17 @@
     CHECK(AwaitsList(state, At(2920)));
     state.list_read_at = At(2920);
     CHECK_FALSE(AwaitsList(state, At(2930)));
-    CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(2970)),
+    CHECK(Contains(AdvanceHeard(state, group, At(2970)),
                    replacement_action_kind::kPromote, "c"));
   }
   SECTION("an earlier one does not suffice while the store may answer") {
-    CHECK_FALSE(Contains(AdvanceReplacement(state, group, kSettings, At(3000)),
+    CHECK_FALSE(Contains(AdvanceHeard(state, group, At(3000)),
                          replacement_action_kind::kPromote, "c"));
-    CHECK_FALSE(Contains(AdvanceReplacement(state, group, kSettings, At(3169)),
+    CHECK_FALSE(Contains(AdvanceHeard(state, group, At(3169)),
                          replacement_action_kind::kPromote, "c"));
   }
   SECTION("in an outage of the store the promotion is ordered later") {
-    CHECK(Contains(AdvanceReplacement(state, group, kSettings, At(3170)),
+    CHECK(Contains(AdvanceHeard(state, group, At(3170)),
                    replacement_action_kind::kPromote, "c"));
     CHECK(state.proof == choice_proof::kMostAdvanced);
   }
@@ -504,7 +504,7 @@
     joined.id = "d";
     group.push_back(joined);
     const std::vector<replacement_action> actions =
-        AdvanceReplacement(state, group, kSettings, At(2970));
+        AdvanceHeard(state, group, At(2970));
     CHECK(Contains(actions, replacement_action_kind::kPauseReplication, "d"));
     CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "c"));
   }
@@ -516,7 +516,7 @@
   replacement_state state = AfterDeparture(group);
   group[0].refused_since = At(2000);
   group[0].refused_at = At(2400);
-  CHECK_FALSE(AdvanceReplacement(state, group, kSettings, At(2450)).empty());
+  CHECK_FALSE(AdvanceHeard(state, group, At(2450)).empty());
   RecordPause(state, group, 1, 10, 2460);
   RecordPause(state, group, 2, 11, 2470);
   const std::vector<replacement_action> early =
@@ -538,7 +538,7 @@
   RecordPause(state, group, 1, 11, 2465);
   CHECK(state.phase == replacement_phase::kFencing);
   group.pop_back();
-  CHECK(AdvanceReplacement(state, group, kSettings, At(2500)).empty());
+  CHECK(AdvanceHeard(state, group, At(2500)).empty());
   CHECK(state.phase == replacement_phase::kWaiting);
 }
 
