Count a primary as alone until a replica has joined its term

Callers lost acknowledged writes: a replica with 284 entries was promoted and crashed 62 ms later, before any other had joined its term. A new holder promoted one with 269 entries, as the most advanced of all, while the crashed primary restarted with its log.

Cause: a primary confirms no writes of its own term, so its log was left out of the choice. What it had confirmed as a replica in earlier terms may be nowhere else, and the members of those terms are forgotten.

Until another process is known to be in the primary's term, with all that the primary reported first if the holder saw the term begin, no other instance is proved. The primary is awaited for `member_return_timeout` from its loss, then the best of the rest is promoted without proof. While it responds it isn't replaced, as that would only keep replicas from joining. The same wait now also counts from the loss of the primary, not only from when a member has left.

Cost: a primary that crashes after its promotion before a status shows a replica in its term (some 0.3 to 1 s) leaves the group without a primary until it is back, 10 s at most; that was 0.6 s, with a possible loss. A leaving primary steps down only once a replica has joined its term. Failovers in which a replica had joined are not delayed.

In the simulation, replicas that had not joined the term of a primary that restarts under its identifier now follow it, as they do under another one.

With the change off, the new tests fail.

--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -109,6 +109,20 @@
   }
 }
 
+/// Finds out whether a process other than the primary has joined the term.
+void TrackJoining(replacement_state& state, const group_health& group) {
+  state.is_term_joined =
+      state.is_term_joined ||
+      std::any_of(
+          group.begin(), group.end(), [&state](const instance_health& each) {
+            return each.status.has_value() &&
+                   each.status->term == state.members_term &&
+                   !WasTermPrimary(state, ProcessOf(each)) &&
+                   !(state.term_start.has_value() &&
+                     IsBehind(each.status->received, *state.term_start));
+          });
+}
+
 /// Forgets the members of earlier terms. What left shortly before this host
 /// began to observe the group may have been a member, too, and is kept while
 /// the host learns of the current term.
@@ -126,6 +140,12 @@
       now - *state.observation_started_at < settings.observation_period;
   if (term != state.members_term) {
     state.term_primaries.clear();
+    state.is_term_joined = false;
+    const instance_health* const primary = FindCurrentPrimary(group);
+    const bool saw_begin = !is_first && !learns && primary != nullptr;
+    state.term_start = saw_begin
+                           ? std::optional<log_point>(primary->status->received)
+                           : std::nullopt;
   }
   if (term != state.members_term && !learns) {
     state.members.clear();
@@ -156,6 +176,7 @@
                   const replacement_settings& settings, time_point now) {
   BeginTerm(state, group, settings, now);
   TrackPrimary(state, group);
+  TrackJoining(state, group);
   for (const instance_health& instance : group) {
     if (HasLeft(&instance, ProcessOf(instance))) {
       continue;
@@ -184,6 +205,10 @@
   }
 }
 
+bool IsPrimaryAlone(const replacement_state& state) {
+  return !state.term_primaries.empty() && !state.is_term_joined;
+}
+
 std::optional<time_point> LastMemberLeftAt(const replacement_state& state,
                                            const std::string& primary) {
   std::optional<time_point> last;
--- a/src/sassafraswick/failover/group_members.h
+++ b/src/sassafraswick/failover/group_members.h
@@ -32,6 +32,10 @@
 void TrackMembers(replacement_state& state, const group_health& group,
                   const replacement_settings& settings, time_point now);
 
+/// Returns whether writes of earlier terms may be on the primary only, as no
+/// other process has joined its term.
+[[nodiscard]] bool IsPrimaryAlone(const replacement_state& state);
+
 /// Returns when the last of the members left that may have confirmed writes
 /// which no remaining replica has; nothing if there is none.
 /// @param primary The primary, which confirms no writes of its own.
--- a/src/sassafraswick/failover/loss_detection.cc
+++ b/src/sassafraswick/failover/loss_detection.cc
@@ -146,8 +146,10 @@
     return replacement_cause::kSilent;
   }
   // The primary may have the only copy of what an instance that has left
-  // confirmed. Its replicas can receive it only while it leads.
-  if (LastMemberLeftAt(state, current_primary->id).has_value()) {
+  // confirmed, or of all that earlier terms left. Its replicas can receive it
+  // only while it leads.
+  if (LastMemberLeftAt(state, current_primary->id).has_value() ||
+      IsPrimaryAlone(state)) {
     return replacement_cause::kNone;
   }
   if (current_primary->leaving &&
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -275,8 +275,15 @@
   std::map<process_key, group_member> members;
   term_number members_term = 0;
   /// The processes that were primary of `members_term`, one after the other. A
-  /// primary confirms no writes of its own.
+  /// primary confirms no writes of its own in that term.
   std::vector<process_key> term_primaries;
+  /// Whether another process is known to have joined `members_term`: it has all
+  /// that the primary had at the start. Until then, what was confirmed in
+  /// earlier terms may be on the primary only.
+  bool is_term_joined = false;
+  /// The first position that the primary of `members_term` reported; nothing if
+  /// this host has not seen the term begin.
+  std::optional<log_point> term_start;
   /// When the newest complete read of the list of instances was sent. Set by
   /// the caller before `AdvanceReplacement`.
   time_point list_read_at;
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -129,6 +129,7 @@
       (!state.stepped_down_position.has_value() && list_timed_out);
   const bool all_known = list_suffices && !candidates.empty() &&
                          candidates.size() >= CountOthers(state, group) &&
+                         !IsPrimaryAlone(state) &&
                          !LastMemberLeftAt(state, state.primary).has_value();
   promotion_choice ready;
   promotion_choice late;
@@ -162,6 +163,20 @@
   return timed_out ? late : promotion_choice();
 }
 
+/// Returns since when the old primary, which may have the only copy of what
+/// others confirmed, has not responded; nothing if it can't return.
+std::optional<time_point> PrimaryAwaySince(const replacement_state& state,
+                                           const group_health& group,
+                                           time_point now) {
+  const instance_health* const primary = FindInstance(group, state.primary);
+  if (primary == nullptr || primary->replaced) {
+    return std::nullopt;
+  }
+  return IsResponsive(*primary)
+             ? now
+             : std::max(primary->silent_since, primary->refused_since);
+}
+
 /// Chooses the most advanced instance that responds, once those that may have
 /// more have been away for `member_return_timeout`.
 promotion_choice ChooseUnproved(const std::vector<candidate>& candidates,
@@ -237,11 +252,13 @@
   const bool is_empty = !candidates.empty() &&
                         candidates.front().end.position == 0 &&
                         HadEntries(state);
-  if (!last_left_at.has_value() && !is_empty) {
+  if (!last_left_at.has_value() && !is_empty && !IsPrimaryAlone(state)) {
     return chosen;
   }
-  return ChooseUnproved(candidates, last_left_at.value_or(state.fenced_at),
-                        settings, now);
+  const time_point away_since =
+      std::max(last_left_at.value_or(state.fenced_at),
+               PrimaryAwaySince(state, group, now).value_or(time_point()));
+  return ChooseUnproved(candidates, away_since, settings, now);
 }
 
 }  // namespace sassafraswick
--- a/test/sassafraswick/failover/model_faults.cc
+++ b/test/sassafraswick/failover/model_faults.cc
@@ -189,6 +189,10 @@
       if (other.is_primary && &other != &each && other.term > each.term) {
         JoinNewPrimary(each, other);
       }
+      // Those that had not joined its term follow a primary that is back.
+      if (each.is_primary && other.running && other.term < each.term) {
+        JoinAnyPrimary(other);
+      }
     }
   });
 }
--- /dev/null
+++ b/test/sassafraswick/failover/unproved_choice_test.cc
@@ -0,0 +1,135 @@
+#include <catch2/catch.hpp>
+
+#include "sassafraswick/consistency/primary_view.h"
+#include "sassafraswick/failover/group_members.h"
+#include "sassafraswick/failover/replacement.h"
+#include "test/sassafraswick/failover/replacement_builder.h"
+
+// Which instance is chosen, and when, if none is proved to have all writes.
+
+namespace sassafraswick {
+namespace {
+
+/// Advances a replacement while the replicas that respond keep their status.
+std::vector<replacement_action> Advance(replacement_state& state,
+                                        group_health& group, int from, int to) {
+  constexpr int kTick = 50;
+  std::vector<replacement_action> all;
+  for (int now = from; now < to; now += kTick) {
+    const std::vector<replacement_action> actions =
+        AdvanceHeard(state, group, At(now));
+    all.insert(all.end(), actions.begin(), actions.end());
+  }
+  return all;
+}
+
+bool Promotes(const std::vector<replacement_action>& actions) {
+  return std::any_of(actions.begin(), actions.end(),
+                     [](const replacement_action& action) {
+                       return action.kind == replacement_action_kind::kPromote;
+                     });
+}
+
+/// Records that a replica paused replication for a term.
+void Pause(replacement_state& state, instance_health& health, int now) {
+  health.requested_at = At(now);
+  health.status->paused_term = state.term;
+  RecordFenced(
+      state, {},
+      {replacement_action_kind::kPauseReplication, health.id, state.term},
+      *health.status, At(now));
+}
+
+/// Returns a group in which `b` has just been promoted to term 2 with 15
+/// entries; `a` and `c` have 10 and 11 entries of term 1.
+group_health JustPromoted() {
+  group_health group = {Instance("a", false, 10, At(2100)),
+                        Instance("b", true, 15, At(2100)),
+                        Instance("c", false, 11, At(2100))};
+  group[1].status->term = 2;
+  group[1].status->received.term = 2;
+  return group;
+}
+
+/// Lets `b` crash, and `a` and `c` be fenced.
+void CrashPromoted(replacement_state& state, group_health& group) {
+  group[1].silent_since = At(2200);
+  group[1].refused_since = At(2200);
+  group[1].refused_at = At(2400);
+  REQUIRE(Contains(AdvanceHeard(state, group, At(2450)),
+                   replacement_action_kind::kPauseReplication, "c"));
+  Pause(state, group[0], 2455);
+  Pause(state, group[2], 2460);
+  REQUIRE(AdvanceHeard(state, group, At(2500)).size() <= 1);
+  REQUIRE(state.phase == replacement_phase::kWaiting);
+}
+
+// Guards against: a primary that crashed before any replica had joined its term
+// counted as one that had confirmed nothing, though it alone had what it had
+// confirmed as a replica.
+TEST_CASE("no replica is proved before one has joined the primary's term",
+          "[replacement][unproved]") {
+  replacement_state state = Watching();
+  group_health group = JustPromoted();
+  CHECK_FALSE(Promotes(Advance(state, group, 2100, 2150)));
+  SECTION("none has") {
+    CrashPromoted(state, group);
+    CHECK_FALSE(Promotes(Advance(state, group, 2500, 12'000)));
+    SECTION("the primary that returns leads again") {
+      group[1].silent_since.reset();
+      group[1].refused_since.reset();
+      group[1].requested_at = At(12'000);
+      CHECK_FALSE(Promotes(Advance(state, group, 12'000, 14'000)));
+      CHECK(state.phase == replacement_phase::kWatching);
+    }
+    SECTION("the most advanced is promoted once the primary is given up") {
+      CHECK(Contains(Advance(state, group, 12'000, 13'000),
+                     replacement_action_kind::kPromote, "c"));
+      CHECK(state.proof == choice_proof::kUnproved);
+    }
+  }
+  SECTION("one that still lacks what the primary had has not") {
+    group[2].status = instance_status{2, false, {2, 3}, 0};
+    CHECK_FALSE(Promotes(Advance(state, group, 2150, 2200)));
+    CrashPromoted(state, group);
+    CHECK_FALSE(Promotes(Advance(state, group, 2500, 12'000)));
+  }
+  SECTION("one has") {
+    group[2].status = instance_status{2, false, {2, 15}, 0};
+    CHECK_FALSE(Promotes(Advance(state, group, 2150, 2200)));
+    CrashPromoted(state, group);
+    CHECK(Contains(Advance(state, group, 2500, 3050),
+                   replacement_action_kind::kPromote, "c"));
+    CHECK(state.proof == choice_proof::kMostAdvanced);
+  }
+}
+
+TEST_CASE("a new holder waits for a primary whose term no replica has joined",
+          "[replacement][unproved]") {
+  replacement_state state;
+  state.list_read_at = At(1'000'000);
+  group_health group = JustPromoted();
+  group[1].silent_since = At(1900);
+  group[1].refused_since = At(1900);
+  group[1].refused_at = At(2400);
+  CHECK(AdvanceHeard(state, group, At(1900)).empty());
+  CrashPromoted(state, group);
+  CHECK_FALSE(Promotes(Advance(state, group, 2500, 12'000)));
+}
+
+// A replacement would only keep its replicas from joining.
+TEST_CASE(
+    "a primary that leaves is replaced once a replica has joined its term",
+    "[replacement][unproved]") {
+  replacement_state state = Watching();
+  group_health group = JustPromoted();
+  group[1].leaving = true;
+  CHECK_FALSE(Contains(Advance(state, group, 2100, 2400),
+                       replacement_action_kind::kStepDown, "b"));
+  group[2].status = instance_status{2, false, {2, 15}, 0};
+  CHECK(Contains(Advance(state, group, 2400, 2500),
+                 replacement_action_kind::kStepDown, "b"));
+}
+
+}  // namespace
+}  // namespace sassafraswick
