Order a silent primary that stepped down before a choice without proof

Callers lost all acknowledged writes: an empty replica was promoted, without proof, while the old primary ran with the full log. It had stepped down, crashed, and was back for 7.5 s, but cut off from the host that decided. The two others had restarted with empty logs.

Cause: 10 s after the last of those that may have more was lost, the best instance that responds is promoted. The old primary was considered only if it responds, though its entry shows that it may run.

At the end of that wait, and not before, the old primary is ordered instead, if it stepped down, is listed, doesn't refuse connections and hasn't been reported as not running. If the platform says that it isn't running, the other is ordered at once, as before.

Cost: one more order in a group that has had no primary for 10 s; up to 10 s more if the platform doesn't answer that order, or accepts it without effect. Other failovers are as before. Not covered: that process may have restarted with an empty log before its new entry is known.

With the change off, the new tests fail.

--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -195,6 +195,17 @@
   return {};
 }
 
+/// Returns whether the old primary stepped down and may run though it does not
+/// respond to this host: it is listed, and the platform has not said otherwise.
+bool MayRunSteppedDown(const replacement_state& state,
+                       const group_health& group,
+                       const replacement_settings& settings, time_point now) {
+  const instance_health* const primary = FindInstance(group, state.primary);
+  return state.stepped_down_position.has_value() && primary != nullptr &&
+         !primary->replaced &&
+         UsabilityOf(state, *primary, settings, now) == usability::kSilent;
+}
+
 /// Returns whether the old primary stepped down and still responds. It has
 /// every acknowledged write.
 bool CanPromoteOldPrimary(const replacement_state& state,
@@ -258,7 +269,12 @@
   const time_point away_since =
       std::max(last_left_at.value_or(state.fenced_at),
                PrimaryAwaySince(state, group, now).value_or(time_point()));
-  return ChooseUnproved(candidates, away_since, settings, now);
+  chosen = ChooseUnproved(candidates, away_since, settings, now);
+  const bool prefers_primary =
+      !chosen.id.empty() && MayRunSteppedDown(state, group, settings, now);
+  return prefers_primary
+             ? promotion_choice{state.primary, choice_proof::kOldPrimary}
+             : chosen;
 }
 
 }  // namespace sassafraswick
--- a/test/sassafraswick/failover/unproved_choice_test.cc
+++ b/test/sassafraswick/failover/unproved_choice_test.cc
@@ -2,6 +2,7 @@
 
 #include "sassafraswick/consistency/primary_view.h"
 #include "sassafraswick/failover/group_members.h"
+#include "sassafraswick/failover/promotion_order.h"
 #include "sassafraswick/failover/replacement.h"
 #include "test/sassafraswick/failover/replacement_builder.h"
 
@@ -117,6 +118,76 @@
   CHECK_FALSE(Promotes(Advance(state, group, 2500, 12'000)));
 }
 
+/// Returns a fenced group: `a` is silent, `b` has more than `c`, and `d`, which
+/// may have confirmed writes that only `a` has besides, has left.
+replacement_state FencedWithoutMember(group_health& group) {
+  replacement_state state = Watching();
+  group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 12, 2465);
+  RecordPause(state, group, 2, 11, 2470);
+  state.members[{"d", At(0)}].left_at = At(2000);
+  CHECK(state.phase == replacement_phase::kWaiting);
+  return state;
+}
+
+// Guards against: a primary that had the only full log was not awaited, as
+// another member had left long before the primary fell silent.
+TEST_CASE("the choice without proof waits for a primary that is away",
+          "[replacement][unproved]") {
+  group_health group;
+  replacement_state state = FencedWithoutMember(group);
+  group[0].silent_since = At(9000);
+  SECTION("as it is silent") {
+    CHECK_FALSE(Promotes(Advance(state, group, 2500, 18'950)));
+    CHECK(Contains(Advance(state, group, 18'950, 19'100),
+                   replacement_action_kind::kPromote, "b"));
+    CHECK(state.proof == choice_proof::kUnproved);
+  }
+  SECTION("as it refuses connections") {
+    group[0].refused_since = At(9500);
+    group[0].refused_at = At(9500);
+    CHECK_FALSE(Promotes(Advance(state, group, 2500, 19'450)));
+    CHECK(Promotes(Advance(state, group, 19'450, 19'600)));
+  }
+  SECTION("but not for one whose process has ended") {
+    group[0].replaced = true;
+    CHECK(Promotes(Advance(state, group, 2500, 12'100)));
+  }
+}
+
+// Guards against: an instance without all writes was promoted while the primary
+// that had stepped down ran, and was only cut off from the holder.
+TEST_CASE("a silent primary that stepped down is ordered before any other",
+          "[replacement][unproved]") {
+  group_health group;
+  replacement_state state = FencedWithoutMember(group);
+  RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
+               instance_status{1, false, {1, 20}, 0}, At(2600));
+  CHECK_FALSE(Promotes(Advance(state, group, 2650, 11'950)));
+  SECTION("if it may run") {
+    REQUIRE(Contains(Advance(state, group, 11'950, 12'050),
+                     replacement_action_kind::kPromote, "a"));
+    CHECK(state.proof == choice_proof::kOldPrimary);
+    CHECK(MaySendOrder(state, group, kSettings, At(12'060)));
+    RecordPromoted(state, {replacement_action_kind::kPromote, "a", 2},
+                   order_result::kNotRunning, At(12'070));
+    CHECK(Contains(Advance(state, group, 12'100, 12'150),
+                   replacement_action_kind::kPromote, "b"));
+    CHECK(state.proof == choice_proof::kUnproved);
+  }
+  SECTION("not if it refuses connections") {
+    group[0].refused_since = At(2100);
+    group[0].refused_at = At(2100);
+    CHECK(Contains(Advance(state, group, 11'950, 12'150),
+                   replacement_action_kind::kPromote, "b"));
+  }
+  SECTION("not if it is no longer listed") {
+    group[0].listed = false;
+    CHECK(Contains(Advance(state, group, 11'950, 12'050),
+                   replacement_action_kind::kPromote, "b"));
+  }
+}
+
 // A replacement would only keep its replicas from joining.
 TEST_CASE(
     "a primary that leaves is replaced once a replica has joined its term",
