--- a/src/sassafraswick/failover/loss_detection.cc
+++ b/src/sassafraswick/failover/loss_detection.cc
@@ -77,6 +77,12 @@
          !instance.refused_since.has_value();
 }
 
+bool HasJustResponded(const instance_health& instance,
+                      const replacement_settings& settings, time_point now) {
+  return IsResponsive(instance) &&
+         now - instance.requested_at <= settings.heard_within;
+}
+
 const instance_health* FindCurrentPrimary(const group_health& group) {
   const term_number highest = HighestTerm(group);
   const instance_health* newest = nullptr;
@@ -140,8 +146,10 @@
     return replacement_cause::kSilent;
   }
   // The primary may have the only copy of what an instance that has left
-  // confirmed. Its replicas can receive it only while it leads.
-  if (LastMemberLeftAt(state, current_primary->id).has_value()) {
+  // confirmed, or of all that earlier terms left. Its replicas can receive it
+  // only while it leads.
+  if (LastMemberLeftAt(state, current_primary->id).has_value() ||
+      IsPrimaryAlone(state)) {
     return replacement_cause::kNone;
   }
   if (current_primary->leaving &&
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -18,7 +18,7 @@
   kResponds,
   /// It does not respond to this host. It may run all the same.
   kSilent,
-  /// It is not running.
+  /// It is not running, or is only asked again whether it is.
   kNone,
 };
 
@@ -43,7 +43,8 @@
 }
 
 usability UsabilityOf(const replacement_state& state,
-                      const instance_health& instance) {
+                      const instance_health& instance,
+                      const replacement_settings& settings, time_point now) {
   const auto not_running = state.not_running.find(instance.id);
   const bool is_down = not_running != state.not_running.end() &&
                        instance.requested_at <= not_running->second;
@@ -51,7 +52,8 @@
     return usability::kNone;
   }
   if (IsResponsive(instance)) {
-    return usability::kResponds;
+    return HasJustResponded(instance, settings, now) ? usability::kResponds
+                                                     : usability::kNone;
   }
   return instance.listed ? usability::kSilent : usability::kNone;
 }
@@ -61,13 +63,15 @@
 /// comes first. The position of one that has stopped since tells what it may
 /// have confirmed.
 std::vector<candidate> CollectCandidates(const replacement_state& state,
-                                         const group_health& group) {
+                                         const group_health& group,
+                                         const replacement_settings& settings,
+                                         time_point now) {
   std::vector<candidate> found;
   for (const instance_health& instance : group) {
     if (instance.id == state.primary || instance.replaced) {
       continue;
     }
-    const usability usable = UsabilityOf(state, instance);
+    const usability usable = UsabilityOf(state, instance, settings, now);
     const auto paused = state.paused.find(instance.id);
     const bool current =
         IsResponsive(instance) && instance.requested_at >= state.fenced_at;
@@ -125,6 +129,7 @@
       (!state.stepped_down_position.has_value() && list_timed_out);
   const bool all_known = list_suffices && !candidates.empty() &&
                          candidates.size() >= CountOthers(state, group) &&
+                         !IsPrimaryAlone(state) &&
                          !LastMemberLeftAt(state, state.primary).has_value();
   promotion_choice ready;
   promotion_choice late;
@@ -158,6 +163,20 @@
   return timed_out ? late : promotion_choice();
 }
 
+/// Returns since when the old primary, which may have the only copy of what
+/// others confirmed, has not responded; nothing if it can't return.
+std::optional<time_point> PrimaryAwaySince(const replacement_state& state,
+                                           const group_health& group,
+                                           time_point now) {
+  const instance_health* const primary = FindInstance(group, state.primary);
+  if (primary == nullptr || primary->replaced) {
+    return std::nullopt;
+  }
+  return IsResponsive(*primary)
+             ? now
+             : std::max(primary->silent_since, primary->refused_since);
+}
+
 /// Chooses the most advanced instance that responds, once those that may have
 /// more have been away for `member_return_timeout`.
 promotion_choice ChooseUnproved(const std::vector<candidate>& candidates,
@@ -176,13 +195,26 @@
   return {};
 }
 
+/// Returns whether the old primary stepped down and may run though it does not
+/// respond to this host: it is listed, and the platform has not said otherwise.
+bool MayRunSteppedDown(const replacement_state& state,
+                       const group_health& group,
+                       const replacement_settings& settings, time_point now) {
+  const instance_health* const primary = FindInstance(group, state.primary);
+  return state.stepped_down_position.has_value() && primary != nullptr &&
+         !primary->replaced &&
+         UsabilityOf(state, *primary, settings, now) == usability::kSilent;
+}
+
 /// Returns whether the old primary stepped down and still responds. It has
 /// every acknowledged write.
 bool CanPromoteOldPrimary(const replacement_state& state,
-                          const group_health& group) {
+                          const group_health& group,
+                          const replacement_settings& settings,
+                          time_point now) {
   const instance_health* const primary = FindInstance(group, state.primary);
   return state.stepped_down_position.has_value() && primary != nullptr &&
-         primary->listed && IsResponsive(*primary) &&
+         primary->listed && HasJustResponded(*primary, settings, now) &&
          !IsBehind(primary->status->received, *state.stepped_down_position);
 }
 
@@ -202,10 +234,11 @@
                                 const group_health& group,
                                 const replacement_settings& settings,
                                 time_point now) {
-  const std::vector<candidate> candidates = CollectCandidates(state, group);
+  const std::vector<candidate> candidates =
+      CollectCandidates(state, group, settings, now);
   const bool is_primary_ordered =
       state.order.has_value() && state.order->instance == state.primary;
-  if (is_primary_ordered && CanPromoteOldPrimary(state, group)) {
+  if (is_primary_ordered && CanPromoteOldPrimary(state, group, settings, now)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
   const duration waited =
@@ -218,7 +251,8 @@
   if (!chosen.id.empty()) {
     return chosen;
   }
-  if ((timed_out || list_timed_out) && CanPromoteOldPrimary(state, group)) {
+  if ((timed_out || list_timed_out) &&
+      CanPromoteOldPrimary(state, group, settings, now)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
   if (!timed_out) {
@@ -229,11 +263,18 @@
   const bool is_empty = !candidates.empty() &&
                         candidates.front().end.position == 0 &&
                         HadEntries(state);
-  if (!last_left_at.has_value() && !is_empty) {
+  if (!last_left_at.has_value() && !is_empty && !IsPrimaryAlone(state)) {
     return chosen;
   }
-  return ChooseUnproved(candidates, last_left_at.value_or(state.fenced_at),
-                        settings, now);
+  const time_point away_since =
+      std::max(last_left_at.value_or(state.fenced_at),
+               PrimaryAwaySince(state, group, now).value_or(time_point()));
+  chosen = ChooseUnproved(candidates, away_since, settings, now);
+  const bool prefers_primary =
+      !chosen.id.empty() && MayRunSteppedDown(state, group, settings, now);
+  return prefers_primary
+             ? promotion_choice{state.primary, choice_proof::kOldPrimary}
+             : chosen;
 }
 
 }  // namespace sassafraswick
