--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -289,146 +289,145 @@
       was_sent = left > duration::zero();
       return left;
     };
-  };
-  const bool is_recorded = co_await RecordOrder(group->Name(), claim);
-  if (!is_recorded) {
-    FinishPromotion(*group, action, order_result::kNotExecuted);
-    co_return;
+    const bool is_recorded = co_await RecordOrder(group->Name(), claim);
+    if (!is_recorded) {
+      FinishPromotion(*group, action, order_result::kNotExecuted);
+      co_return;
+    }
+    const std::shared_ptr<promoter> sender = TakePromoter(group->Name());
+    const time_point sent_at = monotonic_clock::now();
+    const result<bool> accepted = co_await sender->Promote(
+        group->Name(), action.instance, fleet_.Host(), token, time_left);
+    gateway_.counters.promotions += was_sent ? 1 : 0;
+    Log(log_level::kInfo, "promotion",
+        {{"pool", group->Name()},
+         {"target", action.instance},
+         {"token", std::to_string(token)},
+         {"took_ms",
+          std::to_string(ToMilliseconds(monotonic_clock::now() - sent_at))},
+         {"outcome", accepted ? (accepted.value() ? "accepted" : "not running")
+                              : accepted.error().message}});
+    FinishPromotion(*group, action, ResultOf(accepted, was_sent));
   }
-  const std::shared_ptr<promoter> sender = TakePromoter(group->Name());
-  const time_point sent_at = monotonic_clock::now();
-  const result<bool> accepted = co_await sender->Promote(
-      group->Name(), action.instance, fleet_.Host(), token, time_left);
-  gateway_.counters.promotions += was_sent ? 1 : 0;
-  Log(log_level::kInfo, "promotion",
-      {{"pool", group->Name()},
-       {"target", action.instance},
-       {"token", std::to_string(token)},
-       {"took_ms",
-        std::to_string(ToMilliseconds(monotonic_clock::now() - sent_at))},
-       {"outcome", accepted ? (accepted.value() ? "accepted" : "not running")
-                            : accepted.error().message}});
-  FinishPromotion(*group, action, ResultOf(accepted, was_sent));
-}
-
-/// Lets the next holder of the lease know of the order that is sent next.
-/// @return False if the order must not be sent: the lease has been claimed
-/// again, or the order was given up meanwhile.
-boost::asio::awaitable<bool>
-RecordOrder(std::string pool, store_revision claim) {
-  const auto before = watched_.find(pool);
-  if (before == watched_.end() || !before->second.state.order.has_value()) {
-    co_return false;
+
+  /// Lets the next holder of the lease know of the order that is sent next.
+  /// @return False if the order must not be sent: the lease has been claimed
+  /// again, or the order was given up meanwhile.
+  boost::asio::awaitable<bool> RecordOrder(std::string pool,
+                                           store_revision claim) {
+    const auto before = watched_.find(pool);
+    if (before == watched_.end() || !before->second.state.order.has_value()) {
+      co_return false;
+    }
+    const promotion_order order = *before->second.state.order;
+    const order_write written =
+        co_await fleet_.Orders().Write(pool, order, claim);
+    const auto after = watched_.find(pool);
+    const bool is_current =
+        after != watched_.end() && after->second.state.order.has_value() &&
+        after->second.state.order->instance == order.instance;
+    if (is_current) {
+      after->second.record_revision = written.revision;
+    }
+    co_return is_current && !written.is_superseded;
   }
-  const promotion_order order = *before->second.state.order;
-  const order_write written =
-      co_await fleet_.Orders().Write(pool, order, claim);
-  const auto after = watched_.find(pool);
-  const bool is_current = after != watched_.end() &&
-                          after->second.state.order.has_value() &&
-                          after->second.state.order->instance == order.instance;
-  if (is_current) {
-    after->second.record_revision = written.revision;
+
+  void FinishPromotion(const target_group<codec>& group,
+                       const replacement_action& action, order_result outcome) {
+    const auto watched = watched_.find(group.Name());
+    if (watched == watched_.end()) {
+      return;
+    }
+    const time_point now = monotonic_clock::now();
+    const std::optional<promotion_order> order = watched->second.state.order;
+    RecordPromoted(watched->second.state, action, outcome, now);
+    OnOrder(group.Name(), watched->second, order, now);
   }
-  co_return is_current && !written.is_superseded;
-}
-
-void FinishPromotion(const target_group<codec>& group,
-                     const replacement_action& action, order_result outcome) {
-  const auto watched = watched_.find(group.Name());
-  if (watched == watched_.end()) {
-    return;
+
+  /// @param was_sent Whether the request may have reached the platform.
+  static order_result ResultOf(const result<bool>& accepted, bool was_sent) {
+    if (accepted) {
+      return accepted.value() ? order_result::kAccepted
+                              : order_result::kNotRunning;
+    }
+    const bool is_answered = accepted.error().kind != error_kind::kUnavailable;
+    return is_answered || !was_sent ? order_result::kNotExecuted
+                                    : order_result::kUnknown;
   }
-  const time_point now = monotonic_clock::now();
-  const std::optional<promotion_order> order = watched->second.state.order;
-  RecordPromoted(watched->second.state, action, outcome, now);
-  OnOrder(group.Name(), watched->second, order, now);
-}
-
-/// @param was_sent Whether the request may have reached the platform.
-static order_result ResultOf(const result<bool>& accepted, bool was_sent) {
-  if (accepted) {
-    return accepted.value() ? order_result::kAccepted
-                            : order_result::kNotRunning;
+
+  /// Opens a connection for the order that follows once the primary lease has
+  /// expired, so that the lease of this host is checked right before the order
+  /// is sent.
+  void PreparePromotion(watched_group& watched) {
+    watched.sender = platform_.MakePromoter(gateway_.context.get_executor());
+    Spawn(gateway_.context, "promotion",
+          [sender = watched.sender]() -> boost::asio::awaitable<void> {
+            const result<void> connected = co_await sender->Connect();
+            if (!connected) {
+              Log(log_level::kInfo, "promotion_connect_failed",
+                  {{"reason", connected.error().message}});
+            }
+          });
   }
-  const bool is_answered = accepted.error().kind != error_kind::kUnavailable;
-  return is_answered || !was_sent ? order_result::kNotExecuted
-                                  : order_result::kUnknown;
-}
-
-/// Opens a connection for the order that follows once the primary lease has
-/// expired, so that the lease of this host is checked right before the order
-/// is sent.
-void PreparePromotion(watched_group& watched) {
-  watched.sender = platform_.MakePromoter(gateway_.context.get_executor());
-  Spawn(gateway_.context, "promotion",
-        [sender = watched.sender]() -> boost::asio::awaitable<void> {
-          const result<void> connected = co_await sender->Connect();
-          if (!connected) {
-            Log(log_level::kInfo, "promotion_connect_failed",
-                {{"reason", connected.error().message}});
-          }
-        });
-}
-
-/// Returns the prepared connection of a group, or a new one.
-std::shared_ptr<promoter> TakePromoter(const std::string& group) {
-  const auto watched = watched_.find(group);
-  if (watched != watched_.end() && watched->second.sender != nullptr) {
-    std::shared_ptr<promoter> prepared =
-        std::exchange(watched->second.sender, nullptr);
-    if (prepared->IsConnected()) {
-      return prepared;
+
+  /// Returns the prepared connection of a group, or a new one.
+  std::shared_ptr<promoter> TakePromoter(const std::string& group) {
+    const auto watched = watched_.find(group);
+    if (watched != watched_.end() && watched->second.sender != nullptr) {
+      std::shared_ptr<promoter> prepared =
+          std::exchange(watched->second.sender, nullptr);
+      if (prepared->IsConnected()) {
+        return prepared;
+      }
     }
+    return platform_.MakePromoter(gateway_.context.get_executor());
   }
-  return platform_.MakePromoter(gateway_.context.get_executor());
-}
-
-/// Returns whether the order of a group may be sent now.
-[[nodiscard]] bool MaySend(const target_group<codec>& group) const {
-  const auto watched = watched_.find(group.Name());
-  return watched != watched_.end() &&
-         MaySendOrder(watched->second.state, group.Health(), settings_,
-                      monotonic_clock::now());
-}
-
-/// Returns whether this host still holds the failover lease that it claimed
-/// at a revision. What it sends in the name of the lease after its end could
-/// arrive after something that the next holder sent.
-[[nodiscard]] bool IsHeldSince(const store_revision& claim) const {
-  return TimeLeft(claim) > duration::zero();
-}
-
-/// Returns for how much longer that is so, or zero.
-[[nodiscard]] duration TimeLeft(const store_revision& claim) const {
-  if (fleet_.Registry().failover.fencing_token != claim) {
-    return duration::zero();
+
+  /// Returns whether the order of a group may be sent now.
+  [[nodiscard]] bool MaySend(const target_group<codec>& group) const {
+    const auto watched = watched_.find(group.Name());
+    return watched != watched_.end() &&
+           MaySendOrder(watched->second.state, group.Health(), settings_,
+                        monotonic_clock::now());
   }
-  return fleet_.FailoverTimeLeft(monotonic_clock::now());
-}
-
-static control_statement StatementOf(replacement_action_kind kind) {
-  switch (kind) {
-    case replacement_action_kind::kStepDown:
-      return control_statement::kStepDown;
-    case replacement_action_kind::kPauseReplication:
-      return control_statement::kPauseReplication;
-    default:
-      return control_statement::kResumeReplication;
+
+  /// Returns whether this host still holds the failover lease that it claimed
+  /// at a revision. What it sends in the name of the lease after its end could
+  /// arrive after something that the next holder sent.
+  [[nodiscard]] bool IsHeldSince(const store_revision& claim) const {
+    return TimeLeft(claim) > duration::zero();
   }
-}
-
-Platform platform_;
-gateway_state<codec>& gateway_;
-fleet_agent<Platform>& fleet_;
-replacement_settings settings_;
-std::map<std::string, watched_group> watched_;
-/// Revision of the claim under which this host holds the lease; unknown while
-/// it does not.
-store_revision claim_;
-/// What earlier holders ordered, by pool, once it was read.
-std::optional<std::map<std::string, order_record>> earlier_orders_;
-time_point orders_read_at_;
+
+  /// Returns for how much longer that is so, or zero.
+  [[nodiscard]] duration TimeLeft(const store_revision& claim) const {
+    if (fleet_.Registry().failover.fencing_token != claim) {
+      return duration::zero();
+    }
+    return fleet_.FailoverTimeLeft(monotonic_clock::now());
+  }
+
+  static control_statement StatementOf(replacement_action_kind kind) {
+    switch (kind) {
+      case replacement_action_kind::kStepDown:
+        return control_statement::kStepDown;
+      case replacement_action_kind::kPauseReplication:
+        return control_statement::kPauseReplication;
+      default:
+        return control_statement::kResumeReplication;
+    }
+  }
+
+  Platform platform_;
+  gateway_state<codec>& gateway_;
+  fleet_agent<Platform>& fleet_;
+  replacement_settings settings_;
+  std::map<std::string, watched_group> watched_;
+  /// Revision of the claim under which this host holds the lease; unknown while
+  /// it does not.
+  store_revision claim_;
+  /// What earlier holders ordered, by pool, once it was read.
+  std::optional<std::map<std::string, order_record>> earlier_orders_;
+  time_point orders_read_at_;
 };
 
 }  // namespace sassafraswick
