Keep the order of commits that wait for a replica in the stand-in

Cause: the stand-in's. Without a replica that receives, its commits waited before they had a place in the log, and all were woken at once. A write in doubt, whose gateway had been killed, could so come behind the next one of its caller, which was acknowledged. On the platform each commit is assigned the next number, and is acknowledged once a replica has received it (PROTOCOL.md), so that a commit which waits keeps its place.

Change: waiting commits take effect in order of arrival. One whose primary has begun another term meanwhile is aborted without effect; it would have waited for good, now also in front of others. The check of the history is the same.

--- a/test/platform/standin_group.cc
+++ b/test/platform/standin_group.cc
@@ -154,16 +154,24 @@
     return &other != &instances_.at(index) && other.running &&
            !other.not_receiving && other.paused_term == 0 && other.term == term;
   };
-  // A commit waits while no replica receives.
-  while (!stopped_ && instances_.at(index).primary &&
-         instances_.at(index).born == born &&
-         std::none_of(instances_.begin(), instances_.end(), receives)) {
+  group_instance& primary = instances_.at(index);
+  const auto leads = [this, &primary, born, term] {
+    return !stopped_ && primary.primary && primary.born == born &&
+           primary.term == term;
+  };
+  // A real instance numbers a commit when it arrives, so that one that waits
+  // for a replica keeps its place in the log.
+  const std::uint64_t number = ++commits_;
+  primary.waiting_commits.push_back(number);
+  while (leads() &&
+         (primary.waiting_commits.front() != number ||
+          std::none_of(instances_.begin(), instances_.end(), receives))) {
     changed_.wait_for(lock, std::chrono::milliseconds(20));
-    StepDownIfDue(instances_.at(index));
+    StepDownIfDue(primary);
   }
-  group_instance& primary = instances_.at(index);
-  if (stopped_ || !primary.primary || !primary.running ||
-      primary.born != born) {
+  std::erase(primary.waiting_commits, number);
+  changed_.notify_all();
+  if (!leads() || !primary.running) {
     return false;
   }
   for (const log_entry& entry : entries) {
--- a/test/platform/standin_group.h
+++ b/test/platform/standin_group.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -67,6 +68,8 @@
   /// Entries that were visible when it stepped down as primary; they stay
   /// visible.
   std::size_t visible_as_primary = 0;
+  /// Numbers of the commits that wait for a replica, in order of arrival.
+  std::deque<std::uint64_t> waiting_commits;
   std::uint64_t statements = 0;
   std::uint64_t reads = 0;
   /// Items that statements have read or written here.
@@ -174,6 +177,9 @@
                    line_connection& connection, const std::string& item);
   std::string Write(std::unique_lock<std::mutex>& lock, std::size_t index,
                     line_connection& connection, const log_entry& entry);
+  /// Appends entries to the log once a replica receives them and all earlier
+  /// commits have ended.
+  /// @return False, without effect, if the term or the process ended before.
   bool Commit(std::unique_lock<std::mutex>& lock, std::size_t index,
               const std::vector<log_entry>& entries);
 
@@ -183,6 +189,7 @@
   std::condition_variable changed_;
   std::vector<group_instance> instances_;
   std::vector<std::string> organisations_;
+  std::uint64_t commits_ = 0;
   /// Number of starts and time of the last one.
   std::uint64_t starts_ = 0;
   std::int64_t last_born_ = 0;
