Answer LAGGING at an instance of an earlier term in the stand-in

Cause: the stand-in's. It compared the number of `AFTER` TERM.NUMBER only. An old primary that still runs for a second, with commits that a promotion rolled back, served a read which requires a position of the new term with a number that its own log has reached. By PROTOCOL.md an instance whose log lacks the position responds LAGGING, and a log of term 1 has no position of term 2.

Change: a position of a later term than the instance's is LAGGING.

Measured: "an old primary lacks positions of the term after its own" fails before and holds now.

--- a/test/platform/standin_group.cc
+++ b/test/platform/standin_group.cc
@@ -211,10 +211,11 @@
   std::string rest = text;
   std::string word = ConsumeWord(rest);
   if (word == "AFTER") {
-    std::string position = ConsumeWord(rest);
+    const std::string position = ConsumeWord(rest);
+    const std::uint64_t term = std::stoull(position);
     const std::uint64_t number =
         std::stoull(position.substr(position.find('.') + 1));
-    if (number > VisibleEntries(instance)) {
+    if (term > instance.term || number > VisibleEntries(instance)) {
       return MakeFailure(instance, connection, "LAGGING");
     }
     word = ConsumeWord(rest);
--- a/test/platform/standin_group_test.cc
+++ b/test/platform/standin_group_test.cc
@@ -108,4 +108,28 @@
   CHECK(writes.Group().Log(0).size() == 1);
 }
 
+TEST_CASE("an old primary lacks positions of the term after its own",
+          "[standin_group]") {
+  standin_group group("orders-db", 3, milliseconds(0));
+  std::vector<line_connection> connections(group.Size());
+  const auto run = [&group, &connections](std::size_t index,
+                                          const std::string& text) {
+    return group.HandleLine(index, connections.at(index), "QUERY q " + text);
+  };
+  for (std::size_t i = 0; i < group.Size(); ++i) {
+    static_cast<void>(group.HandleLine(
+        i, connections.at(i),
+        "START orders-db gallery orders-db-" + std::to_string(i)));
+  }
+  group.Modify(1, [](group_instance& each) { each.not_receiving = true; });
+  REQUIRE(run(0, "WRITE other oak").starts_with("COMPLETE"));
+  REQUIRE(run(0, "WRITE other elm").starts_with("COMPLETE"));
+  REQUIRE(group.Promote("orders-db-1"));
+  REQUIRE(run(1, "WRITE item ash").ends_with("READY I 2.1\r\n"));
+  CHECK(run(0, "READ other").starts_with("ROW elm"));
+  CHECK(run(0, "AFTER 2.1 READ item").starts_with("ERROR LAGGING"));
+  CHECK(run(2, "AFTER 2.1 READ item").starts_with("ROW ash"));
+  CHECK(run(2, "AFTER 1.1 READ item").starts_with("ROW ash"));
+}
+
 }  // namespace test_platform
