Order nothing while the old primary responds and has not stepped down

Callers lost acknowledged writes, or read without them, in two ways: a crashed primary was back and led 80 ms before another was ordered, and an instance that had just started, or a replica that had restarted unpaused, confirmed its writes until it stepped down 50 ms after the order.

Cause: behind a fence by pauses, the primary was not looked at again before an order. A replacement ends if the primary's status shows that it leads, but not while an order is outstanding, and not after the answer to another request, which ends its silence without a new status.

An order waits while the old primary responds, was last seen leading and has not stepped down. Its next status ends the replacement, or its step-down, which is requested each 250 ms, completes the fence anew.

Cost: up to one status or step-down request, only if the old primary responds while another is about to be ordered. A primary that is silent or refuses connections is replaced as before.

--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -139,6 +139,14 @@
          !IsBehind(status.received, member->second.received);
 }
 
+/// Returns whether the old primary responds and has not stepped down. An
+/// instance that nobody has paused yet could confirm its writes.
+bool MayStillLead(const replacement_state& state, const group_health& group) {
+  const instance_health* const primary = FindInstance(group, state.primary);
+  return !state.stepped_down_position.has_value() && primary != nullptr &&
+         IsResponsive(*primary) && primary->status->is_primary;
+}
+
 action_list Wait(replacement_state& state, const group_health& group,
                  const replacement_settings& settings, time_point now) {
   DropLapsedFences(state, group);
@@ -149,7 +157,9 @@
   if (now - state.fenced_at < kPrimaryLeaseDuration) {
     return {};
   }
-  const promotion_choice choice = ChooseInstance(state, group, settings, now);
+  const promotion_choice choice =
+      MayStillLead(state, group) ? promotion_choice()
+                                 : ChooseInstance(state, group, settings, now);
   if (choice.id.empty() || !MayOrder(state, choice.id, settings, now)) {
     state.chosen.clear();
     return Fence(state, group, settings, now);
--- a/test/sassafraswick/failover/unproved_choice_test.cc
+++ b/test/sassafraswick/failover/unproved_choice_test.cc
@@ -188,6 +188,37 @@
   }
 }
 
+// Guards against: an instance was ordered while the old primary was back and
+// led, and an instance that had just started confirmed its writes.
+TEST_CASE("no instance is ordered before a primary that is back steps down",
+          "[replacement]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 11, 2465);
+  RecordPause(state, group, 2, 12, 2470);
+  // It answered another request; its status is still that of before.
+  group[0].silent_since.reset();
+  CHECK_FALSE(Promotes(Advance(state, group, 2950, 3100)));
+  SECTION("it leads again") {
+    group[0].requested_at = At(3100);
+    CHECK_FALSE(Promotes(Advance(state, group, 3150, 3200)));
+    CHECK(state.phase == replacement_phase::kWatching);
+  }
+  SECTION("it steps down") {
+    group[0].status = instance_status{1, false, {1, 12}, 0};
+    RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
+                 *group[0].status, At(3110));
+    CHECK(Contains(Advance(state, group, 3150, 3200),
+                   replacement_action_kind::kPromote, "c"));
+    CHECK(state.proof == choice_proof::kHasPrimaryLog);
+  }
+  SECTION("it is silent again") {
+    group[0].silent_since = At(3110);
+    CHECK(Contains(Advance(state, group, 3150, 3200),
+                   replacement_action_kind::kPromote, "c"));
+  }
+}
+
 // A replacement would only keep its replicas from joining.
 TEST_CASE(
     "a primary that leaves is replaced once a replica has joined its term",
