--- a/test/sassafraswick/failover/promotion_model_test.cc
+++ b/test/sassafraswick/failover/promotion_model_test.cc
@@ -79,20 +79,27 @@
     case injected_bug::kIgnoreStoreEra:
       return fault_focus::kStore;
     case injected_bug::kForgetUnansweredOrder:
-    case injected_bug::kPassOnUnproved:
       return fault_focus::kLateOrders;
+    case injected_bug::kPassOnUnproved:
+      return fault_focus::kOrders;
     default:
       return fault_focus::kNone;
   }
 }
 
-/// Returns the number of faults with which a bug shows. A process without its
-/// log is no longer chosen beside others that have one, and an order waits for
-/// its record, so that more has to go wrong until some do.
+/// Returns the number of faults with which a bug shows. Where several
+/// mechanisms prevent the same loss, more has to go wrong until one is missed.
 std::size_t FaultsOf(injected_bug bug) {
-  const bool is_rare = bug == injected_bug::kIgnoreProcessChange ||
-                       bug == injected_bug::kSkipLeaseWait;
-  return model_options().faults * (is_rare ? 3 : 1);
+  const std::size_t faults = model_options().faults;
+  switch (bug) {
+    case injected_bug::kIgnoreProcessChange:
+    case injected_bug::kSkipLeaseWait:
+      return faults * 3;
+    case injected_bug::kPassOnUnproved:
+      return faults * 2;
+    default:
+      return faults;
+  }
 }
 
 /// Returns whether a run violates a guarantee, but not without the bug.
