Order a silent instance only if another host hears it

Cause: silence was taken for a partition between the holder and the instance. Change: a silent instance is asked through other hosts, by a step-down, which has no effect on a replica; it is ordered once one of them has had its answer within 250 ms, with at least the log that it had. One that no host hears would serve nobody; its entry lapses. Cost: up to a message and 250 ms when a silent instance is chosen, which is 1.5 s after the fence at the earliest.

The test "an order to an instance that was silent is sent" asked for the order without an answer; it is replaced by one that asks for more.

--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -7,6 +7,7 @@
 #include "sassafraswick/failover/group_members.h"
 #include "sassafraswick/failover/loss_detection.h"
 #include "sassafraswick/failover/promotion_order.h"
+#include "sassafraswick/failover/step_down_relay.h"
 #include "sassafraswick/failover/successor_choice.h"
 
 namespace sassafraswick {
@@ -108,6 +109,7 @@
   state.term = HighestTerm(group) + 1;
   state.paused.clear();
   state.fence_requests.clear();
+  state.relayed_responses.clear();
   EnterPhase(state, replacement_phase::kFencing, now);
   return Fence(state, group, settings, now);
 }
@@ -147,6 +149,33 @@
          IsResponsive(*primary) && primary->status->is_primary;
 }
 
+/// Returns whether an instance that is to be ordered still runs the process
+/// whose log is known. The old primary is not asked: it stepped down.
+bool IsKnownToRun(const replacement_state& state, const group_health& group,
+                  const std::string& id, const replacement_settings& settings,
+                  time_point now) {
+  const instance_health* const instance = FindInstance(group, id);
+  return id == state.primary ||
+         (instance != nullptr && HasJustResponded(*instance, settings, now)) ||
+         IsHeardByOthers(state, id, settings, now);
+}
+
+action_list AskThroughOthers(replacement_state& state,
+                             const group_health& group, const std::string& id,
+                             const replacement_settings& settings,
+                             time_point now) {
+  action_list actions = Fence(state, group, settings, now);
+  fence_request& last = state.fence_requests[id];
+  const bool is_due = last.kind != replacement_action_kind::kStepDown ||
+                      now - last.sent_at >= settings.retry_interval;
+  if (is_due) {
+    last = {replacement_action_kind::kStepDown, now};
+    actions.push_back({replacement_action_kind::kStepDown, id, state.term});
+  }
+  state.chosen.clear();
+  return actions;
+}
+
 action_list Wait(replacement_state& state, const group_health& group,
                  const replacement_settings& settings, time_point now) {
   DropLapsedFences(state, group);
@@ -164,6 +193,9 @@
     state.chosen.clear();
     return Fence(state, group, settings, now);
   }
+  if (!IsKnownToRun(state, group, choice.id, settings, now)) {
+    return AskThroughOthers(state, group, choice.id, settings, now);
+  }
   state.chosen = choice.id;
   state.proof = choice.proof;
   AddOrder(state, choice.id, group, settings, now);
@@ -245,6 +277,10 @@
     }
     state.stepped_down_position = status.received;
   }
+  if (action.kind == replacement_action_kind::kStepDown &&
+      action.instance != state.primary && !status.is_primary) {
+    state.relayed_responses[action.instance] = {status.received, now};
+  }
   if (action.kind == replacement_action_kind::kPauseReplication &&
       status.paused_term >= state.term) {
     state.paused[action.instance] = {status.received, now};
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -148,6 +148,13 @@
   time_point since;
 };
 
+/// A silent instance's response to another host.
+struct relayed_response {
+  log_point received;
+  /// When it arrived.
+  time_point at;
+};
+
 /// Why an instance was chosen.
 enum class choice_proof : std::uint8_t {
   kNone,
@@ -256,6 +263,8 @@
   /// Instances that paused replication.
   std::map<std::string, replica_pause> paused;
   std::map<std::string, fence_request> fence_requests;
+  /// Responses to step-downs of replicas, which have no effect on them.
+  std::map<std::string, relayed_response> relayed_responses;
   /// When the fence was complete. The primary has acknowledged no write since.
   time_point fenced_at;
   std::string chosen;
--- a/src/sassafraswick/failover/step_down_relay.cc
+++ b/src/sassafraswick/failover/step_down_relay.cc
@@ -9,11 +9,22 @@
 
 bool NeedsRelay(const replacement_state& state, const group_health& group,
                 const replacement_action& request) {
-  const instance_health* const primary = FindInstance(group, state.primary);
-  return request.kind == replacement_action_kind::kStepDown &&
-         request.instance == state.primary &&
-         !state.stepped_down_position.has_value() && primary != nullptr &&
-         primary->silent_since.has_value();
+  const instance_health* const instance = FindInstance(group, request.instance);
+  const bool is_done = request.instance == state.primary &&
+                       state.stepped_down_position.has_value();
+  return request.kind == replacement_action_kind::kStepDown && !is_done &&
+         instance != nullptr && instance->silent_since.has_value();
+}
+
+bool IsHeardByOthers(const replacement_state& state,
+                     const std::string& instance,
+                     const replacement_settings& settings, time_point now) {
+  const auto response = state.relayed_responses.find(instance);
+  const auto paused = state.paused.find(instance);
+  return response != state.relayed_responses.end() &&
+         now - response->second.at <= settings.heard_within &&
+         (paused == state.paused.end() ||
+          !IsBehind(response->second.received, paused->second.received));
 }
 
 std::vector<std::string> StepDownRelays(std::string_view pool,
--- a/src/sassafraswick/failover/step_down_relay.h
+++ b/src/sassafraswick/failover/step_down_relay.h
@@ -13,7 +13,8 @@
 /// Step-downs through other hosts. A primary that is partitioned from the
 /// holder of the failover lease only still acknowledges writes to hosts that
 /// reach it, as soon as an instance joins that confirms them. Such a host can
-/// make it step down.
+/// make it step down. To a replica a step-down is a question: its response
+/// tells that it still runs, and what it has received.
 
 namespace sassafraswick {
 
@@ -22,12 +23,19 @@
 inline constexpr std::size_t kStepDownRelays = 8;
 
 /// Returns whether other hosts should be asked to carry out a request: it makes
-/// the replaced primary step down, and the primary does not respond to this
-/// host.
+/// an instance step down that does not respond to this host.
 [[nodiscard]] bool NeedsRelay(const replacement_state& state,
                               const group_health& group,
                               const replacement_action& request);
 
+/// Returns whether a silent instance, whose last log entry was known, still
+/// runs with it by a recent response to another host. Another process may run
+/// under its identifier otherwise, with an empty log.
+[[nodiscard]] bool IsHeardByOthers(const replacement_state& state,
+                                   const std::string& instance,
+                                   const replacement_settings& settings,
+                                   time_point now);
+
 /// Returns the hosts to ask. Each attempt asks others, if there are enough.
 /// @param hosts All hosts of the fleet.
 /// @param self This host, which is not among the result.
--- a/test/sassafraswick/failover/process_change_test.cc
+++ b/test/sassafraswick/failover/process_change_test.cc
@@ -6,6 +6,7 @@
 #include "sassafraswick/failover/loss_detection.h"
 #include "sassafraswick/failover/promotion_order.h"
 #include "sassafraswick/failover/replacement.h"
+#include "sassafraswick/failover/step_down_relay.h"
 #include "test/sassafraswick/failover/replacement_builder.h"
 
 // Another process may run under an instance's identifier or at its address.
@@ -156,14 +157,38 @@
   }
 }
 
-TEST_CASE("an order to an instance that was silent is sent",
+// Guards against: a silent replica was ordered that ran again under its
+// identifier with an empty log. Seen with: simulation with late orders, seed
+// 1076.
+TEST_CASE("a silent instance is ordered only if another host hears it",
           "[replacement][process]") {
   group_health group;
   replacement_state state = Fenced(group, 12, 11);
   group[1].silent_since = At(2600);
-  REQUIRE(Contains(Advance(state, group, 2970, 4100),
+  const replacement_action question = {replacement_action_kind::kStepDown, "b",
+                                       2};
+  const std::vector<replacement_action> actions =
+      Advance(state, group, 2970, 4100);
+  CHECK(Contains(actions, replacement_action_kind::kStepDown, "b"));
+  CHECK_FALSE(Contains(actions, replacement_action_kind::kPromote, "b"));
+  CHECK(NeedsRelay(state, group, question));
+
+  SECTION("with the log that it had") {
+    RecordFenced(state, group, question, {1, false, {1, 12}, 2}, At(4100));
+    CHECK(Contains(Advance(state, group, 4100, 4150),
                    replacement_action_kind::kPromote, "b"));
-  CHECK(MaySendOrder(state, group, kSettings, At(4300)));
+    CHECK(MaySendOrder(state, group, kSettings, At(4300)));
+  }
+  SECTION("not with less") {
+    RecordFenced(state, group, question, {1, false, {1, 0}, 0}, At(4100));
+    CHECK_FALSE(Contains(Advance(state, group, 4100, 4600),
+                         replacement_action_kind::kPromote, "b"));
+  }
+  SECTION("not long before") {
+    RecordFenced(state, group, question, {1, false, {1, 12}, 2}, At(3800));
+    CHECK_FALSE(Contains(Advance(state, group, 4100, 4600),
+                         replacement_action_kind::kPromote, "b"));
+  }
 }
 
 // Guards against: an identifier that nobody runs any more kept a group without
