Let the stand-in platform carry out single promotions late

Promotion requests are kept with host, token and time. A test sets for the next ones by how much they take effect later, and whether their response is lost; each is carried out for the process that ran when it was accepted.

--- a/test/platform/standin_platform.cc
+++ b/test/platform/standin_platform.cc
@@ -70,8 +70,30 @@
   std::string method;
   std::string target;
   std::string body;
+  std::string head;
 };
 
+/// Value of a header; empty if it is missing.
+std::string HeaderValue(const http_request& request, const std::string& name) {
+  const std::string start = "\r\n" + name + ": ";
+  const std::size_t at = request.head.find(start);
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t begin = at + start.size();
+  return request.head.substr(begin, request.head.find("\r\n", begin) - begin);
+}
+
+promotion_request ToPromotionRequest(const http_request& request) {
+  promotion_request promotion;
+  promotion.id = json::parse(request.body).as_object().at("id").as_string();
+  promotion.host = HeaderValue(request, "Lease-Holder");
+  const std::string token = HeaderValue(request, "Fencing-Token");
+  promotion.token = token.empty() ? 0 : std::stoll(token);
+  promotion.received_at = monotonic_clock::now();
+  return promotion;
+}
+
 /// Removes a complete request from the input.
 /// @return False if the input holds no complete request.
 bool ExtractRequest(std::string& input, http_request& request) {
@@ -88,7 +110,8 @@
   if (input.size() < head_end + 4 + length) {
     return false;
   }
-  std::istringstream first(input.substr(0, head_end));
+  request.head = input.substr(0, head_end);
+  std::istringstream first(request.head);
   first >> request.method >> request.target;
   request.body = input.substr(head_end + 4, length);
   input.erase(0, head_end + 4 + length);
@@ -268,10 +291,7 @@
     }
     store_response response;
     if (request.target == "/promote") {
-      const std::string id(
-          json::parse(request.body).as_object().at("id").as_string());
-      response.status = PromoteLater(id) ? 200 : 409;
-      response.lost = loses_promotion_responses_;
+      response = HandlePromotion(ToPromotionRequest(request));
     } else {
       response =
           store_.HandleRequest(request.method, request.target, request.body);
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -4,14 +4,17 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "sassafraswick/core/time.h"
 #include "test/platform/standin_group.h"
 #include "test/platform/standin_store.h"
 #include "test/support/process.h"
@@ -57,6 +60,25 @@
   std::string settings_lines;
 };
 
+/// How a promotion request is handled.
+struct request_handling {
+  /// Time by which it takes effect later than `promotion_delay`.
+  std::chrono::milliseconds lateness{0};
+  bool loses_response = false;
+};
+
+/// A promotion request that the platform received.
+struct promotion_request {
+  std::string id;
+  std::string host;
+  std::int64_t token = 0;
+  sassafraswick::time_point received_at;
+  /// The instance was running.
+  bool accepted = false;
+  /// When the platform was done with it, whether it had an effect or not.
+  std::optional<sassafraswick::time_point> done_at;
+};
+
 /// Path of the gateway program of this build.
 [[nodiscard]] std::string GatewayProgram();
 
@@ -97,6 +119,11 @@
 
   /// Sets whether responses to promotion requests are lost.
   void LosePromotionResponses(bool lost) { loses_promotion_responses_ = lost; }
+  /// Sets how the next promotion requests that are accepted are handled, in
+  /// their order. Later ones take effect after `promotion_delay`.
+  void HandleNextPromotions(const std::vector<request_handling>& handling);
+  /// All promotion requests, in order.
+  [[nodiscard]] std::vector<promotion_request> PromotionRequests();
   /// Identifiers of the accepted promotion requests, in order.
   [[nodiscard]] std::vector<std::string> Promotions();
 
@@ -142,9 +169,14 @@
   void Accept(const listening_socket& listener, std::size_t index,
               bool line_protocol);
   void WriteSettings(std::size_t index);
-  /// Accepts a promotion request, which takes effect after `promotion_delay`.
-  /// @return False, without effect, if the instance is not running.
-  bool PromoteLater(const std::string& id);
+  /// Handles a promotion request. It is carried out for the process that runs
+  /// now.
+  /// @return The response, with status 409 if the instance is not running.
+  store_response HandlePromotion(promotion_request request);
+  /// Carries out an accepted promotion request after a delay, unless the
+  /// platform stops before.
+  void PromoteLater(std::size_t request, std::int64_t born,
+                    std::chrono::milliseconds delay);
   void PublishEntries();
   /// Publishes changes of the instances' roles, and removes the entries of
   /// processes that have ended, until the platform stops.
@@ -176,7 +208,8 @@
   /// Role that each running process last published, by identifier.
   std::map<std::string, bool> published_roles_;
   std::atomic<bool> loses_promotion_responses_{false};
-  std::vector<std::string> promotions_;
+  std::vector<promotion_request> promotion_requests_;
+  std::deque<request_handling> next_promotions_;
   std::vector<std::uint16_t> caller_ports_;
   std::vector<std::uint16_t> probe_ports_;
   std::vector<test_support::child_process> gateways_;
--- a/test/platform/standin_processes.h
+++ b/test/platform/standin_processes.h
@@ -114,24 +114,68 @@
   }
 }
 
-bool standin_platform::PromoteLater(const std::string& id) {
-  const std::optional<std::int64_t> born = group_.RunningSince(id);
+store_response standin_platform::HandlePromotion(promotion_request request) {
+  constexpr int kNotRunning = 409;
+  const std::optional<std::int64_t> born = group_.RunningSince(request.id);
+  request.accepted = born.has_value();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  promotion_requests_.push_back(request);
   if (!born.has_value()) {
-    return false;
+    return {.status = kNotRunning, .lost = loses_promotion_responses_};
   }
-  const std::lock_guard<std::mutex> lock(mutex_);
-  promotions_.push_back(id);
-  threads_.emplace_back([this, id, born] {
-    test_support::Pause(options_.promotion_delay);
-    static_cast<void>(group_.Promote(id, *born));
-    PublishEntries();
+  request_handling handling;
+  if (!next_promotions_.empty()) {
+    handling = next_promotions_.front();
+    next_promotions_.pop_front();
+  }
+  threads_.emplace_back([this, number = promotion_requests_.size() - 1,
+                         born = *born,
+                         delay = options_.promotion_delay + handling.lateness] {
+    PromoteLater(number, born, delay);
   });
-  return true;
+  return {.lost = handling.loses_response || loses_promotion_responses_};
 }
 
-std::vector<std::string> standin_platform::Promotions() {
+void standin_platform::PromoteLater(std::size_t request, std::int64_t born,
+                                    std::chrono::milliseconds delay) {
+  const time_point due = monotonic_clock::now() + delay;
+  constexpr std::chrono::milliseconds kPollInterval(5);
+  while (!stopped_ && monotonic_clock::now() < due) {
+    test_support::Pause(kPollInterval);
+  }
+  if (stopped_) {
+    return;
+  }
+  std::string id;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    id = promotion_requests_.at(request).id;
+  }
+  static_cast<void>(group_.Promote(id, born));
+  PublishEntries();
   const std::lock_guard<std::mutex> lock(mutex_);
-  return promotions_;
+  promotion_requests_.at(request).done_at = monotonic_clock::now();
+}
+
+void standin_platform::HandleNextPromotions(
+    const std::vector<request_handling>& handling) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  next_promotions_.assign(handling.begin(), handling.end());
+}
+
+std::vector<promotion_request> standin_platform::PromotionRequests() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return promotion_requests_;
+}
+
+std::vector<std::string> standin_platform::Promotions() {
+  std::vector<std::string> accepted;
+  for (const promotion_request& each : PromotionRequests()) {
+    if (each.accepted) {
+      accepted.push_back(each.id);
+    }
+  }
+  return accepted;
 }
 
 void standin_platform::Crash(std::size_t index) {
