Let orders take effect late in the soak

Half of the seeds have a time in which promotions take effect 1 to 5 s late. It is drawn from a source of its own, so that the other faults of each seed, and all checks, stay the same.

--- a/test/platform/process_faults.cc
+++ b/test/platform/process_faults.cc
@@ -83,6 +83,19 @@
   };
 }
 
+std::function<void()> DelayOrders(standin_platform& platform,
+                                  std::mt19937_64& random) {
+  constexpr std::size_t kOrders = 8;
+  constexpr unsigned kMinLateness = 1000;
+  constexpr unsigned kLatenessRange = 4001;
+  std::vector<request_handling> handling(kOrders);
+  for (request_handling& each : handling) {
+    each.lateness = milliseconds(kMinLateness + random() % kLatenessRange);
+  }
+  platform.HandleNextPromotions(handling);
+  return [&platform] { platform.HandleNextPromotions({}); };
+}
+
 }  // namespace
 
 const std::vector<fault_kind>& ProcessFaults() {
@@ -95,4 +108,9 @@
   return kinds;
 }
 
+const fault_kind& LateOrders() {
+  static const fault_kind kind{"late-order", DelayOrders};
+  return kind;
+}
+
 }  // namespace test_platform
--- a/test/platform/process_faults.h
+++ b/test/platform/process_faults.h
@@ -9,7 +9,7 @@
 
 /// @file
 /// Faults of the soak test after which another process runs under an instance's
-/// identifier or at its address.
+/// identifier or at its address, or another leads later than expected.
 
 namespace test_platform {
 
@@ -24,6 +24,9 @@
 
 [[nodiscard]] const std::vector<fault_kind>& ProcessFaults();
 
+/// Promotions that are requested until its end take effect 1 to 5 s late.
+[[nodiscard]] const fault_kind& LateOrders();
+
 }  // namespace test_platform
 
 #endif  // TEST_PLATFORM_PROCESS_FAULTS_H_
--- a/test/platform/soak.cc
+++ b/test/platform/soak.cc
@@ -46,6 +46,8 @@
   std::mt19937_64 common;
   std::mt19937_64 lost;
   std::mt19937_64 process;
+  /// Apart from the others, whose faults stay the same for each seed.
+  std::mt19937_64 late;
 };
 
 void SetFlag(standin_platform& platform, std::size_t index,
@@ -211,7 +213,8 @@
 
 /// Generates start times and kinds of faults. Faults may overlap.
 /// @param sources Draw faults of `kFaultKinds`, one fault of
-/// `kLostResponseKinds` and one or two of `ProcessFaults`.
+/// `kLostResponseKinds`, one or two of `ProcessFaults` and, for half of the
+/// seeds, late orders.
 std::vector<scheduled_fault> GenerateFaults(fault_sources& sources,
                                             milliseconds fault_period) {
   std::mt19937_64& random = sources.common;
@@ -226,7 +229,7 @@
   }
   std::sort(draws.begin(), draws.end());
   std::vector<scheduled_fault> schedule;
-  schedule.reserve(count + 3);
+  schedule.reserve(count + 4);
   for (const std::pair<milliseconds, std::size_t>& each : draws) {
     schedule.push_back({each.first, &kFaultKinds.at(each.second), &random});
   }
@@ -241,6 +244,10 @@
     schedule.push_back({start, &changes.at(sources.process() % changes.size()),
                         &sources.process});
   }
+  if (sources.late() % 2 == 0) {
+    const milliseconds start(sources.late() % period);
+    schedule.push_back({start, &LateOrders(), &sources.late});
+  }
   std::stable_sort(
       schedule.begin(), schedule.end(),
       [](const scheduled_fault& left, const scheduled_fault& right) {
@@ -289,8 +296,10 @@
 soak_report RunSoak(std::uint64_t seed, milliseconds fault_period) {
   soak_report report;
   constexpr std::uint64_t kProcessSalt = 0x5eed'0000'0000'0000;
+  constexpr std::uint64_t kLateSalt = 0x1a7e'0000'0000'0000;
   fault_sources sources{std::mt19937_64(seed), std::mt19937_64(~seed),
-                        std::mt19937_64(seed ^ kProcessSalt)};
+                        std::mt19937_64(seed ^ kProcessSalt),
+                        std::mt19937_64(seed ^ kLateSalt)};
   standin_options options;
   options.gateways = kGateways;
   options.with_faults = true;
