Keep orders over a lapse of the failover lease

What callers saw: acknowledged commits were missing at a promoted instance (LOST) although one host held the failover lease all the time.

Cause: a host whose lease lapses by its own clock, as the store doesn't answer for a moment, forgot what it knew of the groups. An order that it had sent without a record was neither in the store, so that it ordered another instance some 2.05 s after the first.

Change: such orders are remembered. Under the same claim they are adopted as they were, as nobody else has ordered anything; under a later one if the store has no record and they never had one.

--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -60,7 +60,7 @@
       co_await Sleep(kFailoverCheckInterval);
       const time_point now = monotonic_clock::now();
       if (!fleet_.HoldsFailover(now)) {
-        watched_.clear();
+        ForgetGroups();
         claim_ = store_revision();
         continue;
       }
@@ -93,13 +93,27 @@
     if (claim == claim_) {
       return;
     }
+    ForgetGroups();
     claim_ = claim;
-    watched_.clear();
     earlier_orders_.reset();
     Spawn(gateway_.context, "earlier_orders",
           [this, claim] { return ReadEarlierOrders(claim); });
   }
 
+  /// Forgets all that is known of the groups under a claim of the lease, except
+  /// the orders.
+  void ForgetGroups() {
+    for (const std::pair<const std::string, watched_group>& each : watched_) {
+      if (each.second.state.order.has_value()) {
+        remembered_[each.first] = {*each.second.state.order,
+                                   each.second.record_revision, claim_};
+      } else if (each.second.has_earlier_order) {
+        remembered_.erase(each.first);
+      }
+    }
+    watched_.clear();
+  }
+
   boost::asio::awaitable<void> ReadEarlierOrders(store_revision claim) {
     constexpr duration kRetryDelay = std::chrono::milliseconds(250);
     while (claim == claim_) {
@@ -117,7 +131,8 @@
     }
   }
 
-  /// Adopts what an earlier holder ordered for a group.
+  /// Adopts what an earlier holder, or this host before it lost the lease,
+  /// ordered for a group.
   void InheritEarlierOrder(const std::string& pool, watched_group& watched) {
     watched.state.awaits_earlier_orders = !earlier_orders_.has_value();
     if (!earlier_orders_.has_value() || watched.has_earlier_order) {
@@ -125,16 +140,30 @@
     }
     watched.has_earlier_order = true;
     const auto found = earlier_orders_->find(pool);
+    const auto own = remembered_.find(pool);
+    if (own != remembered_.end() &&
+        MayAdopt(own->second, claim_, found != earlier_orders_->end())) {
+      watched.state.order = own->second.order;
+      watched.record_revision = own->second.record_revision;
+      LogInherited(pool, own->second.order.instance,
+                   own->second.order.requests);
+      return;
+    }
     if (found == earlier_orders_->end()) {
       return;
     }
     const order_record& record = found->second;
     InheritOrder(watched.state, record.instance, record.requests,
                  orders_read_at_);
+    LogInherited(pool, record.instance, record.requests);
+  }
+
+  static void LogInherited(const std::string& pool, const std::string& target,
+                           unsigned requests) {
     Log(log_level::kInfo, "promotion_inherited",
         {{"pool", pool},
-         {"target", record.instance},
-         {"requests", std::to_string(record.requests)}});
+         {"target", target},
+         {"requests", std::to_string(requests)}});
   }
 
   void CheckGroup(const group_pointer& group, time_point now) {
@@ -410,6 +439,7 @@
   /// What earlier holders ordered, by pool, once it was read.
   std::optional<std::map<std::string, order_record>> earlier_orders_;
   time_point orders_read_at_;
+  std::map<std::string, remembered_order> remembered_;
 };
 
 }  // namespace sassafraswick
