Record an order late if the store was away when it was sent

What callers saw: acknowledged commits were missing at a promoted instance (LOST) after the holder of the failover lease had ended.

Cause: an order that was sent without a record, as the store didn't answer, stayed without one after the return of the store.

Change: the record is written as soon as the store answers, under the same condition, unless the order is settled or was requested again.

--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -352,10 +352,49 @@
     const bool is_current =
         after != watched_.end() && after->second.state.order.has_value() &&
         after->second.state.order->instance == order.instance;
+    const bool may_send = is_current && !written.is_superseded;
     if (is_current) {
       after->second.record_revision = written.revision;
     }
-    co_return is_current && !written.is_superseded;
+    if (may_send && !IsKnown(written.revision)) {
+      Spawn(gateway_.context, "order_record", [this, pool, order, claim] {
+        return RecordLater(pool, order, claim);
+      });
+    }
+    co_return may_send;
+  }
+
+  /// Records an order that is sent without a record as soon as the store
+  /// answers, unless it is settled before or requested again.
+  boost::asio::awaitable<void> RecordLater(std::string pool,
+                                           promotion_order order,
+                                           store_revision claim) {
+    const store_revision revision = co_await fleet_.Orders().WriteLater(
+        pool, order, claim,
+        [this, pool, order] { return IsLastRequest(pool, order); });
+    if (!IsKnown(revision)) {
+      co_return;
+    }
+    const auto watched = watched_.find(pool);
+    if (watched != watched_.end() && IsLastRequest(pool, order)) {
+      watched->second.record_revision = revision;
+    } else if (watched != watched_.end()) {
+      co_await fleet_.Orders().Erase(pool, revision);
+    }
+  }
+
+  /// Returns whether a request is the last one of an outstanding order, also
+  /// while this host does not hold the lease.
+  [[nodiscard]] bool IsLastRequest(const std::string& pool,
+                                   const promotion_order& request) const {
+    const auto watched = watched_.find(pool);
+    if (watched != watched_.end() && watched->second.has_earlier_order) {
+      const std::optional<promotion_order>& order = watched->second.state.order;
+      return order.has_value() && order->sent_at == request.sent_at;
+    }
+    const auto remembered = remembered_.find(pool);
+    return remembered != remembered_.end() &&
+           remembered->second.order.sent_at == request.sent_at;
   }
 
   void FinishPromotion(const target_group<codec>& group,
--- a/src/sassafraswick/gateway/order_records.h
+++ b/src/sassafraswick/gateway/order_records.h
@@ -2,6 +2,7 @@
 #define SASSAFRASWICK_GATEWAY_ORDER_RECORDS_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -114,6 +115,27 @@
     co_return outcome;
   }
 
+  /// Writes the record of an order as soon as the store answers.
+  /// @param is_needed Asked before each attempt.
+  /// @return Revision of the record; unknown if it was not written.
+  boost::asio::awaitable<store_revision> WriteLater(
+      std::string pool, promotion_order order, store_revision claim,
+      std::function<bool()> is_needed) {
+    constexpr duration kRetryDelay = std::chrono::milliseconds(250);
+    order_write written;
+    while (!IsKnown(written.revision) && !written.is_superseded) {
+      co_await Sleep(kRetryDelay);
+      if (!is_needed()) {
+        co_return store_revision();
+      }
+      written = co_await Write(pool, order, claim);
+    }
+    if (IsKnown(written.revision)) {
+      Log(log_level::kInfo, "order_recorded_late", {{"pool", pool}});
+    }
+    co_return written.revision;
+  }
+
   /// Removes a record, unless the key has been written again.
   /// @param revision Of the write.
   boost::asio::awaitable<void> Erase(std::string pool,
