--- a/test/platform/process_faults.cc
+++ b/test/platform/process_faults.cc
@@ -93,7 +93,12 @@
     each.lateness = milliseconds(kMinLateness + random() % kLatenessRange);
   }
   platform.HandleNextPromotions(handling);
-  return [&platform] { platform.HandleNextPromotions({}); };
+  const std::size_t primary = platform.Group().PrimaryIndex();
+  platform.Crash(primary);
+  return [&platform, primary] {
+    platform.Restart(primary);
+    platform.HandleNextPromotions({});
+  };
 }
 
 }  // namespace
--- a/test/platform/process_faults.h
+++ b/test/platform/process_faults.h
@@ -24,7 +24,8 @@
 
 [[nodiscard]] const std::vector<fault_kind>& ProcessFaults();
 
-/// Promotions that are requested until its end take effect 1 to 5 s late.
+/// The primary crashes, and promotions that are requested until it is back take
+/// effect 1 to 5 s late.
 [[nodiscard]] const fault_kind& LateOrders();
 
 }  // namespace test_platform
--- a/test/platform/soak.cc
+++ b/test/platform/soak.cc
@@ -291,6 +291,16 @@
   return description;
 }
 
+void CountOrders(standin_platform& platform, soak_report& report) {
+  constexpr milliseconds kLate(1000);
+  for (const promotion_request& each : platform.PromotionRequests()) {
+    const bool is_late =
+        each.done_at.has_value() && *each.done_at - each.received_at >= kLate;
+    report.orders += each.accepted ? 1 : 0;
+    report.late_orders += is_late ? 1 : 0;
+  }
+}
+
 }  // namespace
 
 soak_report RunSoak(std::uint64_t seed, milliseconds fault_period) {
@@ -330,6 +340,7 @@
     report.writes_not_run += not_run ? 1 : 0;
     report.writes_unknown += !done && !not_run ? 1 : 0;
   }
+  CountOrders(platform, report);
   report.reads_done = recorded.reads.size();
   report.reads_failed = callers.FailedReads();
   const time_point first =
@@ -355,7 +366,9 @@
          " done, " + std::to_string(report.writes_not_run) + " not run, " +
          std::to_string(report.writes_unknown) + " unknown; reads " +
          std::to_string(report.reads_done) + " done, " +
-         std::to_string(report.reads_failed) + " failed; " +
+         std::to_string(report.reads_failed) + " failed; orders " +
+         std::to_string(report.orders) + ", late " +
+         std::to_string(report.late_orders) + "; " +
          test_support::Describe(report.violations) + ", stuck gateways " +
          std::to_string(report.stuck_gateways) + report.details;
 }
--- a/test/platform/soak.h
+++ b/test/platform/soak.h
@@ -23,6 +23,10 @@
   std::uint64_t writes_unknown = 0;
   std::uint64_t reads_done = 0;
   std::uint64_t reads_failed = 0;
+  /// Promotions that were requested, and those that took effect over a second
+  /// late.
+  std::uint64_t orders = 0;
+  std::uint64_t late_orders = 0;
   /// Each stale read, and the directory of the logs if the run failed.
   std::string details;
   /// Gateways that served no write within the recovery timeout after the
