--- a/src/sassafraswick/gateway/order_records.h
+++ b/src/sassafraswick/gateway/order_records.h
@@ -2,6 +2,7 @@
 #define SASSAFRASWICK_GATEWAY_ORDER_RECORDS_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,6 +40,28 @@
   bool is_superseded = false;
 };
 
+/// An order that this host knew of when it lost the failover lease.
+struct remembered_order {
+  promotion_order order;
+  /// Of its record; unknown if it was sent without one or is inherited.
+  store_revision record_revision;
+  /// Revision of the claim under which this host held the lease.
+  store_revision claim;
+};
+
+/// Returns whether a remembered order is adopted under a new claim. Under the
+/// same claim nobody else has ordered anything.
+/// @param has_record The store has a record of an order for the group.
+[[nodiscard]] inline bool MayAdopt(const remembered_order& remembered,
+                                   const store_revision& claim,
+                                   bool has_record) {
+  const bool was_unrecorded =
+      !IsKnown(remembered.record_revision) && !remembered.order.is_inherited;
+  return (remembered.claim == claim || (was_unrecorded && !has_record)) &&
+         monotonic_clock::now() - remembered.order.sent_at <
+             replacement_settings().order_lifetime;
+}
+
 template <gateway_platform Platform>
 class order_records {
  public:
@@ -92,6 +115,27 @@
     co_return outcome;
   }
 
+  /// Writes the record of an order as soon as the store answers.
+  /// @param is_needed Asked before each attempt.
+  /// @return Revision of the record; unknown if it was not written.
+  boost::asio::awaitable<store_revision> WriteLater(
+      std::string pool, promotion_order order, store_revision claim,
+      std::function<bool()> is_needed) {
+    constexpr duration kRetryDelay = std::chrono::milliseconds(250);
+    order_write written;
+    while (!IsKnown(written.revision) && !written.is_superseded) {
+      co_await Sleep(kRetryDelay);
+      if (!is_needed()) {
+        co_return store_revision();
+      }
+      written = co_await Write(pool, order, claim);
+    }
+    if (IsKnown(written.revision)) {
+      Log(log_level::kInfo, "order_recorded_late", {{"pool", pool}});
+    }
+    co_return written.revision;
+  }
+
   /// Removes a record, unless the key has been written again.
   /// @param revision Of the write.
   boost::asio::awaitable<void> Erase(std::string pool,
--- a/test/platform/soak.cc
+++ b/test/platform/soak.cc
@@ -46,6 +46,8 @@
   std::mt19937_64 common;
   std::mt19937_64 lost;
   std::mt19937_64 process;
+  /// Apart from the others, whose faults stay the same for each seed.
+  std::mt19937_64 late;
 };
 
 void SetFlag(standin_platform& platform, std::size_t index,
@@ -211,7 +213,8 @@
 
 /// Generates start times and kinds of faults. Faults may overlap.
 /// @param sources Draw faults of `kFaultKinds`, one fault of
-/// `kLostResponseKinds` and one or two of `ProcessFaults`.
+/// `kLostResponseKinds`, one or two of `ProcessFaults` and, for half of the
+/// seeds, late orders.
 std::vector<scheduled_fault> GenerateFaults(fault_sources& sources,
                                             milliseconds fault_period) {
   std::mt19937_64& random = sources.common;
@@ -226,7 +229,7 @@
   }
   std::sort(draws.begin(), draws.end());
   std::vector<scheduled_fault> schedule;
-  schedule.reserve(count + 3);
+  schedule.reserve(count + 4);
   for (const std::pair<milliseconds, std::size_t>& each : draws) {
     schedule.push_back({each.first, &kFaultKinds.at(each.second), &random});
   }
@@ -241,6 +244,10 @@
     schedule.push_back({start, &changes.at(sources.process() % changes.size()),
                         &sources.process});
   }
+  if (sources.late() % 2 == 0) {
+    const milliseconds start(sources.late() % period);
+    schedule.push_back({start, &LateOrders(), &sources.late});
+  }
   std::stable_sort(
       schedule.begin(), schedule.end(),
       [](const scheduled_fault& left, const scheduled_fault& right) {
@@ -284,13 +291,25 @@
   return description;
 }
 
+void CountOrders(standin_platform& platform, soak_report& report) {
+  constexpr milliseconds kLate(1000);
+  for (const promotion_request& each : platform.PromotionRequests()) {
+    const bool is_late =
+        each.done_at.has_value() && *each.done_at - each.received_at >= kLate;
+    report.orders += each.accepted ? 1 : 0;
+    report.late_orders += is_late ? 1 : 0;
+  }
+}
+
 }  // namespace
 
 soak_report RunSoak(std::uint64_t seed, milliseconds fault_period) {
   soak_report report;
   constexpr std::uint64_t kProcessSalt = 0x5eed'0000'0000'0000;
+  constexpr std::uint64_t kLateSalt = 0x1a7e'0000'0000'0000;
   fault_sources sources{std::mt19937_64(seed), std::mt19937_64(~seed),
-                        std::mt19937_64(seed ^ kProcessSalt)};
+                        std::mt19937_64(seed ^ kProcessSalt),
+                        std::mt19937_64(seed ^ kLateSalt)};
   standin_options options;
   options.gateways = kGateways;
   options.with_faults = true;
@@ -321,6 +340,7 @@
     report.writes_not_run += not_run ? 1 : 0;
     report.writes_unknown += !done && !not_run ? 1 : 0;
   }
+  CountOrders(platform, report);
   report.reads_done = recorded.reads.size();
   report.reads_failed = callers.FailedReads();
   const time_point first =
@@ -346,7 +366,9 @@
          " done, " + std::to_string(report.writes_not_run) + " not run, " +
          std::to_string(report.writes_unknown) + " unknown; reads " +
          std::to_string(report.reads_done) + " done, " +
-         std::to_string(report.reads_failed) + " failed; " +
+         std::to_string(report.reads_failed) + " failed; orders " +
+         std::to_string(report.orders) + ", late " +
+         std::to_string(report.late_orders) + "; " +
          test_support::Describe(report.violations) + ", stuck gateways " +
          std::to_string(report.stuck_gateways) + report.details;
 }
