End no order by an expired entry or an old status, and ask slow instances

It ends only if the instance had announced its stop, or another process answers at its address. - An inherited order for a primary that had stepped down ended by a status from before it: two others were ordered. Only a status that was asked for since counts. - An order could go to a later, empty process of its identifier. Besides, the record of an order that ended is removed in any case: its removal is conditional on its own revision, so that it can't remove the next one's.

The seven cases are in promotion_order_test. In the test of an instance that has left, it had announced that, which its group now says apart. Left: an effect that no status showed costs up to 10 s without a primary (one case of the review).

--- a/src/sassafraswick/failover/promotion_order.cc
+++ b/src/sassafraswick/failover/promotion_order.cc
@@ -8,8 +8,9 @@
 order_end FindOrderEnd(const promotion_order& order, const group_health& group,
                        const replacement_settings& settings, time_point now) {
   const instance_health* const instance = FindInstance(group, order.instance);
-  const bool has_left = instance == nullptr || instance->replaced ||
-                        (instance->leaving && !instance->listed);
+  const bool has_left = instance != nullptr &&
+                        (instance->replaced ||
+                         (instance->has_announced_stop && !instance->listed));
   if (has_left) {
     return order_end::kInstanceLeft;
   }
@@ -32,6 +33,7 @@
 void CountEffect(replacement_state& state, const group_health& group) {
   const instance_health* const leader = FindCurrentPrimary(group);
   if (leader == nullptr || leader->id != state.order->instance ||
+      leader->requested_at < state.order->first_sent_at ||
       leader->status->term <= state.order->counted_term) {
     return;
   }
@@ -53,6 +55,10 @@
   const instance_health* const ordered = FindInstance(group, instance);
   state.order->responded =
       ordered != nullptr && HasJustResponded(*ordered, settings, now);
+  state.order->process_seen_since =
+      ordered == nullptr ? std::nullopt
+                         : std::optional<time_point>(ordered->seen_since);
+  state.order->is_inherited = false;
   state.order->sent_at = now;
   ++state.order->requests;
 }
@@ -111,6 +117,7 @@
   const instance_health* const instance =
       FindInstance(group, state.order->instance);
   return instance != nullptr && !instance->replaced &&
+         instance->seen_since == state.order->process_seen_since &&
          (!state.order->responded ||
           HasJustResponded(*instance, settings, now));
 }
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -150,20 +150,26 @@
 }
 
 /// Returns whether an instance that is to be ordered still runs the process
-/// whose log is known. The old primary is not asked: it stepped down.
+/// whose log is known. An old primary that is silent is ordered in any case, as
+/// nobody else has what it had.
 bool IsKnownToRun(const replacement_state& state, const group_health& group,
                   const std::string& id, const replacement_settings& settings,
                   time_point now) {
   const instance_health* const instance = FindInstance(group, id);
-  return id == state.primary ||
+  const bool is_silent_primary =
+      id == state.primary && instance != nullptr && !IsResponsive(*instance);
+  return is_silent_primary ||
          (instance != nullptr && HasJustResponded(*instance, settings, now)) ||
          IsHeardByOthers(state, id, settings, now);
 }
 
-action_list AskThroughOthers(replacement_state& state,
-                             const group_health& group, const std::string& id,
-                             const replacement_settings& settings,
-                             time_point now) {
+/// Asks an instance for a response that tells whether it runs, also through
+/// other hosts if it is silent. A step-down has no effect on a replica, and
+/// takes no slot of one that is busy.
+action_list AskWhetherRunning(replacement_state& state,
+                              const group_health& group, const std::string& id,
+                              const replacement_settings& settings,
+                              time_point now) {
   action_list actions = Fence(state, group, settings, now);
   fence_request& last = state.fence_requests[id];
   const bool is_due = last.kind != replacement_action_kind::kStepDown ||
@@ -194,7 +200,7 @@
     return Fence(state, group, settings, now);
   }
   if (!IsKnownToRun(state, group, choice.id, settings, now)) {
-    return AskThroughOthers(state, group, choice.id, settings, now);
+    return AskWhetherRunning(state, group, choice.id, settings, now);
   }
   state.chosen = choice.id;
   state.proof = choice.proof;
@@ -277,8 +283,7 @@
     }
     state.stepped_down_position = status.received;
   }
-  if (action.kind == replacement_action_kind::kStepDown &&
-      action.instance != state.primary && !status.is_primary) {
+  if (action.kind == replacement_action_kind::kStepDown && !status.is_primary) {
     state.relayed_responses[action.instance] = {status.received, now};
   }
   if (action.kind == replacement_action_kind::kPauseReplication &&
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -45,6 +45,8 @@
   /// The instance announced that it will stop, or is no longer listed.
   bool leaving = false;
   bool listed = true;
+  /// Its own entry announced that it will stop.
+  bool has_announced_stop = false;
   /// The instance's own entry says that it is the primary.
   bool claims_primary = false;
   std::optional<instance_status> status;
@@ -202,6 +204,9 @@
 /// A promotion that was requested and may still take effect.
 struct promotion_order {
   std::string instance;
+  /// Since when the process was known that is to be promoted; unknown if the
+  /// order is inherited.
+  std::optional<time_point> process_seen_since;
   /// When the promotion was first and last requested.
   time_point first_sent_at;
   time_point sent_at;
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -16,9 +16,11 @@
 /// Whether an instance can be promoted.
 enum class usability : std::uint8_t {
   kResponds,
+  /// It responds, but has not just done so: it is slow or busy.
+  kSlow,
   /// It does not respond to this host. It may run all the same.
   kSilent,
-  /// It is not running, or is only asked again whether it is.
+  /// It is not running.
   kNone,
 };
 
@@ -53,7 +55,7 @@
   }
   if (IsResponsive(instance)) {
     return HasJustResponded(instance, settings, now) ? usability::kResponds
-                                                     : usability::kNone;
+                                                     : usability::kSlow;
   }
   return instance.listed ? usability::kSilent : usability::kNone;
 }
@@ -185,7 +187,8 @@
                                 time_point now) {
   time_point away_since = left_at;
   for (const candidate& each : candidates) {
-    if (each.usable == usability::kResponds) {
+    if (each.usable == usability::kResponds ||
+        each.usable == usability::kSlow) {
       const bool gives_up = now - away_since >= settings.member_return_timeout;
       return gives_up ? promotion_choice{each.id, choice_proof::kUnproved}
                       : promotion_choice();
@@ -209,12 +212,10 @@
 /// Returns whether the old primary stepped down and still responds. It has
 /// every acknowledged write.
 bool CanPromoteOldPrimary(const replacement_state& state,
-                          const group_health& group,
-                          const replacement_settings& settings,
-                          time_point now) {
+                          const group_health& group) {
   const instance_health* const primary = FindInstance(group, state.primary);
   return state.stepped_down_position.has_value() && primary != nullptr &&
-         primary->listed && HasJustResponded(*primary, settings, now) &&
+         primary->listed && IsResponsive(*primary) &&
          !IsBehind(primary->status->received, *state.stepped_down_position);
 }
 
@@ -238,7 +239,7 @@
       CollectCandidates(state, group, settings, now);
   const bool is_primary_ordered =
       state.order.has_value() && state.order->instance == state.primary;
-  if (is_primary_ordered && CanPromoteOldPrimary(state, group, settings, now)) {
+  if (is_primary_ordered && CanPromoteOldPrimary(state, group)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
   const duration waited =
@@ -251,8 +252,7 @@
   if (!chosen.id.empty()) {
     return chosen;
   }
-  if ((timed_out || list_timed_out) &&
-      CanPromoteOldPrimary(state, group, settings, now)) {
+  if ((timed_out || list_timed_out) && CanPromoteOldPrimary(state, group)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
   if (!timed_out) {
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -239,8 +239,7 @@
     }
   }
 
-  /// Handles the end of an order. Another may follow at once unless it took
-  /// effect, so that only then its record is removed before it expires.
+  /// Handles the end of an order.
   void OnOrder(const std::string& pool, watched_group& watched,
                const std::optional<promotion_order>& previous, time_point now) {
     if (!previous.has_value() || watched.state.order.has_value()) {
@@ -249,8 +248,7 @@
     LogOrderEnd(pool, *previous, watched.state, now);
     const store_revision revision =
         std::exchange(watched.record_revision, store_revision());
-    if (watched.state.last_order_end == order_end::kTookEffect &&
-        IsKnown(revision)) {
+    if (IsKnown(revision)) {
       Spawn(gateway_.context, "erase_order", [this, pool, revision] {
         return fleet_.Orders().Erase(pool, revision);
       });
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -541,6 +541,7 @@
     group_health health;
     for (const target_pointer& target : targets_) {
       health.push_back(target->health);
+      health.back().has_announced_stop = target->record.leaving;
     }
     return health;
   }
--- a/test/sassafraswick/failover/model_promoter.cc
+++ b/test/sassafraswick/failover/model_promoter.cc
@@ -57,6 +57,7 @@
   sassafraswick::group_health health;
   for (const std::pair<const std::string, known_target>& each : self.targets) {
     health.push_back(each.second.health);
+    health.back().has_announced_stop = each.second.record.leaving;
   }
   return health;
 }
--- a/test/sassafraswick/failover/process_change_test.cc
+++ b/test/sassafraswick/failover/process_change_test.cc
@@ -499,9 +499,10 @@
   CHECK_FALSE(Contains(Advance(state, group, 3550, 9000),
                        replacement_action_kind::kPromote, "c"));
 
-  SECTION("until its instance has left") {
+  SECTION("until its instance has left as it announced") {
     group[1].listed = false;
     group[1].leaving = true;
+    group[1].has_announced_stop = true;
     CHECK(Contains(Advance(state, group, 9000, 9700),
                    replacement_action_kind::kPromote, "c"));
   }
--- a/test/sassafraswick/failover/promotion_order_test.cc
+++ b/test/sassafraswick/failover/promotion_order_test.cc
@@ -32,6 +32,18 @@
   group.at(index).requested_at = At(now);
 }
 
+/// Lets replicas answer step-downs, as they do at once, also if they are busy.
+void AnswerStepDowns(replacement_state& state, const group_health& group,
+                     const std::vector<replacement_action>& actions, int now) {
+  for (const replacement_action& action : actions) {
+    if (action.kind == replacement_action_kind::kStepDown &&
+        action.instance != state.primary) {
+      RecordFenced(state, group, action,
+                   instance_status{1, false, {1, 12}, action.term}, At(now));
+    }
+  }
+}
+
 // Guards against: an order was taken for void as its instance said that it is a
 // replica, another was promoted, and the order took effect then. Seen with:
 // simulation with late orders, seed 1039.
@@ -179,5 +191,126 @@
   }
 }
 
+// Guards against: an order ended with its instance's entry, which also expires
+// while the instance is cut off from the store only.
+TEST_CASE("an order outlives the expiry of its instance's entry",
+          "[replacement][order]") {
+  group_health group;
+  replacement_state state = Promoting(group);
+  group[1].status->received = group[2].status->received;
+  CHECK(CountPromotions(AwaitEffect(state, group, 6500), "c") == 1);
+  // As `target_group::Remove` and `ApplyEvacuation` leave it. It still answers.
+  group[2].listed = false;
+  group[2].leaving = true;
+  const std::vector<replacement_action> actions =
+      AdvanceResponsive(state, group, 6500, 10'000);
+  CHECK(state.order.has_value());
+  CHECK(CountPromotions(actions, "b") == 0);
+}
+
+// Guards against: the same as its entry is not in the new holder's list.
+TEST_CASE("an inherited order outlives a list that lacks its instance",
+          "[replacement][order]") {
+  replacement_state state = Watching();
+  group_health group = Healthy(2000);
+  InheritOrder(state, "d", 1, At(2000));
+  (void)AdvanceReplacement(state, group, kSettings, At(2050));
+  CHECK(state.order.has_value());
+}
+
+// Guards against: an inherited order for the primary that had stepped down
+// ended by a status from before.
+TEST_CASE("a status from before an inherited order is no effect of it",
+          "[replacement][order]") {
+  replacement_state state;
+  state.list_read_at = At(1'000'000);
+  // The last status of `a`, as primary of term 1, is from before the order.
+  group_health group = Healthy(0);
+  InheritOrder(state, "a", 1, At(500));
+  (void)AdvanceReplacement(state, group, kSettings, At(550));
+  CHECK(state.order.has_value());
+  // It has stepped down for the holder before, and announces that it will stop.
+  group[0].status->is_primary = false;
+  group[0].leaving = true;
+  std::vector<replacement_action> actions;
+  for (int now = 600; now < 6000; now += 50) {
+    for (instance_health& each : group) {
+      each.requested_at = At(now - 1);
+    }
+    const std::vector<replacement_action> next =
+        AdvanceReplacement(state, group, kSettings, At(now));
+    for (const replacement_action& action : next) {
+      for (instance_health& each : group) {
+        if (action.kind == replacement_action_kind::kPauseReplication &&
+            action.instance == each.id) {
+          each.status->paused_term = action.term;
+          RecordFenced(state, group, action, *each.status, At(now));
+        }
+      }
+    }
+    actions.insert(actions.end(), next.begin(), next.end());
+  }
+  CHECK(CountPromotions(actions, "b") == 0);
+  CHECK(CountPromotions(actions, "c") == 0);
+}
+
+// Guards against: an order went to an empty process that ran under the
+// identifier since the decision.
+TEST_CASE("an order is not sent to a later process of its identifier",
+          "[replacement][order]") {
+  group_health group;
+  replacement_state state = Promoting(group);
+  group[2] = Instance("c", false, 0, At(3240));
+  group[2].seen_since = At(3200);
+  CHECK_FALSE(MaySendOrder(state, group, kSettings, At(3250)));
+}
+
+// Guards against: a group without a primary for good, as its instances answer
+// later than `heard_within`.
+TEST_CASE("a group whose instances answer slowly gets a primary",
+          "[replacement][order]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 12, 2465);
+  RecordPause(state, group, 2, 12, 2470);
+  std::vector<replacement_action> actions;
+  for (int now = 2500; now < 32'500; now += 50) {
+    group[1].requested_at = std::max(group[1].requested_at, At(now - 300));
+    group[2].requested_at = std::max(group[2].requested_at, At(now - 300));
+    const std::vector<replacement_action> next =
+        AdvanceReplacement(state, group, kSettings, At(now));
+    AnswerStepDowns(state, group, next, now);
+    actions.insert(actions.end(), next.begin(), next.end());
+  }
+  CHECK(CountPromotions(actions, "b") + CountPromotions(actions, "c") > 0);
+}
+
+// Guards against: the same as they answer status requests with BUSY. A
+// step-down takes no slot.
+TEST_CASE("a group whose paused instances are busy gets a primary",
+          "[replacement][order]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  RecordPause(state, group, 1, 12, 2465);
+  RecordPause(state, group, 2, 12, 2470);
+  std::vector<replacement_action> actions;
+  for (int now = 2500; now < 32'500; now += 50) {
+    const std::vector<replacement_action> next =
+        AdvanceReplacement(state, group, kSettings, At(now));
+    AnswerStepDowns(state, group, next, now);
+    actions.insert(actions.end(), next.begin(), next.end());
+  }
+  CHECK(CountPromotions(actions, "b") + CountPromotions(actions, "c") > 0);
+}
+
+// Guards against: an inherited order was requested again without a wait.
+TEST_CASE("an inherited order that was requested again is awaited",
+          "[replacement][order]") {
+  replacement_state state;
+  InheritOrder(state, "b", 1, At(0));
+  AddOrder(state, "b", Healthy(100), kSettings, At(100));
+  CHECK_FALSE(MayOrder(state, "b", kSettings, At(200)));
+}
+
 }  // namespace
 }  // namespace sassafraswick
