--- a/test/sassafraswick/failover/promotion_model_test.cc
+++ b/test/sassafraswick/failover/promotion_model_test.cc
@@ -75,13 +75,12 @@
 fault_focus FocusOf(injected_bug bug) {
   switch (bug) {
     case injected_bug::kIgnoreProcessChange:
+    case injected_bug::kPassOnUnproved:
       return fault_focus::kProcesses;
     case injected_bug::kIgnoreStoreEra:
       return fault_focus::kStore;
     case injected_bug::kForgetUnansweredOrder:
       return fault_focus::kLateOrders;
-    case injected_bug::kPassOnUnproved:
-      return fault_focus::kOrders;
     default:
       return fault_focus::kNone;
   }
@@ -93,10 +92,9 @@
   const std::size_t faults = model_options().faults;
   switch (bug) {
     case injected_bug::kIgnoreProcessChange:
+    case injected_bug::kPassOnUnproved:
     case injected_bug::kSkipLeaseWait:
       return faults * 3;
-    case injected_bug::kPassOnUnproved:
-      return faults * 2;
     default:
       return faults;
   }
