Split what was ordered before a claim off the failover agent

What earlier holders and this host ordered before the current claim is read, remembered and adopted in earlier_orders.h now; nothing is decided otherwise. Measured: gateway_tests [late_order], 4 cases pass.

--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -10,10 +10,10 @@
 #include <utility>
 #include <vector>
 
-#include "sassafraswick/failover/order_record.h"
 #include "sassafraswick/failover/promotion_order.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/failover/step_down_relay.h"
+#include "sassafraswick/gateway/earlier_orders.h"
 #include "sassafraswick/gateway/failover_log.h"
 #include "sassafraswick/gateway/fleet_agent.h"
 #include "sassafraswick/net/spawn.h"
@@ -46,7 +46,10 @@
 
   failover_agent(const Platform& platform, gateway_state<codec>& gateway,
                  fleet_agent<Platform>& fleet)
-      : platform_(platform), gateway_(gateway), fleet_(fleet) {
+      : platform_(platform),
+        gateway_(gateway),
+        fleet_(fleet),
+        earlier_orders_(gateway, fleet.Orders()) {
     fleet_.StepDowns().OnStatus([this](const std::string& pool,
                                        const replacement_action& action,
                                        const instance_status& status) {
@@ -61,10 +64,14 @@
       const time_point now = monotonic_clock::now();
       if (!fleet_.HoldsFailover(now)) {
         ForgetGroups();
-        claim_ = store_revision();
+        earlier_orders_.EndClaim();
         continue;
       }
-      BeginClaim();
+      const store_revision claim = fleet_.Registry().failover.fencing_token;
+      if (claim != earlier_orders_.Claim()) {
+        ForgetGroups();
+        earlier_orders_.BeginClaim(claim);
+      }
       for (const std::pair<const std::string, group_pointer>& entry :
            gateway_.groups) {
         CheckGroup(entry.second, now);
@@ -79,96 +86,39 @@
     /// When each instance was last sent a status request.
     std::map<std::string, time_point> status_requested_at;
     time_point fence_logged_at;
-    bool has_earlier_order = false;
+    /// What was ordered before this host's claim of the lease is known.
+    bool has_adopted = false;
     /// Of the record of the last order.
     store_revision record_revision;
     /// Opened when the fence is complete.
     std::shared_ptr<promoter> sender;
   };
 
-  /// Reads the orders of earlier holders if this host has claimed the lease
-  /// since the last call.
-  void BeginClaim() {
-    const store_revision claim = fleet_.Registry().failover.fencing_token;
-    if (claim == claim_) {
-      return;
-    }
-    ForgetGroups();
-    claim_ = claim;
-    earlier_orders_.reset();
-    Spawn(gateway_.context, "earlier_orders",
-          [this, claim] { return ReadEarlierOrders(claim); });
-  }
-
   /// Forgets all that is known of the groups under a claim of the lease, except
   /// the orders.
   void ForgetGroups() {
     for (const std::pair<const std::string, watched_group>& each : watched_) {
       if (each.second.state.order.has_value()) {
-        remembered_[each.first] = {*each.second.state.order,
-                                   each.second.record_revision, claim_};
-      } else if (each.second.has_earlier_order) {
-        remembered_.erase(each.first);
+        earlier_orders_.Remember(each.first, *each.second.state.order,
+                                 each.second.record_revision);
+      } else if (each.second.has_adopted) {
+        earlier_orders_.Forget(each.first);
       }
     }
     watched_.clear();
   }
 
-  boost::asio::awaitable<void> ReadEarlierOrders(store_revision claim) {
-    constexpr duration kRetryDelay = std::chrono::milliseconds(250);
-    while (claim == claim_) {
-      std::optional<std::map<std::string, order_record>> orders =
-          co_await fleet_.Orders().Read();
-      if (claim != claim_) {
-        co_return;
-      }
-      if (orders.has_value()) {
-        earlier_orders_ = std::move(orders);
-        orders_read_at_ = monotonic_clock::now();
-        co_return;
-      }
-      co_await Sleep(kRetryDelay);
+  void AdoptEarlierOrder(const std::string& pool, watched_group& watched) {
+    watched.state.awaits_earlier_orders = !earlier_orders_.AreKnown();
+    if (earlier_orders_.AreKnown() && !watched.has_adopted) {
+      watched.has_adopted = true;
+      watched.record_revision = earlier_orders_.Adopt(pool, watched.state);
     }
   }
 
-  /// Adopts what an earlier holder, or this host before it lost the lease,
-  /// ordered for a group.
-  void InheritEarlierOrder(const std::string& pool, watched_group& watched) {
-    watched.state.awaits_earlier_orders = !earlier_orders_.has_value();
-    if (!earlier_orders_.has_value() || watched.has_earlier_order) {
-      return;
-    }
-    watched.has_earlier_order = true;
-    const auto found = earlier_orders_->find(pool);
-    const auto own = remembered_.find(pool);
-    if (own != remembered_.end() &&
-        MayAdopt(own->second, claim_, found != earlier_orders_->end())) {
-      watched.state.order = own->second.order;
-      watched.record_revision = own->second.record_revision;
-      LogInherited(pool, own->second.order.instance,
-                   own->second.order.requests);
-      return;
-    }
-    if (found == earlier_orders_->end()) {
-      return;
-    }
-    const order_record& record = found->second;
-    InheritOrder(watched.state, record.instance, record.requests,
-                 orders_read_at_);
-    LogInherited(pool, record.instance, record.requests);
-  }
-
-  static void LogInherited(const std::string& pool, const std::string& target,
-                           unsigned requests) {
-    Log(log_level::kInfo, "promotion_inherited",
-        {{"pool", pool},
-         {"target", target},
-         {"requests", std::to_string(requests)}});
-  }
-
   void CheckGroup(const group_pointer& group, time_point now) {
     watched_group& watched = watched_[group->Name()];
-    InheritEarlierOrder(group->Name(), watched);
+    AdoptEarlierOrder(group->Name(), watched);
     QueryDueInstances(group, watched, now);
     const replacement_phase previous_phase = watched.state.phase;
     const std::optional<promotion_order> previous_order = watched.state.order;
@@ -389,13 +339,11 @@
   [[nodiscard]] bool IsLastRequest(const std::string& pool,
                                    const promotion_order& request) const {
     const auto watched = watched_.find(pool);
-    if (watched != watched_.end() && watched->second.has_earlier_order) {
+    if (watched != watched_.end() && watched->second.has_adopted) {
       const std::optional<promotion_order>& order = watched->second.state.order;
       return order.has_value() && order->sent_at == request.sent_at;
     }
-    const auto remembered = remembered_.find(pool);
-    return remembered != remembered_.end() &&
-           remembered->second.order.sent_at == request.sent_at;
+    return earlier_orders_.IsRemembered(pool, request);
   }
 
   void FinishPromotion(const target_group<codec>& group,
@@ -488,13 +436,7 @@
   fleet_agent<Platform>& fleet_;
   replacement_settings settings_;
   std::map<std::string, watched_group> watched_;
-  /// Revision of the claim under which this host holds the lease; unknown while
-  /// it does not.
-  store_revision claim_;
-  /// What earlier holders ordered, by pool, once it was read.
-  std::optional<std::map<std::string, order_record>> earlier_orders_;
-  time_point orders_read_at_;
-  std::map<std::string, remembered_order> remembered_;
+  earlier_orders<Platform> earlier_orders_;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/order_records.h
+++ b/src/sassafraswick/gateway/order_records.h
@@ -40,28 +40,6 @@
   bool is_superseded = false;
 };
 
-/// An order that this host knew of when it lost the failover lease.
-struct remembered_order {
-  promotion_order order;
-  /// Of its record; unknown if it was sent without one or is inherited.
-  store_revision record_revision;
-  /// Revision of the claim under which this host held the lease.
-  store_revision claim;
-};
-
-/// Returns whether a remembered order is adopted under a new claim. Under the
-/// same claim nobody else has ordered anything.
-/// @param has_record The store has a record of an order for the group.
-[[nodiscard]] inline bool MayAdopt(const remembered_order& remembered,
-                                   const store_revision& claim,
-                                   bool has_record) {
-  const bool was_unrecorded =
-      !IsKnown(remembered.record_revision) && !remembered.order.is_inherited;
-  return (remembered.claim == claim || (was_unrecorded && !has_record)) &&
-         monotonic_clock::now() - remembered.order.sent_at <
-             replacement_settings().order_lifetime;
-}
-
 template <gateway_platform Platform>
 class order_records {
  public:
