Keep a function out of the expression that awaits a late record

Cause: RecordLater passed a lambda that became a temporary std::function within an expression with co_await. GCC 12 miscompiles such temporaries (CONTRIBUTING): it was destroyed twice. Change: the function is a named constant; so is the prefix of the records that are read.

--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -320,9 +320,11 @@
   boost::asio::awaitable<void> RecordLater(std::string pool,
                                            promotion_order order,
                                            store_revision claim) {
-    const store_revision revision = co_await fleet_.Orders().WriteLater(
-        pool, order, claim,
-        [this, pool, order] { return IsLastRequest(pool, order); });
+    const std::function<bool()> is_needed = [this, pool, order] {
+      return IsLastRequest(pool, order);
+    };
+    const store_revision revision =
+        co_await fleet_.Orders().WriteLater(pool, order, claim, is_needed);
     if (!IsKnown(revision)) {
       co_return;
     }
--- a/src/sassafraswick/gateway/order_records.h
+++ b/src/sassafraswick/gateway/order_records.h
@@ -133,8 +133,9 @@
   boost::asio::awaitable<std::optional<std::map<std::string, order_record>>>
   Read() {
     const std::shared_ptr<store_type> store = MakeStore();
-    const result<store_page> page = co_await store->Range(
-        std::string(kOrdersPrefix), read_freshness::kLatest);
+    const std::string prefix(kOrdersPrefix);
+    const result<store_page> page =
+        co_await store->Range(prefix, read_freshness::kLatest);
     calls_.RecordCall("read_orders", page);
     if (!page) {
       co_return std::nullopt;
