--- a/src/sassafraswick/consistency/commit_proof.h
+++ b/src/sassafraswick/consistency/commit_proof.h
@@ -38,8 +38,8 @@
 /// proof of replication since its start. Longer than a promotion takes.
 inline constexpr duration kFirstWitnessAge = std::chrono::milliseconds(2000);
 
-/// Time after which an instance is a witness in any case. Longer than a
-/// promoter keeps to an order, so that its effect shows in the list by then.
+/// Time after which an instance is a witness in any case. An order that takes
+/// effect later than that is not covered.
 inline constexpr duration kWitnessAge = std::chrono::milliseconds(10'000);
 
 /// A time at which no fence by pauses was complete.
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -92,8 +92,8 @@
   if (IsOrderUnsettled(state, group)) {
     cause = replacement_cause::kUnsettledOrder;
   } else if (state.order.has_value() && !IsPresumedLost(cause)) {
-    // The primary may be promoted once more, which its successor would not
-    // survive.
+    // A request to promote the primary is still outstanding. Its effect after a
+    // successor has led would discard what that one acknowledged.
     cause = replacement_cause::kNone;
   }
   if (cause != state.cause) {
@@ -109,7 +109,7 @@
   state.term = HighestTerm(group) + 1;
   state.paused.clear();
   state.fence_requests.clear();
-  state.relayed_responses.clear();
+  state.step_down_responses.clear();
   EnterPhase(state, replacement_phase::kFencing, now);
   return Fence(state, group, settings, now);
 }
@@ -160,7 +160,7 @@
       id == state.primary && instance != nullptr && !IsResponsive(*instance);
   return is_silent_primary ||
          (instance != nullptr && HasJustResponded(*instance, settings, now)) ||
-         IsHeardByOthers(state, id, settings, now);
+         HasAnsweredStepDown(state, id, settings, now);
 }
 
 /// Asks an instance for a response that tells whether it runs, also through
@@ -284,7 +284,7 @@
     state.stepped_down_position = status.received;
   }
   if (action.kind == replacement_action_kind::kStepDown && !status.is_primary) {
-    state.relayed_responses[action.instance] = {status.received, now};
+    state.step_down_responses[action.instance] = {status.received, now};
   }
   if (action.kind == replacement_action_kind::kPauseReplication &&
       status.paused_term >= state.term) {
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -150,8 +150,8 @@
   time_point since;
 };
 
-/// A silent instance's response to another host.
-struct relayed_response {
+/// An instance's response to a step-down, to this or another host.
+struct step_down_response {
   log_point received;
   /// When it arrived.
   time_point at;
@@ -269,7 +269,7 @@
   std::map<std::string, replica_pause> paused;
   std::map<std::string, fence_request> fence_requests;
   /// Responses to step-downs of replicas, which have no effect on them.
-  std::map<std::string, relayed_response> relayed_responses;
+  std::map<std::string, step_down_response> step_down_responses;
   /// When the fence was complete. The primary has acknowledged no write since.
   time_point fenced_at;
   std::string chosen;
--- a/src/sassafraswick/failover/step_down_relay.cc
+++ b/src/sassafraswick/failover/step_down_relay.cc
@@ -16,12 +16,12 @@
          instance != nullptr && instance->silent_since.has_value();
 }
 
-bool IsHeardByOthers(const replacement_state& state,
-                     const std::string& instance,
-                     const replacement_settings& settings, time_point now) {
-  const auto response = state.relayed_responses.find(instance);
+bool HasAnsweredStepDown(const replacement_state& state,
+                         const std::string& instance,
+                         const replacement_settings& settings, time_point now) {
+  const auto response = state.step_down_responses.find(instance);
   const auto paused = state.paused.find(instance);
-  return response != state.relayed_responses.end() &&
+  return response != state.step_down_responses.end() &&
          now - response->second.at <= settings.heard_within &&
          (paused == state.paused.end() ||
           !IsBehind(response->second.received, paused->second.received));
--- a/src/sassafraswick/failover/step_down_relay.h
+++ b/src/sassafraswick/failover/step_down_relay.h
@@ -28,13 +28,13 @@
                               const group_health& group,
                               const replacement_action& request);
 
-/// Returns whether a silent instance, whose last log entry was known, still
-/// runs with it by a recent response to another host. Another process may run
-/// under its identifier otherwise, with an empty log.
-[[nodiscard]] bool IsHeardByOthers(const replacement_state& state,
-                                   const std::string& instance,
-                                   const replacement_settings& settings,
-                                   time_point now);
+/// Returns whether an instance that is silent, slow or busy still runs with the
+/// log that it paused with, by a recent response to a step-down. Another
+/// process may run under its identifier otherwise, with an empty log.
+[[nodiscard]] bool HasAnsweredStepDown(const replacement_state& state,
+                                       const std::string& instance,
+                                       const replacement_settings& settings,
+                                       time_point now);
 
 /// Returns the hosts to ask. Each attempt asks others, if there are enough.
 /// @param hosts All hosts of the fleet.
