--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -123,6 +123,7 @@
     const replacement_phase previous_phase = watched.state.phase;
     const std::optional<promotion_order> previous_order = watched.state.order;
     watched.state.list_read_at = fleet_.TargetsReadAt();
+    watched.state.acknowledged = group->Acknowledged();
     const std::vector<replacement_action> actions =
         AdvanceReplacement(watched.state, group->Health(), settings_, now);
     if (AwaitsList(watched.state, now)) {
--- a/src/sassafraswick/gateway/failover_log.cc
+++ b/src/sassafraswick/gateway/failover_log.cc
@@ -3,6 +3,7 @@
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/failover/fence.h"
 #include "sassafraswick/failover/group_members.h"
+#include "sassafraswick/failover/successor_choice.h"
 
 namespace sassafraswick {
 namespace {
@@ -19,6 +20,10 @@
          "ms";
 }
 
+std::string FormatMilliseconds(time_point from, time_point to) {
+  return std::to_string(ToMilliseconds(to - from));
+}
+
 std::string DescribeInstance(const replacement_state& state,
                              const instance_health& instance, time_point now) {
   std::string text = instance.id + "=";
@@ -89,6 +94,10 @@
        {"primary_had", state.stepped_down_position.has_value()
                            ? FormatPosition(*state.stepped_down_position)
                            : std::string("unknown")},
+       {"acknowledged", FormatPosition(state.acknowledged)},
+       {"fenced_ms", FormatMilliseconds(state.fenced_at, now)},
+       {"list", IsListComplete(state) ? "complete" : "late"},
+       {"list_age_ms", FormatMilliseconds(state.list_read_at, now)},
        {"positions", positions},
        {"missing", missing}});
   if (state.proof == choice_proof::kUnproved) {
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -411,6 +411,8 @@
       response = statement_result();
       response.failure = failure_code::kInDoubt;
       response.detail = "the primary may have been replaced";
+    } else if (response.position.has_value()) {
+      group_->RecordPassedOn(*response.position);
     }
     co_return response;
   }
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -342,6 +342,18 @@
     co_return true;
   }
 
+  /// Records that the acknowledgement of a commit is passed on to its caller.
+  /// @param position Of the primary when it acknowledged.
+  void RecordPassedOn(const log_point& position) {
+    if (IsBehind(acknowledged_, position)) {
+      acknowledged_ = position;
+    }
+  }
+
+  /// Returns the most advanced position with which this host has passed on an
+  /// acknowledgement. An instance behind it may lack the commit.
+  [[nodiscard]] const log_point& Acknowledged() const { return acknowledged_; }
+
   /// Records a response that only a primary can give.
   void ObservePrimary(const target_state<Codec>& target,
                       const statement_result& response) {
@@ -833,6 +845,7 @@
   connection_pool<Codec> connection_pool_;
   primary_view view_;
   std::optional<replication_proof> replication_;
+  log_point acknowledged_;
   async_event changed_;
   std::vector<target_pointer> targets_;
   const evacuated_zones* evacuated_zones_ = nullptr;
