Replace the process that led last, also once it has stepped down unheard

A replacement ends as its primary is back, a step-down that was still under way arrives, and the next replacement, `orphaned`, knew no primary. So all instances had to confirm a pause, also those that had gone, and the log of the primary, which responded, bounded nothing.

Cause: only an instance that leads is taken for the primary that is replaced.

Without one it is the process now that led the highest term last, as long as it runs under its identifier. It is asked to step down like any primary; its answer completes the fence, unless it has less than it was known to have. A process that leads again is noticed as before.

--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -165,6 +165,19 @@
                    process) != state.term_primaries.end();
 }
 
+const instance_health* FindLastPrimary(const replacement_state& state,
+                                       const group_health& group) {
+  if (state.term_primaries.empty() ||
+      state.members_term != HighestTerm(group)) {
+    return nullptr;
+  }
+  const process_key& last = state.term_primaries.back();
+  const instance_health* const instance = FindInstance(group, last.first);
+  const bool runs = instance != nullptr && !instance->replaced &&
+                    instance->seen_since == last.second;
+  return runs ? instance : nullptr;
+}
+
 bool IsOtherProcess(const instance_status& earlier,
                     const instance_status& later) {
   return later.term < earlier.term ||
--- a/src/sassafraswick/failover/group_members.h
+++ b/src/sassafraswick/failover/group_members.h
@@ -20,6 +20,11 @@
 [[nodiscard]] bool WasTermPrimary(const replacement_state& state,
                                   const process_key& process);
 
+/// Returns the instance that led the highest term last, as long as it runs the
+/// process that did; null if it isn't known.
+[[nodiscard]] const instance_health* FindLastPrimary(
+    const replacement_state& state, const group_health& group);
+
 /// Returns whether a status is that of another process than an earlier status
 /// under the same identifier: a process' term never falls, and within a term it
 /// loses no entries.
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -105,7 +105,8 @@
   if (cause == replacement_cause::kNone || must_wait) {
     return CleanUpAbandoned(state, group, settings, now);
   }
-  SetPrimary(state, current_primary);
+  SetPrimary(state, current_primary != nullptr ? current_primary
+                                               : FindLastPrimary(state, group));
   state.term = HighestTerm(group) + 1;
   state.paused.clear();
   state.fence_requests.clear();
--- /dev/null
+++ b/test/sassafraswick/failover/lasting_outage_test.cc
@@ -0,0 +1,65 @@
+#include <catch2/catch.hpp>
+
+#include "sassafraswick/failover/replacement.h"
+#include "test/sassafraswick/failover/replacement_builder.h"
+
+// Failovers that lasted until the instances with the log had left.
+
+namespace sassafraswick {
+namespace {
+
+/// Returns a group whose primary `a` stepped down at 2,000 ms without the
+/// holder's knowledge. `c` has gone, and does not refuse connections.
+group_health SteppedDownUnheard() {
+  group_health group = Healthy(2000);
+  group[0].status->is_primary = false;
+  group[0].status->received = {1, 12};
+  group[1].status->received = {1, 12};
+  group[2].leaving = true;
+  group[2].listed = false;
+  group[2].silent_since = At(1500);
+  return group;
+}
+
+// Guards against: a primary that stepped down after the end of a replacement
+// counted as unknown, so that the next replacement waited for all instances,
+// also for those that had gone. Seen with: review/12.
+TEST_CASE("the process that led last is the primary of an orphaned group",
+          "[replacement][lasting_outage]") {
+  replacement_state state = Watching();
+  group_health group = SteppedDownUnheard();
+  const std::vector<replacement_action> fence =
+      Advance(state, group, 2050, 2500);
+  CHECK(state.cause == replacement_cause::kOrphaned);
+  REQUIRE(Contains(fence, replacement_action_kind::kStepDown, "a"));
+  const replacement_action step_down = {replacement_action_kind::kStepDown, "a",
+                                        2};
+  SECTION("its step-down completes the fence, and its log bounds the choice") {
+    RecordFenced(state, group, step_down, *group[0].status, At(2510));
+    CHECK(state.phase == replacement_phase::kWaiting);
+    CHECK_FALSE(Promotes(Advance(state, group, 2550, 3000)));
+    CHECK(Contains(Advance(state, group, 3000, 3100),
+                   replacement_action_kind::kPromote, "b"));
+    CHECK(state.proof == choice_proof::kHasPrimaryLog);
+  }
+  SECTION("not if it has less than it was known to have") {
+    RecordFenced(state, group, step_down, instance_status{1, false, {1, 9}, 0},
+                 At(2510));
+    CHECK(state.phase == replacement_phase::kFencing);
+  }
+  SECTION("it is noticed if it leads again") {
+    RecordFenced(state, group, step_down, *group[0].status, At(2510));
+    group[0].status->is_primary = true;
+    group[0].requested_at = At(2600);
+    CHECK_FALSE(Promotes(Advance(state, group, 2650, 3200)));
+  }
+  SECTION("another process under its identifier is one of the others") {
+    group[0].seen_since = At(2490);
+    CHECK_FALSE(Promotes(Advance(state, group, 2500, 3200)));
+    CHECK(state.primary.empty());
+    CHECK(state.phase == replacement_phase::kFencing);
+  }
+}
+
+}  // namespace
+}  // namespace sassafraswick
--- a/test/sassafraswick/failover/process_change_test.cc
+++ b/test/sassafraswick/failover/process_change_test.cc
@@ -48,19 +48,6 @@
   return state;
 }
 
-/// Advances a replacement while the replicas that respond keep their status.
-std::vector<replacement_action> Advance(replacement_state& state,
-                                        group_health& group, int from, int to) {
-  constexpr int kTick = 50;
-  std::vector<replacement_action> all;
-  for (int now = from; now < to; now += kTick) {
-    const std::vector<replacement_action> actions =
-        AdvanceHeard(state, group, At(now));
-    all.insert(all.end(), actions.begin(), actions.end());
-  }
-  return all;
-}
-
 // Guards against: a replica that had crashed after it paused was promoted by
 // the position of then, with the empty log of its next start. Seen with:
 // review/11.
--- a/test/sassafraswick/failover/replacement_builder.h
+++ b/test/sassafraswick/failover/replacement_builder.h
@@ -79,6 +79,27 @@
   return AdvanceReplacement(state, group, kSettings, now);
 }
 
+/// Advances a replacement while the replicas that respond keep their status.
+inline std::vector<replacement_action> Advance(replacement_state& state,
+                                               group_health& group, int from,
+                                               int to) {
+  constexpr int kTick = 50;
+  std::vector<replacement_action> all;
+  for (int now = from; now < to; now += kTick) {
+    const std::vector<replacement_action> actions =
+        AdvanceHeard(state, group, At(now));
+    all.insert(all.end(), actions.begin(), actions.end());
+  }
+  return all;
+}
+
+inline bool Promotes(const std::vector<replacement_action>& actions) {
+  return std::any_of(actions.begin(), actions.end(),
+                     [](const replacement_action& action) {
+                       return action.kind == replacement_action_kind::kPromote;
+                     });
+}
+
 /// Returns the group after its primary became unresponsive and fencing started.
 inline group_health FenceUnresponsivePrimary(replacement_state& state) {
   group_health group = Healthy(2000);
--- a/test/sassafraswick/failover/unproved_choice_test.cc
+++ b/test/sassafraswick/failover/unproved_choice_test.cc
@@ -11,26 +11,6 @@
 namespace sassafraswick {
 namespace {
 
-/// Advances a replacement while the replicas that respond keep their status.
-std::vector<replacement_action> Advance(replacement_state& state,
-                                        group_health& group, int from, int to) {
-  constexpr int kTick = 50;
-  std::vector<replacement_action> all;
-  for (int now = from; now < to; now += kTick) {
-    const std::vector<replacement_action> actions =
-        AdvanceHeard(state, group, At(now));
-    all.insert(all.end(), actions.begin(), actions.end());
-  }
-  return all;
-}
-
-bool Promotes(const std::vector<replacement_action>& actions) {
-  return std::any_of(actions.begin(), actions.end(),
-                     [](const replacement_action& action) {
-                       return action.kind == replacement_action_kind::kPromote;
-                     });
-}
-
 /// Records that a replica paused replication for a term.
 void Pause(replacement_state& state, instance_health& health, int now) {
   health.requested_at = At(now);
