Order no instance as proved that lacks a commit known to be acknowledged

Callers lost the last commits before a replacement. The choice trusts that an instance is listed 200 ms after its start. The store may list it seconds later: then an instance that isn't known may have confirmed what only the primary has besides, and a replica without it passes as the most advanced one, though the primary has stepped down and responds.

An instance behind a commit that the holder has passed on isn't proved. If all others are known to be behind, the primary that stepped down is ordered at once. Without it, the choice waits as for a member that has left. The bound is one more than what was known of the primary when the commit was sent: the position in its response includes entries that no replica has received, which would hold up the replacement of a primary that crashes.

--- a/src/sassafraswick/consistency/primary_view.cc
+++ b/src/sassafraswick/consistency/primary_view.cc
@@ -90,6 +90,14 @@
   return std::nullopt;
 }
 
+std::optional<log_point> LowestCommitPosition(
+    const std::optional<log_point>& known_before, term_number response_term) {
+  if (!known_before.has_value() || known_before->term != response_term) {
+    return std::nullopt;
+  }
+  return log_point{response_term, known_before->position + 1};
+}
+
 std::optional<view_report> MakeViewReport(const primary_view& view,
                                           time_point now) {
   if (!IsPrimaryLeaseValid(view, view.primary, view.term, now) ||
--- a/src/sassafraswick/consistency/primary_view.h
+++ b/src/sassafraswick/consistency/primary_view.h
@@ -90,6 +90,15 @@
 [[nodiscard]] std::optional<log_point> CoveringPosition(
     const primary_view& view, time_point acknowledged_before);
 
+/// Returns the lowest position that a commit can have. The position in its
+/// response may include later entries, which nothing else has received yet.
+/// @param known_before Newest position of the primary that was known when the
+/// commit was sent.
+/// @param response_term Term of the response to the commit.
+/// @return Nothing if no position of that term was known.
+[[nodiscard]] std::optional<log_point> LowestCommitPosition(
+    const std::optional<log_point>& known_before, term_number response_term);
+
 /// The newest proof and position of a view, for another host. Ages stand in for
 /// times because the hosts' clocks differ.
 struct view_report {
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -300,8 +300,8 @@
   /// When the newest complete read of the list of instances was sent. Set by
   /// the caller before `AdvanceReplacement`.
   time_point list_read_at;
-  /// The most advanced position with which this host has passed on an
-  /// acknowledgement. Set by the caller before `AdvanceReplacement`.
+  /// An instance behind it lacks a commit whose acknowledgement a host has
+  /// passed on. Set by the caller before `AdvanceReplacement`.
   log_point acknowledged;
   /// When actions were last sent in this phase.
   time_point last_action_at;
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -116,6 +116,12 @@
   return state.order.has_value() && state.order->instance == each.id;
 }
 
+/// Returns whether an acknowledged commit is known that no instance with this
+/// last log entry has.
+bool LacksAcknowledged(const replacement_state& state, const log_point& end) {
+  return IsBehind(end, state.acknowledged);
+}
+
 /// Chooses among instances that provably have every acknowledged write.
 /// Instances that leave or do not respond are chosen only after
 /// `catch_up_timeout`. Behind a fence by pauses, an outage of the store does
@@ -144,7 +150,7 @@
         !IsBehind(each.end, *state.stepped_down_position);
     const bool is_most_advanced =
         all_known && !IsBehind(each.end, candidates.front().end);
-    if (each.usable == usability::kNone ||
+    if (each.usable == usability::kNone || LacksAcknowledged(state, each.end) ||
         (!has_primary_log && !is_most_advanced)) {
       continue;
     }
@@ -219,6 +225,16 @@
          !IsBehind(primary->status->received, *state.stepped_down_position);
 }
 
+/// Returns whether all instances except the old primary are known to lack an
+/// acknowledged commit. What confirmed it is not listed yet, or has left.
+bool AllLackAcknowledged(const replacement_state& state,
+                         const group_health& group,
+                         const std::vector<candidate>& candidates) {
+  return !candidates.empty() &&
+         candidates.size() >= CountOthers(state, group) &&
+         LacksAcknowledged(state, candidates.front().end);
+}
+
 }  // namespace
 
 time_point ListNeededAt(const replacement_state& state) {
@@ -252,7 +268,9 @@
   if (!chosen.id.empty()) {
     return chosen;
   }
-  if ((timed_out || list_timed_out) && CanPromoteOldPrimary(state, group)) {
+  const bool all_lack = AllLackAcknowledged(state, group, candidates);
+  if ((timed_out || list_timed_out || all_lack) &&
+      CanPromoteOldPrimary(state, group)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
   if (!timed_out) {
@@ -263,7 +281,8 @@
   const bool is_empty = !candidates.empty() &&
                         candidates.front().end.position == 0 &&
                         HadEntries(state);
-  if (!last_left_at.has_value() && !is_empty && !IsPrimaryAlone(state)) {
+  if (!last_left_at.has_value() && !is_empty && !all_lack &&
+      !IsPrimaryAlone(state)) {
     return chosen;
   }
   const time_point away_since =
--- a/src/sassafraswick/gateway/operation.h
+++ b/src/sassafraswick/gateway/operation.h
@@ -33,6 +33,12 @@
   bool needs_primary_lease = false;
 };
 
+/// When a commit was sent, and what was known of its primary then.
+struct sent_commit {
+  time_point sent_at;
+  std::optional<log_point> known_before;
+};
+
 /// Runs the statements of one operation.
 template <session_codec Codec>
 class operation_runner {
@@ -147,6 +153,7 @@
     if (commits && is_write) {
       group_->PrepareCommit();
     }
+    const std::optional<log_point> known_before = group_->KnownPosition();
     const sent_statement sent =
         co_await SendOn(query, std::nullopt, transaction.lease,
                         operation_.route.statement_timeout);
@@ -161,8 +168,9 @@
     }
     RecordStatement(is_write, target, sent.sent_at);
     if (response.failure == failure_code::kNone && commits && is_write) {
+      const sent_commit commit = {sent.sent_at, known_before};
       co_return co_await PassOnCommit(
-          target, std::move(response), sent.sent_at,
+          target, std::move(response), commit,
           sent.sent_at + operation_.route.statement_timeout);
     }
     const bool reads = !commits && !writes;
@@ -381,6 +389,7 @@
     const duration left = std::chrono::duration_cast<duration>(
         operation_.Deadline() - monotonic_clock::now());
     group_->PrepareCommit();
+    const std::optional<log_point> known_before = group_->KnownPosition();
     const sent_statement sent =
         co_await SendOn(std::move(query), std::nullopt, lease, left);
     statement_result response = sent.response;
@@ -389,8 +398,9 @@
       response.failure = failure_code::kInDoubt;
     } else if (response.failure == failure_code::kNone) {
       RecordStatement(true, *lease.target, sent.sent_at);
+      const sent_commit commit = {sent.sent_at, known_before};
       co_return co_await PassOnCommit(*lease.target, std::move(response),
-                                      sent.sent_at, operation_.Deadline());
+                                      commit, operation_.Deadline());
     }
     co_return response;
   }
@@ -399,10 +409,10 @@
   /// promotion cannot lose the commit.
   /// @return A failure of unknown outcome if it is not by the deadline.
   boost::asio::awaitable<statement_result> PassOnCommit(
-      target_state<Codec>& target, statement_result response,
-      time_point requested_at, time_point deadline) {
+      target_state<Codec>& target, statement_result response, sent_commit sent,
+      time_point deadline) {
     const time_point acknowledged_at = monotonic_clock::now();
-    group_->ObserveCommit(target, response, requested_at);
+    group_->ObserveCommit(target, response, sent.sent_at);
     const term_number term =
         response.position.has_value() ? response.position->term : 0;
     const bool proved =
@@ -412,7 +422,7 @@
       response.failure = failure_code::kInDoubt;
       response.detail = "the primary may have been replaced";
     } else if (response.position.has_value()) {
-      group_->RecordPassedOn(*response.position);
+      group_->RecordPassedOn(sent.known_before, term);
     }
     co_return response;
   }
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -342,16 +342,29 @@
     co_return true;
   }
 
+  /// Returns the newest position of the primary that is known.
+  [[nodiscard]] std::optional<log_point> KnownPosition() const {
+    return view_.positions.empty()
+               ? std::nullopt
+               : std::optional<log_point>(view_.positions.back().position);
+  }
+
   /// Records that the acknowledgement of a commit is passed on to its caller.
-  /// @param position Of the primary when it acknowledged.
-  void RecordPassedOn(const log_point& position) {
-    if (IsBehind(acknowledged_, position)) {
-      acknowledged_ = position;
+  /// @param known_before `KnownPosition` when the commit was sent.
+  /// @param term Term of the response.
+  void RecordPassedOn(const std::optional<log_point>& known_before,
+                      term_number term) {
+    const std::optional<log_point> lowest =
+        LowestCommitPosition(known_before, term);
+    if (sync_replicas_ > 0 && lowest.has_value() &&
+        IsBehind(acknowledged_, *lowest)) {
+      acknowledged_ = *lowest;
     }
   }
 
-  /// Returns the most advanced position with which this host has passed on an
-  /// acknowledgement. An instance behind it may lack the commit.
+  /// Returns the most advanced position that a commit must have whose
+  /// acknowledgement this host has passed on. An instance behind it lacks the
+  /// commit.
   [[nodiscard]] const log_point& Acknowledged() const { return acknowledged_; }
 
   /// Records a response that only a primary can give.
--- a/test/sassafraswick/consistency/primary_view_test.cc
+++ b/test/sassafraswick/consistency/primary_view_test.cc
@@ -159,5 +159,14 @@
   CHECK_FALSE(RecordPrimary(view, "a", 1));
 }
 
+// Guards against: entries that no replica had received yet counted as
+// acknowledged, as the position in a response to a commit includes them.
+TEST_CASE("a commit follows what its primary had before it was sent",
+          "[primary_view][acknowledged]") {
+  CHECK(LowestCommitPosition(log_point{3, 41}, 3) == log_point{3, 42});
+  CHECK_FALSE(LowestCommitPosition(std::nullopt, 3).has_value());
+  CHECK_FALSE(LowestCommitPosition(log_point{2, 41}, 3).has_value());
+}
+
 }  // namespace
 }  // namespace sassafraswick
--- a/test/sassafraswick/failover/replacement_builder.h
+++ b/test/sassafraswick/failover/replacement_builder.h
@@ -98,12 +98,19 @@
                *health.status, At(now));
 }
 
-/// Returns a state in which the promotion of `c` was requested at 3000 ms.
-inline replacement_state Promoting(group_health& group) {
+/// Returns a state in which `b` and `c` paused with 11 and 12 entries, as `a`
+/// does not respond.
+inline replacement_state Fenced(group_health& group) {
   replacement_state state = Watching();
   group = FenceUnresponsivePrimary(state);
   RecordPause(state, group, 1, 11, 2465);
   RecordPause(state, group, 2, 12, 2470);
+  return state;
+}
+
+/// Returns a state in which the promotion of `c` was requested at 3000 ms.
+inline replacement_state Promoting(group_health& group) {
+  replacement_state state = Fenced(group);
   const std::vector<replacement_action> promote =
       AdvanceHeard(state, group, At(3000));
   CHECK(Contains(promote, replacement_action_kind::kPromote, "c"));
@@ -126,6 +133,22 @@
   return all;
 }
 
+/// Returns a state in which the primary has been stepped down at 2,060 ms,
+/// since its replicas lack its last ten entries.
+inline replacement_state CutOffAndSteppedDown(group_health& group) {
+  replacement_state state;
+  group = Healthy(0);
+  CHECK(AdvanceHeard(state, group, At(0)).empty());
+  group[0].status->received = {1, 20};
+  CHECK(Contains(AdvanceResponsive(state, group, 500, 2050),
+                 replacement_action_kind::kStepDown, "a"));
+  CHECK(state.cause == replacement_cause::kCutOff);
+  group[0].status = instance_status{1, false, {1, 20}, 0};
+  RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
+               *group[0].status, At(2060));
+  return state;
+}
+
 }  // namespace sassafraswick
 
 #endif  // TEST_SASSAFRASWICK_FAILOVER_REPLACEMENT_BUILDER_H_
--- a/test/sassafraswick/failover/replacement_test.cc
+++ b/test/sassafraswick/failover/replacement_test.cc
@@ -388,22 +388,6 @@
   CHECK(state.proof == choice_proof::kOldPrimary);
 }
 
-/// Returns a state in which the primary has been stepped down at 2,060 ms,
-/// since its replicas lack its last ten entries.
-replacement_state CutOffAndSteppedDown(group_health& group) {
-  replacement_state state;
-  group = Healthy(0);
-  CHECK(AdvanceHeard(state, group, At(0)).empty());
-  group[0].status->received = {1, 20};
-  CHECK(Contains(AdvanceResponsive(state, group, 500, 2050),
-                 replacement_action_kind::kStepDown, "a"));
-  CHECK(state.cause == replacement_cause::kCutOff);
-  group[0].status = instance_status{1, false, {1, 20}, 0};
-  RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
-               *group[0].status, At(2060));
-  return state;
-}
-
 // An instance that joined during an outage of the store had confirmed what only
 // the primary had besides. A replica that lacked it was promoted, though the
 // primary was still running. Seen with: review/6.
