--- a/test/sassafraswick/failover/successor_choice_test.cc
+++ b/test/sassafraswick/failover/successor_choice_test.cc
@@ -9,13 +9,6 @@
 namespace sassafraswick {
 namespace {
 
-bool Promotes(const std::vector<replacement_action>& actions) {
-  return std::any_of(actions.begin(), actions.end(),
-                     [](const replacement_action& action) {
-                       return action.kind == replacement_action_kind::kPromote;
-                     });
-}
-
 // Guards against: an instance without acknowledged commits was promoted though
 // the primary had stepped down and responded; what had confirmed them was not
 // listed yet. Seen with: deploy/days/cut-primary-unlisted-replica.toml.
