Let the next holder know which process led last

The next holder never sees it lead and waits for all instances, those that have gone among them.

Cause: only the holder's own observation tells which process led.

Each host notes for a process the highest term that it led, from statuses and from commits that it acknowledged; only from responses to requests that were sent since the process is known. A holder counts these among the primaries of the term. A response to a step-down in an earlier term than the process led is of another process.

--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -99,13 +99,15 @@
   }
 }
 
-void TrackPrimary(replacement_state& state, const group_health& group) {
+void TrackPrimaries(replacement_state& state, const group_health& group) {
   const instance_health* const primary = FindCurrentPrimary(group);
-  if (primary == nullptr) {
-    return;
-  }
-  if (!WasTermPrimary(state, ProcessOf(*primary))) {
-    state.term_primaries.push_back(ProcessOf(*primary));
+  for (const instance_health& instance : group) {
+    const bool led =
+        &instance == primary ||
+        (instance.led_term == state.members_term && instance.led_term != 0);
+    if (led && !WasTermPrimary(state, ProcessOf(instance))) {
+      state.term_primaries.push_back(ProcessOf(instance));
+    }
   }
 }
 
@@ -167,15 +169,15 @@
 
 const instance_health* FindLastPrimary(const replacement_state& state,
                                        const group_health& group) {
-  if (state.term_primaries.empty() ||
-      state.members_term != HighestTerm(group)) {
-    return nullptr;
+  const instance_health* last = nullptr;
+  for (const instance_health& instance : group) {
+    const bool led =
+        !instance.replaced && WasTermPrimary(state, ProcessOf(instance));
+    if (led && (last == nullptr || last->seen_since < instance.seen_since)) {
+      last = &instance;
+    }
   }
-  const process_key& last = state.term_primaries.back();
-  const instance_health* const instance = FindInstance(group, last.first);
-  const bool runs = instance != nullptr && !instance->replaced &&
-                    instance->seen_since == last.second;
-  return runs ? instance : nullptr;
+  return last;
 }
 
 bool IsOtherProcess(const instance_status& earlier,
@@ -188,7 +190,7 @@
 void TrackMembers(replacement_state& state, const group_health& group,
                   const replacement_settings& settings, time_point now) {
   BeginTerm(state, group, settings, now);
-  TrackPrimary(state, group);
+  TrackPrimaries(state, group);
   TrackJoining(state, group);
   for (const instance_health& instance : group) {
     if (HasLeft(&instance, ProcessOf(instance))) {
--- a/src/sassafraswick/failover/group_members.h
+++ b/src/sassafraswick/failover/group_members.h
@@ -20,8 +20,9 @@
 [[nodiscard]] bool WasTermPrimary(const replacement_state& state,
                                   const process_key& process);
 
-/// Returns the instance that led the highest term last, as long as it runs the
-/// process that did; null if it isn't known.
+/// Returns the instance whose process led `members_term` last, as long as that
+/// process runs; null if it isn't known. A term's next primary is the next
+/// process of the one before.
 [[nodiscard]] const instance_health* FindLastPrimary(
     const replacement_state& state, const group_health& group);
 
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -126,8 +126,8 @@
 }
 
 /// Returns whether a status shows that the replaced primary's process stepped
-/// down. One behind what the primary is known to have had is of a process that
-/// runs under its identifier since.
+/// down. One behind what the primary is known to have had, or in an earlier
+/// term, is of a process that runs under its identifier since.
 bool IsStepDownOfPrimary(const replacement_state& state,
                          const group_health& group,
                          const replacement_action& action,
@@ -137,9 +137,11 @@
       primary == nullptr || primary->seen_since != state.primary_seen_since) {
     return false;
   }
+  const bool lost_term = WasTermPrimary(state, ProcessOf(*primary)) &&
+                         status.term < state.members_term;
   const auto member = state.members.find(ProcessOf(*primary));
-  return member == state.members.end() ||
-         !IsBehind(status.received, member->second.received);
+  return !lost_term && (member == state.members.end() ||
+                        !IsBehind(status.received, member->second.received));
 }
 
 /// Returns whether the old primary responds and has not stepped down. An
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -42,6 +42,8 @@
   std::string successor;
   /// Highest term that any process of the instance reported.
   term_number highest_term = 0;
+  /// Highest term that this process is known to have led.
+  term_number led_term = 0;
   /// The instance announced that it will stop, or is no longer listed.
   bool leaving = false;
   bool listed = true;
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -295,7 +295,7 @@
   /// Records a write that the primary acknowledged. With synchronous replicas
   /// the acknowledgement is a proof of leadership, unless an instance may have
   /// confirmed the write that a promoter does not know.
-  void ObserveCommit(const target_state<Codec>& target,
+  void ObserveCommit(target_state<Codec>& target,
                      const statement_result& response,
                      time_point requested_at) {
     if (!response.position.has_value()) {
@@ -303,6 +303,7 @@
     }
     ObservePrimary(target, response);
     const term_number term = response.position->term;
+    RecordLeading(target, term, requested_at);
     if (sync_replicas_ > 0 && target.record.id == view_.primary &&
         IsCommitProved(replication_, term, monotonic_clock::now())) {
       RecordProof(view_, term, requested_at);
@@ -656,12 +657,22 @@
       target.health.requested_at = requested_at;
     }
     if (status.is_primary) {
+      RecordLeading(target, status.term, requested_at);
       HandleViewChange(RecordPrimary(view_, target.record.id, status.term));
     } else {
       HandleViewChange(RecordNotPrimary(view_, target.record.id, status.term));
     }
   }
 
+  /// Records that an instance led a term when it responded, unless the response
+  /// is that of an earlier process.
+  static void RecordLeading(target_state<Codec>& target, term_number term,
+                            time_point requested_at) {
+    if (requested_at >= target.health.seen_since) {
+      target.health.led_term = std::max(target.health.led_term, term);
+    }
+  }
+
   void HandleViewChange(bool changed) {
     if (!changed) {
       return;
--- a/test/sassafraswick/failover/lasting_outage_test.cc
+++ b/test/sassafraswick/failover/lasting_outage_test.cc
@@ -47,6 +47,11 @@
                  At(2510));
     CHECK(state.phase == replacement_phase::kFencing);
   }
+  SECTION("not if it has forgotten the term") {
+    RecordFenced(state, group, step_down, instance_status{0, false, {1, 12}, 0},
+                 At(2510));
+    CHECK(state.phase == replacement_phase::kFencing);
+  }
   SECTION("it is noticed if it leads again") {
     RecordFenced(state, group, step_down, *group[0].status, At(2510));
     group[0].status->is_primary = true;
@@ -61,5 +66,26 @@
   }
 }
 
+// Guards against: the next holder of the failover lease did not know who had
+// led, although it had passed on what the primary acknowledged. Seen with:
+// review/12.
+TEST_CASE("a new holder knows a primary that it had responses of",
+          "[replacement][lasting_outage]") {
+  replacement_state state;
+  group_health group = SteppedDownUnheard();
+  group[0].led_term = 1;
+  SECTION("as the one that it replaces") {
+    CHECK(Contains(Advance(state, group, 2050, 2900),
+                   replacement_action_kind::kStepDown, "a"));
+    CHECK(state.primary == "a");
+  }
+  SECTION("not once a higher term has begun") {
+    group[1].status->term = 2;
+    CHECK_FALSE(Contains(Advance(state, group, 2050, 2900),
+                         replacement_action_kind::kStepDown, "a"));
+    CHECK(state.primary.empty());
+  }
+}
+
 }  // namespace
 }  // namespace sassafraswick
--- a/test/sassafraswick/failover/model_callers.cc
+++ b/test/sassafraswick/failover/model_callers.cc
@@ -50,6 +50,10 @@
   const status_response response{{}, end};
   RecordResponse(self, id, response, requested_at);
   RecordPrimary(self.view, id, end.term);
+  const auto target = self.targets.find(id);
+  if (target != self.targets.end()) {
+    target->second.RecordLeading(end.term, requested_at);
+  }
   const bool proves = IsCommitProved(self.replication, end.term, now_) ||
                       options_.bug == injected_bug::kPassOnUnproved;
   if (id == self.view.primary && proves) {
--- a/test/sassafraswick/failover/model_hosts.cc
+++ b/test/sassafraswick/failover/model_hosts.cc
@@ -169,6 +169,9 @@
       found->second.health.status = response.status;
       found->second.health.requested_at = requested_at;
     }
+    if (response.status.is_primary) {
+      found->second.RecordLeading(response.status.term, requested_at);
+    }
   }
   if (response.status.is_primary) {
     RecordPrimary(self.view, id, response.status.term);
--- a/test/sassafraswick/failover/model_types.h
+++ b/test/sassafraswick/failover/model_types.h
@@ -129,6 +129,12 @@
   time_point unlisted_at;
   time_point requested_at;
   time_point answered_at;
+
+  void RecordLeading(term_number term, time_point sent_at) {
+    if (sent_at >= health.seen_since) {
+      health.led_term = std::max(health.led_term, term);
+    }
+  }
 };
 
 /// The query of a group's instances for a proof of replication.
