Prove no empty instance once all that knew the term have left

An outage of 28 s, in which all instances with the log were released; at its end one at 0.0 was ordered as `most_advanced`.

Cause: the highest term was that of the instances that are listed. When the last one that knew it was forgotten, a lower term seemed to begin, and with the members of the higher one the group's entries were forgotten. A holder that came after that had never known of any.

A known term never falls now. An empty instance proves nothing unless the last primary is known to have no entries.

--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -136,7 +136,8 @@
       state.members[ProcessOf(instance)] = group_member();
     }
   }
-  const term_number term = HighestTerm(group);
+  // The instances that knew the term may all have left.
+  const term_number term = std::max(state.members_term, HighestTerm(group));
   const bool learns =
       state.observation_started_at.has_value() &&
       now - *state.observation_started_at < settings.observation_period;
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -107,7 +107,7 @@
   }
   SetPrimary(state, current_primary != nullptr ? current_primary
                                                : FindLastPrimary(state, group));
-  state.term = HighestTerm(group) + 1;
+  state.term = std::max(state.members_term, HighestTerm(group)) + 1;
   state.paused.clear();
   state.fence_requests.clear();
   state.step_down_responses.clear();
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -100,14 +100,19 @@
       }));
 }
 
-/// Returns whether any process is known to have had entries of this term. An
-/// instance without any then proves nothing.
-bool HadEntries(const replacement_state& state) {
-  return std::any_of(
-      state.members.begin(), state.members.end(),
-      [](const std::pair<const process_key, group_member>& member) {
-        return member.second.received.position > 0;
-      });
+/// Returns whether a process may have had entries. An instance without any then
+/// proves nothing. A group has none if its last primary is known to have none.
+bool MayHaveHadEntries(const replacement_state& state,
+                       const group_health& group) {
+  const instance_health* const primary = FindLastPrimary(state, group);
+  const bool began_empty = primary != nullptr && primary->status.has_value() &&
+                           primary->status->received.position == 0;
+  return !began_empty || state.acknowledged.position > 0 ||
+         std::any_of(
+             state.members.begin(), state.members.end(),
+             [](const std::pair<const process_key, group_member>& member) {
+               return member.second.received.position > 0;
+             });
 }
 
 /// Returns whether the promotion of a candidate may already take effect, so
@@ -136,7 +141,7 @@
   promotion_choice ready;
   promotion_choice late;
   for (const candidate& each : candidates) {
-    if (each.end.position == 0 && HadEntries(state)) {
+    if (each.end.position == 0 && MayHaveHadEntries(state, group)) {
       continue;
     }
     const bool has_primary_log =
@@ -262,7 +267,7 @@
       LastMemberLeftAt(state, state.primary);
   const bool is_empty = !candidates.empty() &&
                         candidates.front().end.position == 0 &&
-                        HadEntries(state);
+                        MayHaveHadEntries(state, group);
   if (!last_left_at.has_value() && !is_empty && !IsPrimaryAlone(state)) {
     return chosen;
   }
--- a/test/sassafraswick/failover/lasting_outage_test.cc
+++ b/test/sassafraswick/failover/lasting_outage_test.cc
@@ -87,5 +87,62 @@
   }
 }
 
+/// Returns two instances that have started with an empty log, in a group of
+/// which nobody else is left.
+group_health OnlyEmpty() {
+  group_health group = {Instance("d", false, 0, At(2000)),
+                        Instance("e", false, 0, At(2000))};
+  for (instance_health& instance : group) {
+    instance.status->term = 0;
+    instance.status->received = log_point();
+  }
+  return group;
+}
+
+/// Advances the replacement of an unknown primary until its fence is complete.
+void PauseAll(replacement_state& state, group_health& group, int from) {
+  REQUIRE(Contains(Advance(state, group, from, from + 900),
+                   replacement_action_kind::kPauseReplication, "e"));
+  for (instance_health& instance : group) {
+    instance.status->paused_term = state.term;
+    RecordFenced(
+        state, group,
+        {replacement_action_kind::kPauseReplication, instance.id, state.term},
+        *instance.status, At(from + 900));
+  }
+}
+
+// Guards against: a group's term was forgotten with the last instance that knew
+// it, and with it that there had been entries, so that an empty instance passed
+// as the most advanced. Seen with: review/12.
+TEST_CASE("an empty instance is not proved once all others have left",
+          "[replacement][lasting_outage]") {
+  group_health group = OnlyEmpty();
+  SECTION("as the holder remembers") {
+    replacement_state state = Watching();
+    PauseAll(state, group, 2050);
+    CHECK(state.term == 2);
+    CHECK_FALSE(Promotes(Advance(state, group, 3000, 9000)));
+  }
+  SECTION("under a holder that has seen none of them") {
+    replacement_state state;
+    state.list_read_at = At(1'000'000);
+    PauseAll(state, group, 2050);
+    CHECK_FALSE(Promotes(Advance(state, group, 3000, 9000)));
+  }
+  SECTION("but it is if the last primary had no entries either") {
+    replacement_state state;
+    state.list_read_at = At(1'000'000);
+    group[0].status->term = 1;
+    group[1].status->term = 1;
+    group.push_back(Instance("f", true, 0, At(2000)));
+    CHECK(Advance(state, group, 2000, 2050).empty());
+    group[2].silent_since = At(2050);
+    PauseAll(state, group, 2100);
+    CHECK(Promotes(Advance(state, group, 3000, 4000)));
+    CHECK(state.proof == choice_proof::kMostAdvanced);
+  }
+}
+
 }  // namespace
 }  // namespace sassafraswick
