Don't let a fence wait for instances that stopped as announced

Cause: only another process at its address counted as the end of a process. An instance that announced its stop doesn't start again once it has left: nothing at its address can confirm a write, and a next process there has its own entry and is fenced as a new instance. It ended now if it announced its stop, its entry is gone and it refuses. What it may have confirmed still bounds the choice. One that is merely silent, still listed, or that crashed is waited for as before.

--- a/src/sassafraswick/failover/fence.cc
+++ b/src/sassafraswick/failover/fence.cc
@@ -54,7 +54,7 @@
                      const group_health& group) {
   const bool has_others = std::any_of(
       group.begin(), group.end(), [&state](const instance_health& each) {
-        return each.id != state.primary && !each.replaced;
+        return each.id != state.primary && !HasEnded(each);
       });
   return has_others && ListUnfenced(state, group).empty();
 }
@@ -72,7 +72,7 @@
                             state.phase == replacement_phase::kPromoting ||
                             now - state.since >= settings.retry_interval;
   for (const instance_health& instance : group) {
-    if (instance.replaced ||
+    if (HasEnded(instance) ||
         MayBeReturnedPrimary(state, group, instance, settings, now)) {
       continue;
     }
@@ -97,7 +97,7 @@
                                       const group_health& group) {
   std::vector<std::string> unfenced;
   for (const instance_health& instance : group) {
-    if (instance.id != state.primary && !instance.replaced &&
+    if (instance.id != state.primary && !HasEnded(instance) &&
         !state.paused.contains(instance.id)) {
       unfenced.push_back(instance.id);
     }
--- a/src/sassafraswick/failover/loss_detection.cc
+++ b/src/sassafraswick/failover/loss_detection.cc
@@ -77,6 +77,12 @@
          !instance.refused_since.has_value();
 }
 
+bool HasEnded(const instance_health& instance) {
+  return instance.replaced ||
+         (instance.has_announced_stop && !instance.listed &&
+          instance.refused_since.has_value());
+}
+
 bool HasJustResponded(const instance_health& instance,
                       const replacement_settings& settings, time_point now) {
   return IsResponsive(instance) &&
--- a/src/sassafraswick/failover/loss_detection.h
+++ b/src/sassafraswick/failover/loss_detection.h
@@ -29,6 +29,11 @@
 /// has not ended since.
 [[nodiscard]] bool IsResponsive(const instance_health& instance);
 
+/// Returns whether an instance's process has ended for good: another one runs
+/// at its address, or it announced its stop, its entry is gone and nothing
+/// listens there. A next process at the address has its own entry.
+[[nodiscard]] bool HasEnded(const instance_health& instance);
+
 /// Returns whether an instance answered a request that was sent at most
 /// `heard_within` ago, so that the process that answered still runs.
 [[nodiscard]] bool HasJustResponded(const instance_health& instance,
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -96,7 +96,7 @@
                         const group_health& group) {
   return static_cast<std::size_t>(std::count_if(
       group.begin(), group.end(), [&state](const instance_health& instance) {
-        return instance.id != state.primary && !instance.replaced;
+        return instance.id != state.primary && !HasEnded(instance);
       }));
 }
 
--- a/test/sassafraswick/failover/lasting_outage_test.cc
+++ b/test/sassafraswick/failover/lasting_outage_test.cc
@@ -144,5 +144,47 @@
   }
 }
 
+// Guards against: a fence waited for instances that had announced their stop
+// and had gone, until they were forgotten 10 s later. Seen with: review/12.
+TEST_CASE("a fence does not wait for an instance that has stopped",
+          "[replacement][lasting_outage]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  group[2].leaving = true;
+  group[2].has_announced_stop = true;
+  group[2].listed = false;
+  group[2].silent_since = At(2300);
+  group[2].refused_since = At(2300);
+  RecordPause(state, group, 1, 11, 2465);
+  SECTION("but what it may have confirmed counts in the choice") {
+    CHECK_FALSE(Promotes(Advance(state, group, 2500, 3500)));
+    CHECK(state.phase == replacement_phase::kWaiting);
+  }
+  SECTION("and orders another if that is bounded") {
+    // It has left while the primary led, and `b` has what the primary had then.
+    state.members.erase({"c", time_point()});
+    group[2].seen_since = At(1);
+    state.members[{"c", At(1)}] = {{1, 10}, At(2100), log_point{1, 10}};
+    CHECK(Contains(Advance(state, group, 2500, 3100),
+                   replacement_action_kind::kPromote, "b"));
+    CHECK(state.proof == choice_proof::kMostAdvanced);
+  }
+  SECTION("it is waited for if it has not announced that") {
+    group[2].has_announced_stop = false;
+    CHECK(Advance(state, group, 2500, 3500).size() > 0);
+    CHECK(state.phase == replacement_phase::kFencing);
+  }
+  SECTION("it is waited for while it is merely silent") {
+    group[2].refused_since.reset();
+    CHECK(Advance(state, group, 2500, 3500).size() > 0);
+    CHECK(state.phase == replacement_phase::kFencing);
+  }
+  SECTION("it is waited for if it has an entry again") {
+    group[2].listed = true;
+    CHECK(Advance(state, group, 2500, 3500).size() > 0);
+    CHECK(state.phase == replacement_phase::kFencing);
+  }
+}
+
 }  // namespace
 }  // namespace sassafraswick
