Ask other hosts what they have passed on before a successor is chosen

It waits for no answer. Earlier builds ignore the question; a holder of an earlier build doesn't ask.

--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -247,6 +247,14 @@
   return state.list_read_at >= ListNeededAt(state);
 }
 
+bool AwaitsAcknowledged(const replacement_state& state,
+                        const replacement_settings& settings,
+                        time_point asked_at, time_point now) {
+  return state.phase == replacement_phase::kWaiting &&
+         (asked_at < state.fenced_at ||
+          now - asked_at >= settings.retry_interval);
+}
+
 promotion_choice ChooseInstance(const replacement_state& state,
                                 const group_health& group,
                                 const replacement_settings& settings,
--- a/src/sassafraswick/failover/successor_choice.h
+++ b/src/sassafraswick/failover/successor_choice.h
@@ -25,6 +25,14 @@
 /// Returns whether the list of instances was read at that time or later.
 [[nodiscard]] bool IsListComplete(const replacement_state& state);
 
+/// Returns whether the choice depends on what other hosts have passed on, for
+/// which the caller should then ask them again. What the primary acknowledged
+/// last may arrive at a host after it has answered once.
+/// @param asked_at When the caller asked last.
+[[nodiscard]] bool AwaitsAcknowledged(const replacement_state& state,
+                                      const replacement_settings& settings,
+                                      time_point asked_at, time_point now);
+
 /// Chooses an instance that has every acknowledged write; without proof only
 /// once `member_return_timeout` has passed.
 [[nodiscard]] promotion_choice ChooseInstance(
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -13,6 +13,7 @@
 #include "sassafraswick/failover/promotion_order.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/failover/step_down_relay.h"
+#include "sassafraswick/failover/successor_choice.h"
 #include "sassafraswick/gateway/earlier_orders.h"
 #include "sassafraswick/gateway/failover_log.h"
 #include "sassafraswick/gateway/fleet_agent.h"
@@ -86,6 +87,8 @@
     /// When each instance was last sent a status request.
     std::map<std::string, time_point> status_requested_at;
     time_point fence_logged_at;
+    /// When other hosts were asked what they have passed on.
+    time_point asked_at;
     /// What was ordered before this host's claim of the lease is known.
     bool has_adopted = false;
     /// Of the record of the last order.
@@ -129,6 +132,10 @@
     if (AwaitsList(watched.state, now)) {
       fleet_.RequestTargets();
     }
+    if (AwaitsAcknowledged(watched.state, settings_, watched.asked_at, now)) {
+      watched.asked_at = now;
+      fleet_.Acknowledged().Ask(group->Name());
+    }
     OnPhase(*group, watched, previous_phase);
     OnOrder(group->Name(), watched, previous_order, now);
     LogIncompleteFenceRarely(*group, watched, now);
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -12,6 +12,7 @@
 #include "sassafraswick/core/deflate.h"
 #include "sassafraswick/core/log.h"
 #include "sassafraswick/fleet/version_catch_up.h"
+#include "sassafraswick/gateway/acknowledged_exchange.h"
 #include "sassafraswick/gateway/connection_lender.h"
 #include "sassafraswick/gateway/gateway_platform.h"
 #include "sassafraswick/gateway/gateway_state.h"
@@ -71,6 +72,14 @@
             [this](const std::string& route, message::envelope envelope) {
               Respond(route, std::move(envelope));
             }),
+        acknowledged_(
+            gateway, registry_, host_,
+            [this](const std::string& to, message::envelope envelope) {
+              SendTo(to, std::move(envelope));
+            },
+            [this](const std::string& route, message::envelope envelope) {
+              Respond(route, std::move(envelope));
+            }),
         orders_(platform, gateway, calls_,
                 [this](store_era era) { ObserveEra(era); }),
         registration_(
@@ -154,6 +163,10 @@
       step_downs_.HandleRequest(received, route);
     } else if (received.has_step_down_answer()) {
       step_downs_.HandleAnswer(received.step_down_answer());
+    } else if (received.has_acknowledged_question()) {
+      acknowledged_.HandleQuestion(received.acknowledged_question(), route);
+    } else if (received.has_acknowledged_answer()) {
+      acknowledged_.HandleAnswer(received.acknowledged_answer());
     } else if (received.has_configuration_request()) {
       SendRecord(route);
     } else if (received.has_configuration_record()) {
@@ -179,6 +192,11 @@
   /// Step-downs that other hosts carry out for this one.
   [[nodiscard]] step_down_exchange<codec>& StepDowns() { return step_downs_; }
 
+  /// Asks other hosts what they have passed on.
+  [[nodiscard]] acknowledged_exchange<codec>& Acknowledged() {
+    return acknowledged_;
+  }
+
   /// Orders of the holder of the failover lease, as kept in the store.
   [[nodiscard]] order_records<Platform>& Orders() { return orders_; }
 
@@ -547,6 +565,7 @@
   proof_exchange<codec> proofs_;
   connection_lender<codec> lender_;
   step_down_exchange<codec> step_downs_;
+  acknowledged_exchange<codec> acknowledged_;
   order_records<Platform> orders_;
   registration<Platform> registration_;
   store_watcher<Platform> watcher_;
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -356,15 +356,20 @@
                       term_number term) {
     const std::optional<log_point> lowest =
         LowestCommitPosition(known_before, term);
-    if (sync_replicas_ > 0 && lowest.has_value() &&
-        IsBehind(acknowledged_, *lowest)) {
-      acknowledged_ = *lowest;
+    if (sync_replicas_ > 0 && lowest.has_value()) {
+      LearnAcknowledged(*lowest);
     }
   }
 
-  /// Returns the most advanced position that a commit must have whose
-  /// acknowledgement this host has passed on. An instance behind it lacks the
-  /// commit.
+  /// Records that a commit was acknowledged, by this or another host, which an
+  /// instance behind a position lacks.
+  void LearnAcknowledged(const log_point& position) {
+    if (IsBehind(acknowledged_, position)) {
+      acknowledged_ = position;
+    }
+  }
+
+  /// Returns the most advanced position that was recorded.
   [[nodiscard]] const log_point& Acknowledged() const { return acknowledged_; }
 
   /// Records a response that only a primary can give.
--- a/test/sassafraswick/failover/successor_choice_test.cc
+++ b/test/sassafraswick/failover/successor_choice_test.cc
@@ -87,5 +87,19 @@
   }
 }
 
+TEST_CASE("other hosts are asked what they passed on once the fence holds",
+          "[replacement][acknowledged]") {
+  group_health group;
+  replacement_state state = Watching();
+  CHECK_FALSE(AwaitsAcknowledged(state, kSettings, time_point(), At(2000)));
+  group = FenceUnresponsivePrimary(state);
+  CHECK_FALSE(AwaitsAcknowledged(state, kSettings, time_point(), At(2460)));
+  RecordPause(state, group, 1, 11, 2465);
+  RecordPause(state, group, 2, 12, 2470);
+  CHECK(AwaitsAcknowledged(state, kSettings, At(2460), At(2500)));
+  CHECK_FALSE(AwaitsAcknowledged(state, kSettings, At(2500), At(2700)));
+  CHECK(AwaitsAcknowledged(state, kSettings, At(2500), At(2750)));
+}
+
 }  // namespace
 }  // namespace sassafraswick
