Plan no read at an instance that catches up after the read's deadline

Cause: the read slept for the time that a replica was expected to need (4 s, as the group had no primary), whatever its deadline, and was then sent to it. Nothing else was usable, and an instance that is too late was only the last choice.

One that would catch up after the deadline is no choice now. The read waits for a change of the group instead, until its dispatch deadline, or is rejected.

Measured: the new test failed before (a plan at a replica 4 s behind for a read that has 2 s) and passes now.

--- a/src/sassafraswick/gateway/read_plan.h
+++ b/src/sassafraswick/gateway/read_plan.h
@@ -119,7 +119,10 @@
         group.PickReadTarget(operation.organisation, *plan.after,
                              operation.DispatchDeadline(), tried,
                              ResponseClassOf(operation.route));
-    if (read_target.target != nullptr) {
+    // Later, the instance may have left. Another may lead before that.
+    const bool in_time =
+        monotonic_clock::now() + read_target.wait < operation.Deadline();
+    if (read_target.target != nullptr && in_time) {
       plan.target = read_target.target;
       plan.wait = read_target.wait;
       return plan;
--- a/test/sassafraswick/gateway/read_plan_test.cc
+++ b/test/sassafraswick/gateway/read_plan_test.cc
@@ -111,6 +111,41 @@
   CHECK(AvailablePrimary(*known) == nullptr);
 }
 
+// Guards against: a read slept for the time that a replica was expected to
+// need, past its own deadline, and was then sent to an instance that had left.
+// Seen with: review/12, review/15.
+TEST_CASE("a read is not planned at an instance that catches up too late",
+          "[read_plan]") {
+  boost::asio::io_context context;
+  gateway_counters counters;
+  const std::shared_ptr<group> known = GroupWithoutProof(context, counters);
+  const time_point now = monotonic_clock::now();
+  view_report report;
+  report.term = 1;
+  report.primary = "a";
+  report.position = 10;
+  known->ApplyReport(report, now);
+  known->SetLeaveWithin(std::chrono::seconds(10));
+  known->Unlist("a", now - std::chrono::seconds(60));
+  for (const char* const id : {"b", "c"}) {
+    replica_progress& progress = known->Find(id)->progress;
+    progress.observed_at = now;
+    progress.visible_point = {1, 1};
+    progress.lag = std::chrono::milliseconds(500);
+  }
+  operation_context operation =
+      MakeOperation(read_consistency::kBoundedStaleness);
+  operation.route.statement_timeout = std::chrono::seconds(2);
+  const read_plan<platform::line_codec> soon = PlanRead(*known, operation, {});
+  REQUIRE(soon.target != nullptr);
+  CHECK(soon.wait > duration::zero());
+  for (const char* const id : {"b", "c"}) {
+    known->Find(id)->progress.lag = std::chrono::milliseconds(4000);
+  }
+  const read_plan<platform::line_codec> late = PlanRead(*known, operation, {});
+  CHECK(late.target == nullptr);
+}
+
 TEST_CASE("an instance that warms up serves reads only if no other can",
           "[read_plan]") {
   boost::asio::io_context context;
