Order the last copies of the log before they leave

Cause: instances that leave were chosen only after `catch_up_timeout`, also when all others had paused, so that nobody could catch up meanwhile; and nothing told which of them stays longest.

Of proved instances that leave, the one that began to leave last is ordered now, and as soon as nobody who stays can still become the choice: all who stay have paused, and no proved one is merely silent. Once it leads the others copy from it.

--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -46,6 +46,8 @@
   term_number led_term = 0;
   /// The instance announced that it will stop, or is no longer listed.
   bool leaving = false;
+  /// Since when `leaving` holds.
+  time_point leaving_since;
   bool listed = true;
   /// Its own entry announced that it will stop.
   bool has_announced_stop = false;
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -29,6 +29,7 @@
   std::string id;
   log_point end;
   bool leaving = false;
+  time_point leaving_since;
   usability usable = usability::kNone;
   /// Since when it has not responded.
   std::optional<time_point> unusable_since;
@@ -41,7 +42,11 @@
   if (left.usable != right.usable) {
     return left.usable < right.usable;
   }
-  return !left.leaving && right.leaving;
+  if (left.leaving != right.leaving) {
+    return right.leaving;
+  }
+  // The one that began to leave last stays longest.
+  return left.leaving && right.leaving_since < left.leaving_since;
 }
 
 usability UsabilityOf(const replacement_state& state,
@@ -81,10 +86,10 @@
         std::max(instance.silent_since, instance.refused_since);
     if (current) {
       found.push_back({instance.id, instance.status->received, instance.leaving,
-                       usable, unusable_since});
+                       instance.leaving_since, usable, unusable_since});
     } else if (paused != state.paused.end()) {
       found.push_back({instance.id, paused->second.received, instance.leaving,
-                       usable, unusable_since});
+                       instance.leaving_since, usable, unusable_since});
     }
   }
   std::sort(found.begin(), found.end(), IsBetter);
@@ -121,10 +126,20 @@
   return state.order.has_value() && state.order->instance == each.id;
 }
 
+/// Returns whether an instance that stays may still receive entries: it
+/// responds and has not paused.
+bool MayCatchUp(const replacement_state& state, const group_health& group) {
+  return std::any_of(
+      group.begin(), group.end(), [&state](const instance_health& each) {
+        return each.id != state.primary && !each.leaving &&
+               IsResponsive(each) && !state.paused.contains(each.id);
+      });
+}
+
 /// Chooses among instances that provably have every acknowledged write.
-/// Instances that leave or do not respond are chosen only after
-/// `catch_up_timeout`. Behind a fence by pauses, an outage of the store does
-/// not prevent a promotion.
+/// Instances that do not respond are chosen only after `catch_up_timeout`, and
+/// those that leave, too, while one that stays may respond or catch up. Behind
+/// a fence by pauses, an outage of the store does not prevent a promotion.
 promotion_choice ChooseProved(const replacement_state& state,
                               const group_health& group,
                               const std::vector<candidate>& candidates,
@@ -139,7 +154,9 @@
                          !IsPrimaryAlone(state) &&
                          !LastMemberLeftAt(state, state.primary).has_value();
   promotion_choice ready;
+  promotion_choice leaving;
   promotion_choice late;
+  bool awaits_staying = MayCatchUp(state, group);
   for (const candidate& each : candidates) {
     if (each.end.position == 0 && MayHaveHadEntries(state, group)) {
       continue;
@@ -157,17 +174,24 @@
                                             ? choice_proof::kHasPrimaryLog
                                             : choice_proof::kMostAdvanced};
     const bool is_ordered = WasOrdered(state, each);
-    const bool is_ready = !each.leaving && each.usable == usability::kResponds;
-    if (is_ready && (is_ordered || ready.id.empty())) {
+    const bool responds = each.usable == usability::kResponds;
+    awaits_staying = awaits_staying || !each.leaving;
+    if (responds && !each.leaving && (is_ordered || ready.id.empty())) {
       ready = choice;
     } else if (is_ordered || late.id.empty()) {
       late = choice;
     }
+    if (responds && (is_ordered || leaving.id.empty())) {
+      leaving = choice;
+    }
   }
   if (!ready.id.empty()) {
     return ready;
   }
-  return timed_out ? late : promotion_choice();
+  if (timed_out) {
+    return late;
+  }
+  return awaits_staying ? promotion_choice() : leaving;
 }
 
 /// Returns since when the old primary, which may have the only copy of what
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -555,6 +555,8 @@
     for (const target_pointer& target : targets_) {
       health.push_back(target->health);
       health.back().has_announced_stop = target->record.leaving;
+      health.back().leaving_since =
+          target->leaving_since.value_or(time_point());
     }
     return health;
   }
--- a/test/sassafraswick/failover/lasting_outage_test.cc
+++ b/test/sassafraswick/failover/lasting_outage_test.cc
@@ -186,5 +186,45 @@
   }
 }
 
+/// Lets an instance announce its stop.
+void Leave(instance_health& instance, int now) {
+  instance.leaving = true;
+  instance.has_announced_stop = true;
+  instance.leaving_since = At(now);
+}
+
+// Guards against: of the last instances with the log, all about to leave, one
+// was ordered that had gone before the order took effect, as it came first and
+// the order waited for others, which were paused. Seen with: review/12.
+TEST_CASE("of leaving instances the one that stays longest is ordered at once",
+          "[replacement][lasting_outage]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  group.push_back(Instance("d", false, 0, At(2460)));
+  Leave(group[1], 1000);
+  Leave(group[2], 1500);
+  RecordPause(state, group, 1, 12, 2465);
+  RecordPause(state, group, 2, 12, 2470);
+  SECTION("if nobody who stays can catch up") {
+    RecordPause(state, group, 3, 0, 2475);
+    CHECK(Contains(Advance(state, group, 2500, 3050),
+                   replacement_action_kind::kPromote, "c"));
+    CHECK(state.proof == choice_proof::kMostAdvanced);
+  }
+  SECTION("not while one that stays and has the log may respond") {
+    RecordPause(state, group, 3, 12, 2475);
+    group[3].silent_since = At(2480);
+    CHECK_FALSE(Promotes(Advance(state, group, 2500, 3900)));
+    CHECK(Promotes(Advance(state, group, 3900, 4100)));
+  }
+  SECTION("not while one that stays still receives entries") {
+    RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
+                 instance_status{1, false, {1, 12}, 0}, At(2480));
+    CHECK_FALSE(Promotes(Advance(state, group, 2500, 3900)));
+    CHECK(Contains(Advance(state, group, 3900, 4100),
+                   replacement_action_kind::kPromote, "c"));
+  }
+}
+
 }  // namespace
 }  // namespace sassafraswick
