Replace a primary that has stepped down unheard at once

Callers saw: after a replacement that ended as its primary was back, a step-down that was still under way made it step down, and the group waited `orphaned_after`, 300 ms, before the next one began.

Weighed: to go on with a replacement while its step-downs may arrive. These may be seconds late through other hosts, so that a primary that leads again would be replaced for nothing after each short cut. The next replacement is cheap now: the wait is for a primary that may show up, and one that responds as a replica of the term that it led doesn't lead again without a promotion.

--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -79,6 +79,20 @@
   return actions;
 }
 
+/// Returns whether the process that led last responds as a replica of its term.
+/// It doesn't lead again without a promotion.
+bool HasSteppedDown(const replacement_state& state, const group_health& group) {
+  const instance_health* const primary = FindLastPrimary(state, group);
+  if (primary == nullptr || !IsResponsive(*primary)) {
+    return false;
+  }
+  const auto member = state.members.find(ProcessOf(*primary));
+  return !primary->status->is_primary &&
+         primary->status->term == state.members_term &&
+         (member == state.members.end() ||
+          !IsBehind(primary->status->received, member->second.received));
+}
+
 action_list Watch(replacement_state& state, const group_health& group,
                   const replacement_settings& settings, time_point now) {
   const instance_health* const current_primary = FindCurrentPrimary(group);
@@ -101,7 +115,8 @@
     state.since = now;
   }
   const bool must_wait = cause == replacement_cause::kOrphaned &&
-                         now - state.since < settings.orphaned_after;
+                         now - state.since < settings.orphaned_after &&
+                         !HasSteppedDown(state, group);
   if (cause == replacement_cause::kNone || must_wait) {
     return CleanUpAbandoned(state, group, settings, now);
   }
--- a/test/sassafraswick/failover/lasting_outage_test.cc
+++ b/test/sassafraswick/failover/lasting_outage_test.cc
@@ -34,6 +34,9 @@
   REQUIRE(Contains(fence, replacement_action_kind::kStepDown, "a"));
   const replacement_action step_down = {replacement_action_kind::kStepDown, "a",
                                         2};
+  SECTION("it is not waited for, as it does not lead again by itself") {
+    CHECK(state.since == At(2050));
+  }
   SECTION("its step-down completes the fence, and its log bounds the choice") {
     RecordFenced(state, group, step_down, *group[0].status, At(2510));
     CHECK(state.phase == replacement_phase::kWaiting);
