--- a/test/sassafraswick/failover/lasting_outage_test.cc
+++ b/test/sassafraswick/failover/lasting_outage_test.cc
@@ -174,17 +174,17 @@
   }
   SECTION("it is waited for if it has not announced that") {
     group[2].has_announced_stop = false;
-    CHECK(Advance(state, group, 2500, 3500).size() > 0);
+    CHECK_FALSE(Advance(state, group, 2500, 3500).empty());
     CHECK(state.phase == replacement_phase::kFencing);
   }
   SECTION("it is waited for while it is merely silent") {
     group[2].refused_since.reset();
-    CHECK(Advance(state, group, 2500, 3500).size() > 0);
+    CHECK_FALSE(Advance(state, group, 2500, 3500).empty());
     CHECK(state.phase == replacement_phase::kFencing);
   }
   SECTION("it is waited for if it has an entry again") {
     group[2].listed = true;
-    CHECK(Advance(state, group, 2500, 3500).size() > 0);
+    CHECK_FALSE(Advance(state, group, 2500, 3500).empty());
     CHECK(state.phase == replacement_phase::kFencing);
   }
 }
