--- a/test/sassafraswick/failover/lasting_outage_test.cc
+++ b/test/sassafraswick/failover/lasting_outage_test.cc
@@ -34,6 +34,9 @@
   REQUIRE(Contains(fence, replacement_action_kind::kStepDown, "a"));
   const replacement_action step_down = {replacement_action_kind::kStepDown, "a",
                                         2};
+  SECTION("it is not waited for, as it does not lead again by itself") {
+    CHECK(state.since == At(2050));
+  }
   SECTION("its step-down completes the fence, and its log bounds the choice") {
     RecordFenced(state, group, step_down, *group[0].status, At(2510));
     CHECK(state.phase == replacement_phase::kWaiting);
@@ -171,20 +174,60 @@
   }
   SECTION("it is waited for if it has not announced that") {
     group[2].has_announced_stop = false;
-    CHECK(Advance(state, group, 2500, 3500).size() > 0);
+    CHECK_FALSE(Advance(state, group, 2500, 3500).empty());
     CHECK(state.phase == replacement_phase::kFencing);
   }
   SECTION("it is waited for while it is merely silent") {
     group[2].refused_since.reset();
-    CHECK(Advance(state, group, 2500, 3500).size() > 0);
+    CHECK_FALSE(Advance(state, group, 2500, 3500).empty());
     CHECK(state.phase == replacement_phase::kFencing);
   }
   SECTION("it is waited for if it has an entry again") {
     group[2].listed = true;
-    CHECK(Advance(state, group, 2500, 3500).size() > 0);
+    CHECK_FALSE(Advance(state, group, 2500, 3500).empty());
     CHECK(state.phase == replacement_phase::kFencing);
   }
 }
 
+/// Lets an instance announce its stop.
+void Leave(instance_health& instance, int now) {
+  instance.leaving = true;
+  instance.has_announced_stop = true;
+  instance.leaving_since = At(now);
+}
+
+// Guards against: of the last instances with the log, all about to leave, one
+// was ordered that had gone before the order took effect, as it came first and
+// the order waited for others, which were paused. Seen with: review/12.
+TEST_CASE("of leaving instances the one that stays longest is ordered at once",
+          "[replacement][lasting_outage]") {
+  replacement_state state = Watching();
+  group_health group = FenceUnresponsivePrimary(state);
+  group.push_back(Instance("d", false, 0, At(2460)));
+  Leave(group[1], 1000);
+  Leave(group[2], 1500);
+  RecordPause(state, group, 1, 12, 2465);
+  RecordPause(state, group, 2, 12, 2470);
+  SECTION("if nobody who stays can catch up") {
+    RecordPause(state, group, 3, 0, 2475);
+    CHECK(Contains(Advance(state, group, 2500, 3050),
+                   replacement_action_kind::kPromote, "c"));
+    CHECK(state.proof == choice_proof::kMostAdvanced);
+  }
+  SECTION("not while one that stays and has the log may respond") {
+    RecordPause(state, group, 3, 12, 2475);
+    group[3].silent_since = At(2480);
+    CHECK_FALSE(Promotes(Advance(state, group, 2500, 3900)));
+    CHECK(Promotes(Advance(state, group, 3900, 4100)));
+  }
+  SECTION("not while one that stays still receives entries") {
+    RecordFenced(state, group, {replacement_action_kind::kStepDown, "a", 2},
+                 instance_status{1, false, {1, 12}, 0}, At(2480));
+    CHECK_FALSE(Promotes(Advance(state, group, 2500, 3900)));
+    CHECK(Contains(Advance(state, group, 3900, 4100),
+                   replacement_action_kind::kPromote, "c"));
+  }
+}
+
 }  // namespace
 }  // namespace sassafraswick
