Simulate instances that the store lists seconds late

With the focus late_entries half of the entries come 1 to 6 s late, and primaries are partitioned from their replicas while others start.

--- a/test/sassafraswick/failover/model.h
+++ b/test/sassafraswick/failover/model.h
@@ -197,6 +197,9 @@
   /// Asks the other hosts to make a primary step down.
   void RelayStepDown(host& self, const replacement_action& action);
 
+  /// Asks the other hosts what they have passed on.
+  void AskAcknowledged(host& self);
+
   void RecordFenceStatus(host& self, const replacement_action& action,
                          const instance_status& status);
 
@@ -279,8 +282,8 @@
   void SendWrite(host& self);
 
   /// Handles the response to a write.
-  void Acknowledge(host& self, const std::string& id, std::uint64_t number,
-                   log_point end, time_point requested_at);
+  void Acknowledge(host& self, held_acknowledgement held, log_point end,
+                   time_point requested_at);
 
   /// Acknowledges a write to the caller once that is proved to be allowed. At
   /// the deadline its result is in doubt.
@@ -338,6 +341,13 @@
   void CrashBoth(instance& primary, instance& replica, duration between,
                  duration length);
 
+  /// Partitions the primary from all other instances, and lets another start
+  /// then.
+  void JoinCutOff(const instance& primary, instance& other, duration length);
+
+  /// Draws the time from an instance's start to its first entry.
+  duration EntryDelay();
+
   /// Lets responses to orders get lost, while a replica is partitioned from
   /// the holder of the failover lease.
   void LoseOrders(host& holder, instance& replica, duration length);
--- a/test/sassafraswick/failover/model_callers.cc
+++ b/test/sassafraswick/failover/model_callers.cc
@@ -25,38 +25,44 @@
 void model::SendWrite(host& self) {
   const time_point requested_at = now_;
   const std::string id = self.view.primary;
+  std::optional<log_point> known_before;
+  if (!self.view.positions.empty()) {
+    known_before = self.view.positions.back().position;
+  }
   PrepareCommit(self);
-  After(MessageDelay(), [this, &self, id, requested_at] {
+  After(MessageDelay(), [this, &self, id, known_before, requested_at] {
     instance& to = Find(id);
     if (!to.running || !to.is_primary || unresponsive_.contains(id) ||
         IsPartitioned(self.name, id)) {
       return;
     }
-    const std::uint64_t number = last_number_ + 1;
-    Write(to, [this, &self, id, number, requested_at](log_point end) {
+    const held_acknowledgement held{id, last_number_ + 1, known_before};
+    Write(to, [this, &self, id, held, requested_at](log_point end) {
       if (unresponsive_.contains(id) || IsPartitioned(self.name, id)) {
         return;
       }
-      AtHost(self, MessageDelay(),
-             [this, &self, id, number, requested_at, end] {
-               Acknowledge(self, id, number, end, requested_at);
-             });
+      AtHost(self, MessageDelay(), [this, &self, held, requested_at, end] {
+        Acknowledge(self, held, end, requested_at);
+      });
     });
   });
 }
 
-void model::Acknowledge(host& self, const std::string& id, std::uint64_t number,
-                        log_point end, time_point requested_at) {
+void model::Acknowledge(host& self, held_acknowledgement held, log_point end,
+                        time_point requested_at) {
   const status_response response{{}, end};
-  RecordResponse(self, id, response, requested_at);
-  RecordPrimary(self.view, id, end.term);
+  RecordResponse(self, held.id, response, requested_at);
+  RecordPrimary(self.view, held.id, end.term);
   const bool proves = IsCommitProved(self.replication, end.term, now_) ||
                       options_.bug == injected_bug::kPassOnUnproved;
-  if (id == self.view.primary && proves) {
+  if (held.id == self.view.primary && proves) {
     RecordProof(self.view, end.term, requested_at);
     RecordReplication(self.replication, {end.term, requested_at});
   }
-  PassOn(self, {id, number, end.term, now_, requested_at + kStatementTimeout});
+  held.term = end.term;
+  held.acknowledged_at = now_;
+  held.deadline = requested_at + kStatementTimeout;
+  PassOn(self, held);
 }
 
 void model::PassOn(host& self, const held_acknowledgement& held) {
@@ -84,6 +90,11 @@
                     held.id + " after it was replaced, and acknowledged by " +
                     self.name);
   }
+  const std::optional<log_point> lowest =
+      sassafraswick::LowestCommitPosition(held.known_before, held.term);
+  if (lowest.has_value() && IsBehind(self.acknowledged, *lowest)) {
+    self.acknowledged = *lowest;
+  }
   acknowledged_.insert(number);
   self.last_write_at = now_;
   acknowledged_at_[number] = now_;
--- a/test/sassafraswick/failover/model_faults.cc
+++ b/test/sassafraswick/failover/model_faults.cc
@@ -11,6 +11,7 @@
 constexpr int kFirstProcessFault = 13;
 constexpr int kLastProcessFault = 18;
 constexpr int kLostOrder = 19;
+constexpr int kCutOffBesideStart = 20;
 constexpr int kRestoredStore = 12;
 
 }  // namespace
@@ -21,6 +22,9 @@
   if (are_orders_drawn && Chance(60)) {
     return kLostOrder;
   }
+  if (options_.focus == fault_focus::kLateEntries && Chance(60)) {
+    return kCutOffBesideStart;
+  }
   if (options_.focus == fault_focus::kStore && Chance(60)) {
     return kRestoredStore;
   }
@@ -74,6 +78,8 @@
     case kLostOrder:
       LoseOrders(holder, other, length);
       return CrashAnyhow(primary, length);
+    case kCutOffBesideStart:
+      return JoinCutOff(primary, other, length);
     case 1:
       return InjectInstanceFault(unresponsive_, primary.id, length,
                                  "unresponsive:");
@@ -114,6 +120,25 @@
   }
 }
 
+void model::JoinCutOff(const instance& primary, instance& other,
+                       duration length) {
+  for (const instance& each : instances_) {
+    Partition(primary.id, each.id, length);
+  }
+  After(RandomDuration(milliseconds(1500)),
+        [this, &other, length] { Release(other, length); });
+}
+
+duration model::EntryDelay() {
+  constexpr int kLatePercent = 50;
+  const duration delay = RandomDuration(kFirstEntryDelay);
+  const bool is_late =
+      options_.focus == fault_focus::kLateEntries && Chance(kLatePercent);
+  return is_late ? kMinEntryLateness +
+                       RandomDuration(kMaxEntryLateness - kMinEntryLateness)
+                 : delay;
+}
+
 host& model::Holder() {
   for (host& each : hosts_) {
     if (each.name == store_.holder) {
@@ -177,7 +202,7 @@
   After(length, [this, &each] {
     each.running = true;
     each.draining = false;
-    After(RandomDuration(kFirstEntryDelay), [this, &each] { Register(each); });
+    After(EntryDelay(), [this, &each] { Register(each); });
     each.paused_term = 0;
     each.start_id = ++last_start_;
     ++each.incarnation;
--- a/test/sassafraswick/failover/model_processes.cc
+++ b/test/sassafraswick/failover/model_processes.cc
@@ -23,7 +23,7 @@
   ++report_.processes;
   Trace("start " + id + " at " + std::to_string(address));
   After(milliseconds(20), [this, &started] { ApplyLog(started); });
-  After(RandomDuration(kFirstEntryDelay), [this, &started] { Beat(started); });
+  After(EntryDelay(), [this, &started] { Beat(started); });
   After(MessageDelay(), [this, &started] { JoinAnyPrimary(started); });
   return started;
 }
--- a/test/sassafraswick/failover/model_promoter.cc
+++ b/test/sassafraswick/failover/model_promoter.cc
@@ -5,6 +5,7 @@
 
 #include "sassafraswick/failover/group_members.h"
 #include "sassafraswick/failover/step_down_relay.h"
+#include "sassafraswick/failover/successor_choice.h"
 #include "test/sassafraswick/failover/model.h"
 
 namespace promotion_model {
@@ -35,6 +36,9 @@
   // Behind a fence by pauses, the list of instances is read no earlier than the
   // lease expires, which would hide this bug.
   self.replacement.list_read_at = skip_wait ? tick_time : self.list_read_at;
+  if (options_.bug != injected_bug::kIgnoreAcknowledged) {
+    self.replacement.acknowledged = self.acknowledged;
+  }
   const bool had_order = self.replacement.order.has_value();
   for (replacement_action& action : AdvanceReplacement(
            self.replacement, GroupHealth(self), settings_, tick_time)) {
@@ -46,6 +50,9 @@
   if (AwaitsList(self.replacement, now_)) {
     ReadList(self);
   }
+  if (AwaitsAcknowledged(self.replacement, settings_, self.asked_at, now_)) {
+    AskAcknowledged(self);
+  }
   if (had_order && !self.replacement.order.has_value() &&
       self.replacement.last_order_end ==
           sassafraswick::order_end::kTookEffect) {
@@ -85,6 +92,22 @@
   }
 }
 
+void model::AskAcknowledged(host& self) {
+  self.asked_at = now_;
+  for (host& each : hosts_) {
+    if (&each == &self) {
+      continue;
+    }
+    AtHost(each, kQuestionDelay, [this, &self, &each] {
+      AtHost(self, kQuestionDelay, [&self, answer = each.acknowledged] {
+        if (IsBehind(self.acknowledged, answer)) {
+          self.acknowledged = answer;
+        }
+      });
+    });
+  }
+}
+
 void model::RecordFenceStatus(host& self, const replacement_action& action,
                               const instance_status& status) {
   if (self.is_watching) {
--- a/test/sassafraswick/failover/model_types.h
+++ b/test/sassafraswick/failover/model_types.h
@@ -56,6 +56,12 @@
 inline constexpr duration kOldPrimaryRejoinDelay = milliseconds(1000);
 inline constexpr duration kMeanOperationInterval = milliseconds(15);
 inline constexpr duration kMaxStaleness = milliseconds(1500);
+/// Time after which the question to another host and its answer arrive. Not
+/// drawn: other runs stay what they are.
+inline constexpr duration kQuestionDelay = milliseconds(4);
+/// Bounds of the delay of a late first entry.
+inline constexpr duration kMinEntryLateness = milliseconds(1000);
+inline constexpr duration kMaxEntryLateness = milliseconds(6000);
 /// Part of a run in which no fault starts: 2.5 s at its start, the rest at its
 /// end. A fault lasts up to 9 s. After it, a process that has left is awaited
 /// for 10 s after its entry is gone.
@@ -145,6 +151,8 @@
 struct held_acknowledgement {
   std::string id;
   std::uint64_t number = 0;
+  /// What was known of the primary when the write was sent.
+  std::optional<log_point> known_before;
   term_number term = 0;
   time_point acknowledged_at;
   time_point deadline;
@@ -192,6 +200,10 @@
   bool list_notified = false;
   bool list_read_pending = false;
   time_point list_read_at;
+  /// An instance behind it lacks a write that this host knows as acknowledged.
+  log_point acknowledged;
+  /// When other hosts were asked for theirs.
+  time_point asked_at;
 };
 
 struct store_state {
--- a/test/sassafraswick/failover/promotion_model.h
+++ b/test/sassafraswick/failover/promotion_model.h
@@ -39,6 +39,8 @@
   /// Acknowledgements of the primary are passed on without a proof of
   /// replication.
   kPassOnUnproved,
+  /// The choice of a successor ignores what hosts have passed on.
+  kIgnoreAcknowledged,
 };
 
 /// Faults that are drawn more often than others.
@@ -52,6 +54,9 @@
   kLateOrders,
   /// Stores that are restored from a copy, beside a primary that crashes.
   kStore,
+  /// Primaries that are partitioned from their replicas while others start.
+  /// Besides, the store lists instances seconds late.
+  kLateEntries,
 };
 
 struct model_options {
--- a/test/sassafraswick/failover/promotion_model_test.cc
+++ b/test/sassafraswick/failover/promotion_model_test.cc
@@ -81,6 +81,8 @@
       return fault_focus::kStore;
     case injected_bug::kForgetUnansweredOrder:
       return fault_focus::kLateOrders;
+    case injected_bug::kIgnoreAcknowledged:
+      return fault_focus::kLateEntries;
     default:
       return fault_focus::kNone;
   }
@@ -125,8 +127,8 @@
 
 TEST_CASE("no simulated run with many faults of a kind violates a guarantee",
           "[promotion_model]") {
-  const fault_focus focus =
-      GENERATE(fault_focus::kProcesses, fault_focus::kOrders);
+  const fault_focus focus = GENERATE(
+      fault_focus::kProcesses, fault_focus::kOrders, fault_focus::kLateEntries);
   CAPTURE(static_cast<int>(focus));
   const totals sum = SimulateSeeds(1, kSeedCount, injected_bug::kNone, focus);
   CHECK(sum.failed_seeds == 0);
@@ -153,7 +155,7 @@
       injected_bug::kIgnorePrimaryLease, injected_bug::kSkipLeaseWait,
       injected_bug::kPromoteAnyInstance, injected_bug::kIgnoreLeaseExpiry,
       injected_bug::kIgnoreStoreEra, injected_bug::kIgnoreProcessChange,
-      injected_bug::kPassOnUnproved);
+      injected_bug::kPassOnUnproved, injected_bug::kIgnoreAcknowledged);
   CAPTURE(static_cast<int>(bug));
   CHECK(FirstDetectingSeed(bug) <= kSeedCount);
 }
@@ -168,6 +170,7 @@
       {"processes", fault_focus::kProcesses},
       {"orders", fault_focus::kOrders},
       {"late_orders", fault_focus::kLateOrders},
+      {"late_entries", fault_focus::kLateEntries},
       {"store", fault_focus::kStore}};
   const auto found = names.find(name);
   return found == names.end() ? fault_focus::kNone : found->second;
