Let hosts of the simulation remember an unrecorded order over a lapse of the lease

A host whose failover lease lapses adopts its own order again if the store has no record of one (MayAdopt). The simulation forgot it, so that an order that was sent in an outage of the store was unknown to the very host that had sent it. The hosts of the simulation now decide with the production function.

--- a/test/sassafraswick/failover/model.h
+++ b/test/sassafraswick/failover/model.h
@@ -204,6 +204,9 @@
   /// failover lease.
   void BeginClaim(host& self);
 
+  /// Forgets all that a host knows under a claim, except its order.
+  static void EndClaim(host& self);
+
   void ReadEarlierOrder(host& self, sassafraswick::store_revision claim);
 
   /// Writes the record of an order. Calls `on_done` with false if the failover
--- a/test/sassafraswick/failover/model_orders.cc
+++ b/test/sassafraswick/failover/model_orders.cc
@@ -18,6 +18,7 @@
   const sassafraswick::store_revision claim =
       self.registry.failover.fencing_token;
   if (!self.is_watching || self.orders_claim != claim) {
+    EndClaim(self);
     self.is_watching = true;
     self.orders_claim = claim;
     self.replacement = sassafraswick::replacement_state();
@@ -31,13 +32,33 @@
     return;
   }
   self.replacement.awaits_earlier_orders = false;
-  if (self.earlier_order->has_value()) {
+  const bool adopts =
+      self.remembered.has_value() &&
+      MayAdopt(*self.remembered, claim, self.earlier_order->has_value(), now_);
+  if (adopts) {
+    self.replacement.order = self.remembered->order;
+    Trace(self.name + " remembers the order of " +
+          self.replacement.order->instance);
+  } else if (self.earlier_order->has_value()) {
     const sassafraswick::order_record& record = **self.earlier_order;
     Trace(self.name + " inherits the order of " + record.instance);
     InheritOrder(self.replacement, record.instance, record.requests, now_);
   }
 }
 
+void model::EndClaim(host& self) {
+  if (!std::exchange(self.is_watching, false)) {
+    return;
+  }
+  self.remembered.reset();
+  if (self.replacement.order.has_value()) {
+    self.remembered = {*self.replacement.order,
+                       {self.orders_claim.era, self.order_revision},
+                       self.orders_claim};
+  }
+  self.orders_claim = sassafraswick::store_revision();
+}
+
 void model::ReadEarlierOrder(host& self, sassafraswick::store_revision claim) {
   using optional_record = std::optional<sassafraswick::order_record>;
   const std::shared_ptr<optional_record> record =
--- a/test/sassafraswick/failover/model_promoter.cc
+++ b/test/sassafraswick/failover/model_promoter.cc
@@ -22,8 +22,7 @@
 
 void model::Watch(host& self) {
   if (!HoldsFailover(self)) {
-    self.is_watching = false;
-    self.orders_claim = sassafraswick::store_revision();
+    EndClaim(self);
     return;
   }
   BeginClaim(self);
--- a/test/sassafraswick/failover/model_types.h
+++ b/test/sassafraswick/failover/model_types.h
@@ -16,6 +16,7 @@
 #include "sassafraswick/failover/promotion_order.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/fleet/address_owners.h"
+#include "sassafraswick/gateway/earlier_orders.h"
 #include "sassafraswick/gateway/registry.h"
 
 /// @file
@@ -181,6 +182,8 @@
   std::optional<std::optional<sassafraswick::order_record>> earlier_order;
   /// Of the record of its last order; zero if unknown.
   std::int64_t order_revision = 0;
+  /// What it knew to be ordered when it lost the failover lease.
+  std::optional<sassafraswick::remembered_order> remembered;
   bool registration_pending = false;
   bool renewal_pending = false;
   bool proof_pending = false;
