--- a/test/sassafraswick/failover/model_types.h
+++ b/test/sassafraswick/failover/model_types.h
@@ -16,6 +16,7 @@
 #include "sassafraswick/failover/promotion_order.h"
 #include "sassafraswick/failover/replacement.h"
 #include "sassafraswick/fleet/address_owners.h"
+#include "sassafraswick/gateway/earlier_orders.h"
 #include "sassafraswick/gateway/registry.h"
 
 /// @file
@@ -76,6 +77,10 @@
 /// that is not listed. As in the product.
 inline constexpr duration kMissingRetention = milliseconds(2500);
 inline constexpr duration kUnlistedRetention = milliseconds(10'000);
+/// Idle time after which a host closes a scarce connection. As in the product.
+inline constexpr duration kScarceIdleTimeout = milliseconds(300);
+/// Delay of a watch of the store until a host knows that its list is current.
+inline constexpr duration kWatchDelay = milliseconds(50);
 /// Time before the end within which each host must have had a write
 /// acknowledged.
 inline constexpr duration kMaxTimeSinceWrite = milliseconds(2000);
@@ -127,6 +132,14 @@
   std::function<void(log_point)> acknowledge;
 };
 
+/// A host's connection to an instance. It ends with the process.
+struct host_connection {
+  const instance* process = nullptr;
+  std::uint64_t incarnation = 0;
+  time_point opened_at;
+  time_point used_at;
+};
+
 /// What a host knows of an instance.
 struct known_target {
   sassafraswick::target_record record;
@@ -135,6 +148,7 @@
   time_point unlisted_at;
   time_point requested_at;
   time_point answered_at;
+  host_connection connection;
 
   void RecordLeading(term_number term, time_point sent_at) {
     if (sent_at >= health.seen_since) {
@@ -145,9 +159,9 @@
 
 /// The query of a group's instances for a proof of replication.
 struct replication_check {
-  /// Instances to ask and their processes; witnesses come first.
+  /// Instances to ask and their processes; those that were witnesses by their
+  /// last status come first.
   std::vector<sassafraswick::process_key> others;
-  std::size_t witnesses = 0;
   term_number term = 0;
   bool all_replicate = true;
   std::function<void(bool)> on_result;
@@ -195,6 +209,8 @@
   std::optional<std::optional<sassafraswick::order_record>> earlier_order;
   /// Of the record of its last order; zero if unknown.
   std::int64_t order_revision = 0;
+  /// What it knew to be ordered when it lost the failover lease.
+  std::optional<sassafraswick::remembered_order> remembered;
   bool registration_pending = false;
   bool renewal_pending = false;
   bool proof_pending = false;
@@ -203,6 +219,10 @@
   std::map<std::string, known_target> targets;
   sassafraswick::address_owners owners;
   std::uint64_t list_version = 0;
+  /// When the known list was last current.
+  time_point list_current_at;
+  /// Closes idle connections, as where they are scarce.
+  bool closes_idle = false;
   bool list_notified = false;
   bool list_read_pending = false;
   time_point list_read_at;
