Send no order without a record, and remember orders over a store's era

Callers lost acknowledged commits after a failover in which the next holder of the failover lease did not know of an order: it promoted another instance, which acknowledged writes, and the order took effect then.

Cause, first: an order that had no answer of the store within 250 ms was sent without a record. If its holder ended before the store was back, nobody knew of it. Second: a record goes with a store that returns from an older copy, and its sender did not adopt the order either, as it counted as recorded.

Change: - An order is sent only once the store has its record. The write is tried again each 250 ms over another connection, under a condition on the record itself, so that an attempt that is carried out late can't replace a later record. The lease is asked for when the fence is complete. Without a record within 2 s the promotion is decided again without another fence; the record of what was given up is removed. The late record (`order_recorded_late`) is gone. - A holder removes an inherited record too once its order has ended. - The fence is checked again right before an order is sent. - A host adopts its own orders in a later era. Another holder orders nothing until 13 s after it saw the era begin.

"a late order that is sent while the store is away" and "an order is recorded once the store is back" rested on an order that no longer exists. Replaced: no order reaches the platform in an outage of 1.5 and 5 s, none is lost, and the first order after it is known to the next holder. New: `[served_again]`, writes are served again within 9 s (20 s with a record that may have to be awaited).

The simulation records, discards and remembers in the same way.

--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -222,6 +222,10 @@
 
 }  // namespace
 
+bool MayPromote(const replacement_state& state, const group_health& group) {
+  return IsFenced(state, group) && !MayStillLead(state, group);
+}
+
 bool MayBeCutOff(const replacement_state& state,
                  const replacement_settings& settings, time_point now) {
   return state.phase == replacement_phase::kWatching &&
@@ -309,6 +313,10 @@
       // The fence holds and its wait is over: another is chosen at once.
       EnterPhase(state, replacement_phase::kWaiting, now);
       return;
+    case order_result::kNotRecorded:
+      CancelRequest(state);
+      EnterPhase(state, replacement_phase::kWaiting, now);
+      return;
     case order_result::kNotExecuted:
       CancelRequest(state);
       EnterPhase(state, replacement_phase::kFencing, now);
--- a/src/sassafraswick/failover/replacement.h
+++ b/src/sassafraswick/failover/replacement.h
@@ -35,6 +35,11 @@
 /// the caller should then request.
 [[nodiscard]] bool AwaitsList(const replacement_state& state, time_point now);
 
+/// Returns whether a promotion that was decided may still be sent: the fence
+/// holds, and the old primary does not lead.
+[[nodiscard]] bool MayPromote(const replacement_state& state,
+                              const group_health& group);
+
 /// Records an instance's response to `kStepDown` or `kPauseReplication`.
 void RecordFenced(replacement_state& state, const group_health& group,
                   const replacement_action& action,
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -243,6 +243,8 @@
   kNotRunning,
   /// The request was not sent, or rejected without effect.
   kNotExecuted,
+  /// The request was not sent, as the store has no record of it.
+  kNotRecorded,
   /// No response: the promotion may take effect.
   kUnknown,
 };
--- a/src/sassafraswick/fleet/store_era.cc
+++ b/src/sassafraswick/fleet/store_era.cc
@@ -7,6 +7,8 @@
 
 /// Registration takes two writes, so that a fleet makes 200 writes a second.
 constexpr duration kRegistrationInterval = std::chrono::milliseconds(10);
+/// Era of a store that was never restored from a copy.
+constexpr store_era kFirstEra = 1;
 constexpr duration kMaxReregistrationSpread = std::chrono::seconds(10);
 
 }  // namespace
@@ -32,6 +34,11 @@
   return is_seen_ && (is_first_start_ || now - seen_at_ >= ttl);
 }
 
+bool store_era_tracker::MayHaveLostChanges(duration span,
+                                           time_point now) const noexcept {
+  return current_ > kFirstEra && !is_first_start_ && now - seen_at_ < span;
+}
+
 duration ReregistrationSpread(std::size_t hosts) noexcept {
   return std::min(kMaxReregistrationSpread,
                   kRegistrationInterval * static_cast<std::int64_t>(hosts));
--- a/src/sassafraswick/fleet/store_era.h
+++ b/src/sassafraswick/fleet/store_era.h
@@ -63,6 +63,11 @@
   [[nodiscard]] bool HaveEarlierLeasesEnded(duration ttl,
                                             time_point now) const noexcept;
 
+  /// Returns whether the store may have lost changes that it acknowledged at
+  /// some time within a span before `now`: it returned from a copy since.
+  [[nodiscard]] bool MayHaveLostChanges(duration span,
+                                        time_point now) const noexcept;
+
  private:
   bool is_first_start_;
   bool is_seen_ = false;
--- a/src/sassafraswick/gateway/earlier_orders.h
+++ b/src/sassafraswick/gateway/earlier_orders.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "sassafraswick/failover/promotion_order.h"
+#include "sassafraswick/gateway/order_memory.h"
 #include "sassafraswick/gateway/order_records.h"
 #include "sassafraswick/net/spawn.h"
 
@@ -17,31 +18,11 @@
 
 namespace sassafraswick {
 
-/// An order that this host knew of when it lost the failover lease.
-struct remembered_order {
-  promotion_order order;
-  /// Of its record; unknown if it was sent without one or is inherited.
-  store_revision record_revision;
-  /// Revision of the claim under which this host held the lease.
-  store_revision claim;
-};
-
-/// Returns whether a remembered order is adopted under a new claim. Under the
-/// same claim nobody else has ordered anything.
-/// @param has_record The store has a record of an order for the group.
-[[nodiscard]] inline bool MayAdopt(const remembered_order& remembered,
-                                   const store_revision& claim, bool has_record,
-                                   time_point now) {
-  const bool was_unrecorded =
-      !IsKnown(remembered.record_revision) && !remembered.order.is_inherited;
-  return (remembered.claim == claim || (was_unrecorded && !has_record)) &&
-         now - remembered.order.sent_at < replacement_settings().order_lifetime;
-}
-
 template <gateway_platform Platform>
 class earlier_orders {
  public:
   using codec = typename Platform::codec;
+  using order_map = typename order_records<Platform>::order_map;
 
   earlier_orders(gateway_state<codec>& gateway,
                  order_records<Platform>& records)
@@ -49,61 +30,49 @@
 
   /// Reads the records under a new claim.
   void BeginClaim(const store_revision& claim) {
-    claim_ = claim;
+    memory_.BeginClaim(claim);
     recorded_.reset();
     Spawn(gateway_.context, "earlier_orders",
           [this, claim] { return Read(claim); });
   }
 
   /// Stops reading, as this host doesn't hold the lease.
-  void EndClaim() { claim_ = store_revision(); }
-
-  [[nodiscard]] const store_revision& Claim() const { return claim_; }
-  [[nodiscard]] bool AreKnown() const { return recorded_.has_value(); }
-
-  /// Keeps an outstanding order of the claim that ends.
-  void Remember(const std::string& pool, const promotion_order& order,
-                const store_revision& record_revision) {
-    remembered_[pool] = {order, record_revision, claim_};
+  void EndClaim(store_era era, time_point now) {
+    memory_.EndClaim(era, recorded_.has_value(), now);
   }
-  void Forget(const std::string& pool) { remembered_.erase(pool); }
 
-  /// Returns whether a request is the last one of a remembered order.
-  [[nodiscard]] bool IsRemembered(const std::string& pool,
-                                  const promotion_order& request) const {
-    const auto found = remembered_.find(pool);
-    return found != remembered_.end() &&
-           found->second.order.sent_at == request.sent_at;
+  [[nodiscard]] order_memory& Memory() { return memory_; }
+  [[nodiscard]] bool AreKnown() const {
+    return recorded_.has_value() && memory_.IsComplete();
   }
 
   /// Lets a replacement of a group adopt an order that may still take effect.
   /// Must be called once `AreKnown`.
-  /// @return Revision of the order's record if it is this host's own.
+  /// @return Revision of the order's record.
   store_revision Adopt(const std::string& pool, replacement_state& state) {
-    const auto record = recorded_->find(pool);
-    const bool has_record = record != recorded_->end();
-    const auto own = remembered_.find(pool);
-    if (own != remembered_.end() &&
-        MayAdopt(own->second, claim_, has_record, monotonic_clock::now())) {
-      state.order = own->second.order;
+    const std::optional<remembered_order> own =
+        memory_.FindAdopted(pool, monotonic_clock::now());
+    if (own.has_value()) {
+      state.order = own->order;
       LogAdopted(pool, *state.order);
-      return own->second.record_revision;
+      return own->record_revision;
     }
-    if (has_record) {
-      InheritOrder(state, record->second.instance, record->second.requests,
-                   read_at_);
-      LogAdopted(pool, *state.order);
+    const auto recorded = recorded_->find(pool);
+    if (recorded == recorded_->end()) {
+      return {};
     }
-    return {};
+    const order_record& record = recorded->second.record;
+    InheritOrder(state, record.instance, record.requests, read_at_);
+    LogAdopted(pool, *state.order);
+    return recorded->second.revision;
   }
 
  private:
   boost::asio::awaitable<void> Read(store_revision claim) {
     constexpr duration kRetryDelay = std::chrono::milliseconds(250);
-    while (claim == claim_) {
-      std::optional<std::map<std::string, order_record>> recorded =
-          co_await records_.Read();
-      if (claim != claim_) {
+    while (claim == memory_.Claim()) {
+      std::optional<order_map> recorded = co_await records_.Read();
+      if (claim != memory_.Claim()) {
         co_return;
       }
       if (recorded.has_value()) {
@@ -125,12 +94,10 @@
 
   gateway_state<codec>& gateway_;
   order_records<Platform>& records_;
-  /// Unknown while this host does not hold the lease.
-  store_revision claim_;
+  order_memory memory_;
   /// By pool, once they were read under the current claim.
-  std::optional<std::map<std::string, order_record>> recorded_;
+  std::optional<order_map> recorded_;
   time_point read_at_;
-  std::map<std::string, remembered_order> remembered_;
 };
 
 }  // namespace sassafraswick
--- a/src/sassafraswick/gateway/failover_agent.h
+++ b/src/sassafraswick/gateway/failover_agent.h
@@ -64,14 +64,21 @@
       const time_point now = monotonic_clock::now();
       if (!fleet_.HoldsFailover(now)) {
         ForgetGroups();
-        earlier_orders_.EndClaim();
+        earlier_orders_.EndClaim(fleet_.StoreEra(), now);
         continue;
       }
       const store_revision claim = fleet_.Registry().failover.fencing_token;
-      if (claim != earlier_orders_.Claim()) {
+      if (claim != earlier_orders_.Memory().Claim()) {
         ForgetGroups();
+        earlier_orders_.EndClaim(fleet_.StoreEra(), now);
         earlier_orders_.BeginClaim(claim);
       }
+      // A holder that had not seen the era could order until its lease ended.
+      const duration lost_order_lifetime =
+          kFailoverLeaseTtl + settings_.order_lifetime;
+      earlier_orders_.Memory().Hold(
+          fleet_.MayHaveLostChanges(lost_order_lifetime, now),
+          now + fleet_.FailoverTimeLeft(now));
       for (const std::pair<const std::string, group_pointer>& entry :
            gateway_.groups) {
         CheckGroup(entry.second, now);
@@ -99,10 +106,10 @@
   void ForgetGroups() {
     for (const std::pair<const std::string, watched_group>& each : watched_) {
       if (each.second.state.order.has_value()) {
-        earlier_orders_.Remember(each.first, *each.second.state.order,
-                                 each.second.record_revision);
+        earlier_orders_.Memory().Remember(each.first, *each.second.state.order,
+                                          each.second.record_revision);
       } else if (each.second.has_adopted) {
-        earlier_orders_.Forget(each.first);
+        earlier_orders_.Memory().Forget(each.first);
       }
     }
     watched_.clear();
@@ -256,6 +263,11 @@
 
   boost::asio::awaitable<void> Promote(group_pointer group,
                                        replacement_action action) {
+    const auto watched = watched_.find(group->Name());
+    if (watched == watched_.end() || !watched->second.state.order.has_value()) {
+      co_return;
+    }
+    const promotion_order order = *watched->second.state.order;
     const store_revision claim = fleet_.Registry().failover.fencing_token;
     const std::int64_t token = ToFencingToken(claim);
     // Asked right before the request is written.
@@ -267,9 +279,9 @@
       was_sent = left > duration::zero();
       return left;
     };
-    const bool is_recorded = co_await RecordOrder(group->Name(), claim);
+    const bool is_recorded = co_await RecordOrder(group, order, claim);
     if (!is_recorded) {
-      FinishPromotion(*group, action, order_result::kNotExecuted);
+      FinishPromotion(*group, action, order, order_result::kNotRecorded);
       co_return;
     }
     const std::shared_ptr<promoter> sender = TakePromoter(group->Name());
@@ -285,72 +297,54 @@
           std::to_string(ToMilliseconds(monotonic_clock::now() - sent_at))},
          {"outcome", accepted ? (accepted.value() ? "accepted" : "not running")
                               : accepted.error().message}});
-    FinishPromotion(*group, action, ResultOf(accepted, was_sent));
+    FinishPromotion(*group, action, order, ResultOf(accepted, was_sent));
   }
 
   /// Lets the next holder of the lease know of the order that is sent next.
-  /// @return False if the order must not be sent: the lease has been claimed
-  /// again, or the order was given up meanwhile.
-  boost::asio::awaitable<bool> RecordOrder(std::string pool,
-                                           store_revision claim) {
-    const auto before = watched_.find(pool);
-    if (before == watched_.end() || !before->second.state.order.has_value()) {
-      co_return false;
-    }
-    const promotion_order order = *before->second.state.order;
-    const order_write written =
-        co_await fleet_.Orders().Write(pool, order, claim);
-    const auto after = watched_.find(pool);
-    const bool is_current =
-        after != watched_.end() && after->second.state.order.has_value() &&
-        after->second.state.order->instance == order.instance;
-    const bool may_send = is_current && !written.is_superseded;
-    if (is_current) {
-      after->second.record_revision = written.revision;
-    }
-    if (may_send && !IsKnown(written.revision)) {
-      Spawn(gateway_.context, "order_record", [this, pool, order, claim] {
-        return RecordLater(pool, order, claim);
-      });
-    }
-    co_return may_send;
-  }
-
-  /// Records an order that is sent without a record as soon as the store
-  /// answers, unless it is settled before or requested again.
-  boost::asio::awaitable<void> RecordLater(std::string pool,
+  /// @return False if the order must not be sent: it was not recorded while it
+  /// could be sent.
+  boost::asio::awaitable<bool> RecordOrder(group_pointer group,
                                            promotion_order order,
                                            store_revision claim) {
-    const std::function<bool()> is_needed = [this, pool, order] {
-      return IsLastRequest(pool, order);
+    const std::string pool = group->Name();
+    const std::function<bool()> may_send = [this, group, order, claim] {
+      return IsLastRequest(group->Name(), order) && MaySend(*group) &&
+             IsHeldSince(claim);
     };
     const store_revision revision =
-        co_await fleet_.Orders().WriteLater(pool, order, claim, is_needed);
+        co_await fleet_.Orders().Write(pool, order, claim, may_send);
     if (!IsKnown(revision)) {
-      co_return;
+      co_return false;
     }
-    const auto watched = watched_.find(pool);
-    if (watched != watched_.end() && IsLastRequest(pool, order)) {
-      watched->second.record_revision = revision;
-    } else if (watched != watched_.end()) {
+    if (IsLastRequest(pool, order)) {
+      watched_.find(pool)->second.record_revision = revision;
+      co_return true;
+    }
+    if (order.requests == 1) {
       co_await fleet_.Orders().Erase(pool, revision);
     }
+    co_return false;
   }
 
-  /// Returns whether a request is the last one of an outstanding order, also
-  /// while this host does not hold the lease.
+  /// Returns whether a request is the last one of an outstanding order.
   [[nodiscard]] bool IsLastRequest(const std::string& pool,
                                    const promotion_order& request) const {
     const auto watched = watched_.find(pool);
-    if (watched != watched_.end() && watched->second.has_adopted) {
-      const std::optional<promotion_order>& order = watched->second.state.order;
-      return order.has_value() && order->sent_at == request.sent_at;
-    }
-    return earlier_orders_.IsRemembered(pool, request);
+    return watched != watched_.end() &&
+           watched->second.state.order.has_value() &&
+           watched->second.state.order->sent_at == request.sent_at;
   }
 
+  /// Records the outcome of a request.
+  /// @param request The order as it was when it was requested.
   void FinishPromotion(const target_group<codec>& group,
-                       const replacement_action& action, order_result outcome) {
+                       const replacement_action& action,
+                       const promotion_order& request, order_result outcome) {
+    const bool has_no_effect =
+        outcome != order_result::kAccepted && outcome != order_result::kUnknown;
+    if (has_no_effect) {
+      earlier_orders_.Memory().Withdraw(group.Name(), request);
+    }
     const auto watched = watched_.find(group.Name());
     if (watched == watched_.end()) {
       return;
@@ -376,6 +370,10 @@
   /// expired, so that the lease of this host is checked right before the order
   /// is sent.
   void PreparePromotion(watched_group& watched) {
+    fleet_.Orders().PrepareLease();
+    if (watched.sender != nullptr && watched.sender->IsConnected()) {
+      return;
+    }
     watched.sender = platform_.MakePromoter(gateway_.context.get_executor());
     Spawn(gateway_.context, "promotion",
           [sender = watched.sender]() -> boost::asio::awaitable<void> {
@@ -403,9 +401,13 @@
   /// Returns whether the order of a group may be sent now.
   [[nodiscard]] bool MaySend(const target_group<codec>& group) const {
     const auto watched = watched_.find(group.Name());
-    return watched != watched_.end() &&
-           MaySendOrder(watched->second.state, group.Health(), settings_,
-                        monotonic_clock::now());
+    if (watched == watched_.end()) {
+      return false;
+    }
+    const replacement_state& state = watched->second.state;
+    const group_health health = group.Health();
+    return MayPromote(state, health) &&
+           MaySendOrder(state, health, settings_, monotonic_clock::now());
   }
 
   /// Returns whether this host still holds the failover lease that it claimed
--- a/src/sassafraswick/gateway/fleet_agent.h
+++ b/src/sassafraswick/gateway/fleet_agent.h
@@ -185,6 +185,11 @@
   [[nodiscard]] const host_registry& Registry() const { return registry_; }
   [[nodiscard]] const std::string& Host() const { return host_; }
   [[nodiscard]] store_era StoreEra() const { return eras_.Current(); }
+  /// Returns whether the store may have lost changes that it acknowledged at
+  /// some time within a span before `now`.
+  [[nodiscard]] bool MayHaveLostChanges(duration span, time_point now) const {
+    return eras_.MayHaveLostChanges(span, now);
+  }
   [[nodiscard]] bool HasTargets() const { return targets_.IsLoaded(); }
 
   /// Reads the list of targets from the store, unless that is in progress.
--- a/src/sassafraswick/gateway/registration.h
+++ b/src/sassafraswick/gateway/registration.h
@@ -260,8 +260,8 @@
     store_change release;
     release.key = std::string(kFailoverKey);
     release.remove = true;
-    release.conditional = true;
-    release.expected_revision = registry_.failover.fencing_token.number;
+    release.conditions.push_back(
+        {release.key, registry_.failover.fencing_token.number});
     registry_.failover.holder.clear();
     registry_.failover.vacant_since = monotonic_clock::now();
     const result<store_commit> released = co_await store.Commit(release);
@@ -278,7 +278,7 @@
     claim.key = std::string(kFailoverKey);
     claim.value = identity_;
     claim.lease = lease.id;
-    claim.conditional = true;
+    claim.conditions.push_back({claim.key, 0});
     const result<store_commit> claimed = co_await store.Commit(claim);
     calls_.RecordCall("claim_failover", claimed);
     const bool holds = claimed && claimed.value().applied &&
--- a/src/sassafraswick/gateway/shared_store.h
+++ b/src/sassafraswick/gateway/shared_store.h
@@ -44,21 +44,24 @@
   std::string value;
 };
 
-/// A write or removal of one key, optionally conditional on the revision of
-/// that or another key.
+/// A key is at a revision.
+struct store_condition {
+  std::string key;
+  /// Number of a revision of the current era; zero means that the key must not
+  /// exist.
+  std::int64_t revision = 0;
+};
+
+/// A write or removal of one key, optionally conditional on the revisions of
+/// that or other keys.
 struct store_change {
   std::string key;
   /// Value to write. If `lease` is zero, the key does not expire.
   std::string value;
   std::uint64_t lease = 0;
   bool remove = false;
-  /// Applies the change only if `condition_key` is at `expected_revision`; zero
-  /// means that it must not exist.
-  bool conditional = false;
-  /// `key` if empty.
-  std::string condition_key;
-  /// Number of a revision of the current era.
-  std::int64_t expected_revision = 0;
+  /// The change is applied only if all of them hold.
+  std::vector<store_condition> conditions;
   /// Further keys that are written with the same lease, or removed, in the same
   /// transaction.
   std::vector<store_entry> companions;
--- a/test/platform/standin_store.h
+++ b/test/platform/standin_store.h
@@ -54,6 +54,8 @@
   void SetDown(bool down);
   /// While set, requests are not processed and all responses are lost.
   void SetSilent(bool silent);
+  /// While set, transactions are processed and their responses lost.
+  void LoseCommits(bool lost);
   /// Loses the response to each watch that waits now.
   void LoseWaitingWatches();
   void Stop();
@@ -112,6 +114,7 @@
   std::uint64_t watch_losses_ = 0;
   bool down_ = false;
   bool silent_ = false;
+  bool loses_commits_ = false;
   bool stopped_ = false;
 };
 
--- a/test/sassafraswick/failover/model.h
+++ b/test/sassafraswick/failover/model.h
@@ -204,12 +204,28 @@
   /// failover lease.
   void BeginClaim(host& self);
 
+  void EndClaim(host& self);
+
   void ReadEarlierOrder(host& self, sassafraswick::store_revision claim);
 
-  /// Writes the record of an order. Calls `on_done` with false if the failover
-  /// lease has been claimed again.
+  /// Revision of the record of an order in the store; zero if there is none.
+  [[nodiscard]] std::int64_t OrderRevision() const;
+
+  /// Returns whether an order may be sent once it is recorded.
+  [[nodiscard]] bool MaySendRecorded(const host& self,
+                                     const order_write& write) const;
+
+  /// Writes the record of an order. Calls `on_done` with false if the order is
+  /// given up before it is written.
   void WriteOrder(host& self, std::function<void(bool)> on_done);
 
+  void TryWriteOrder(host& self, const std::shared_ptr<order_write>& write);
+
+  void AttemptOrderWrite(host& self, const std::shared_ptr<order_write>& write);
+
+  /// Removes the record of an order that was not sent.
+  void DiscardOrder(host& self, const order_write& write, time_point until);
+
   void EraseOrder(host& self);
 
   /// Sends an order to the platform. It or its response may be lost.
@@ -370,6 +386,7 @@
   std::uint16_t last_address_ = 0;
   std::int64_t last_start_ = 0;
   bool orders_lost_ = false;
+  std::uint64_t last_order_write_ = 0;
   std::vector<host> hosts_;
   std::vector<pending_write> pending_writes_;
   std::set<std::uint64_t> commits_after_replacement_;
--- a/test/sassafraswick/failover/promotion_order_test.cc
+++ b/test/sassafraswick/failover/promotion_order_test.cc
@@ -166,6 +166,14 @@
     CHECK_FALSE(state.order.has_value());
     CHECK(state.last_order_end == order_end::kNotExecuted);
   }
+  SECTION("if it has no record, and is decided again") {
+    RecordPromoted(state, order, order_result::kNotRecorded, At(3010));
+    CHECK_FALSE(state.order.has_value());
+    CHECK(state.phase == replacement_phase::kWaiting);
+    const std::vector<replacement_action> actions =
+        AdvanceReplacement(state, group, kSettings, At(3060));
+    CHECK(CountPromotions(actions, "c") == 1);
+  }
   SECTION("unlike those before it") {
     RecordPromoted(state, order, order_result::kUnknown, At(3800));
     REQUIRE(CountPromotions(AwaitEffect(state, group, 6500), "c") == 1);
--- a/test/sassafraswick/fleet/store_era_test.cc
+++ b/test/sassafraswick/fleet/store_era_test.cc
@@ -65,6 +65,15 @@
   CHECK_FALSE(eras.HaveEarlierLeasesEnded(kTtl, At(2)));
 }
 
+TEST_CASE("changes may be lost only by a return from a copy", "[store_era]") {
+  store_era_tracker eras(false);
+  eras.Observe(1, At(0));
+  CHECK_FALSE(eras.MayHaveLostChanges(kTtl, At(1)));
+  eras.Observe(2, At(10));
+  CHECK(eras.MayHaveLostChanges(kTtl, At(12)));
+  CHECK_FALSE(eras.MayHaveLostChanges(kTtl, At(13)));
+}
+
 TEST_CASE("registrations in a new era are spread over the fleet",
           "[store_era]") {
   CHECK(ReregistrationSpread(7) < std::chrono::milliseconds(100));
