--- a/test/sassafraswick/failover/model.h
+++ b/test/sassafraswick/failover/model.h
@@ -186,9 +186,7 @@
   // Periodic work of hosts.
 
   void Tick(host& self);
-
   [[nodiscard]] bool HoldsFailover(const host& self) const;
-
   void Watch(host& self);
 
   [[nodiscard]] static sassafraswick::group_health GroupHealth(
@@ -203,46 +201,33 @@
   /// Reads what earlier holders ordered after this host has claimed the
   /// failover lease.
   void BeginClaim(host& self);
-
   void EndClaim(host& self);
-
   void ReadEarlierOrder(host& self, sassafraswick::store_revision claim);
 
   /// Revision of the record of an order in the store; zero if there is none.
   [[nodiscard]] std::int64_t OrderRevision() const;
-
   /// Returns whether an order may be sent once it is recorded.
   [[nodiscard]] bool MaySendRecorded(const host& self,
                                      const order_write& write) const;
-
   /// Writes the record of an order. Calls `on_done` with false if the order is
   /// given up before it is written.
   void WriteOrder(host& self, std::function<void(bool)> on_done);
-
   void TryWriteOrder(host& self, const std::shared_ptr<order_write>& write);
-
   void AttemptOrderWrite(host& self, const std::shared_ptr<order_write>& write);
-
   /// Removes the record of an order that was not sent.
   void DiscardOrder(host& self, const order_write& write, time_point until);
-
   void EraseOrder(host& self);
 
   /// Sends an order to the platform. It or its response may be lost.
   void SendOrder(host& self, const replacement_action& action,
                  std::int64_t token);
-
   /// Draws the time from an order to its effect.
   duration PromotionDelay();
-
   /// Traces what a host knows when it orders a promotion.
   void TraceKnowledge(const host& self);
-
   void ApplyAction(instance& to, const replacement_action& action);
-
   void RecordOrder(host& self, const replacement_action& action,
                    sassafraswick::order_result outcome);
-
   void ExecuteAction(host& self, const replacement_action& action);
 
   /// Replicates from all primaries, so that a replica that accepts entries
@@ -260,7 +245,6 @@
 
   /// Era that hosts read from the store's responses.
   [[nodiscard]] sassafraswick::store_era StoreEra() const;
-
   void ObserveEra(host& self, sassafraswick::store_era era);
 
   /// Reads the holder of the failover lease again in a new era.
