Pass on no commit of a primary whose successor has been heard of

A host held the acknowledgement back for want of a proof and passed it on at 11.692 s, in the millisecond in which it heard of the new term.

Cause: a promotion ends all pauses. A replica that has not heard of it yet shows the old term and no pause, and was taken for a witness that no fence is complete.

A term that is known to have begun ends the proofs of earlier ones now. Not covered: a host that has heard of the new term from nobody yet.

--- a/src/sassafraswick/consistency/commit_proof.cc
+++ b/src/sassafraswick/consistency/commit_proof.cc
@@ -14,6 +14,12 @@
   }
 }
 
+void RecordTerm(std::optional<replication_proof>& newest, term_number term) {
+  if (newest.has_value()) {
+    newest->term = std::max(newest->term, term);
+  }
+}
+
 bool IsCommitProved(const std::optional<replication_proof>& newest,
                     term_number term, time_point acknowledged_at) {
   return newest.has_value() && newest->term <= term &&
--- a/src/sassafraswick/consistency/commit_proof.h
+++ b/src/sassafraswick/consistency/commit_proof.h
@@ -55,6 +55,11 @@
 void RecordReplication(std::optional<replication_proof>& newest,
                        const replication_proof& proof);
 
+/// Records that a term has begun. The promotion ended all pauses, so that an
+/// instance which has not heard of it shows no fence: proofs of earlier terms
+/// count no longer.
+void RecordTerm(std::optional<replication_proof>& newest, term_number term);
+
 /// Returns whether an acknowledgement of the primary of a term may be passed
 /// on. If so, every instance that can have confirmed the commit was not paused
 /// when the commit was sent.
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -708,6 +708,7 @@
         {{"pool", name_},
          {"term", std::to_string(view_.term)},
          {"primary", view_.primary}});
+    RecordTerm(replication_, view_.term);
     changed_.NotifyAll();
     if (view_.primary.empty()) {
       StartResolvingPrimary();
--- a/test/sassafraswick/consistency/commit_proof_test.cc
+++ b/test/sassafraswick/consistency/commit_proof_test.cc
@@ -40,6 +40,22 @@
   CHECK(newest->requested_at == At(100));
 }
 
+// Guards against: a commit of the replaced primary was passed on at the moment
+// at which its successor was heard of, as a replica that the promotion had
+// resumed, but that had not joined it yet, counted as a witness. Seen with:
+// review/12, seed 2.
+TEST_CASE("a replica that has not heard of a known term proves nothing",
+          "[commit_proof]") {
+  std::optional<replication_proof> newest = Replicating();
+  RecordReplication(newest, {2, At(900)});
+  REQUIRE(IsCommitProved(newest, 2, At(500)));
+  RecordTerm(newest, 3);
+  CHECK_FALSE(IsCommitProved(newest, 2, At(500)));
+  RecordReplication(newest, {2, At(950)});
+  CHECK_FALSE(IsCommitProved(newest, 2, At(500)));
+  CHECK(IsCommitProved(newest, 3, At(1000)));
+}
+
 // The instance that had joined the old primary was asked whether the group was
 // fenced, though no promoter had paused it yet.
 TEST_CASE("a process that started after the last proof is no witness",
--- a/test/sassafraswick/failover/model_callers.cc
+++ b/test/sassafraswick/failover/model_callers.cc
@@ -57,6 +57,7 @@
   if (target != self.targets.end()) {
     target->second.RecordLeading(end.term, requested_at);
   }
+  RecordTerm(self.replication, self.view.term);
   const bool proves = IsCommitProved(self.replication, end.term, now_) ||
                       options_.bug == injected_bug::kPassOnUnproved;
   if (held.id == self.view.primary && proves) {
@@ -70,6 +71,7 @@
 }
 
 void model::PassOn(host& self, const held_acknowledgement& held) {
+  RecordTerm(self.replication, self.view.term);
   const bool is_proved =
       IsCommitProved(self.replication, held.term, held.acknowledged_at) ||
       options_.bug == injected_bug::kPassOnUnproved;
