Let no replacement overlook a newer term or begin its wait anew

The newest term was the highest one that this host's own requests had shown.

- The last primary isn't taken for the one to replace while another's entry leads.
- A term in another host's answer or an acknowledged commit counts.
While no instance is known to be in it, nothing is proved.
- An order doesn't time out while its instance's entry leads.
- No paused replica is resumed beside a primary while another's entry leads.
- The wait of a choice without proof counts from the first complete fence: each replica that joined began it anew.

--- a/src/sassafraswick/failover/fence.cc
+++ b/src/sassafraswick/failover/fence.cc
@@ -164,6 +164,7 @@
   if (state.phase == replacement_phase::kFencing && IsFenced(state, group)) {
     EnterPhase(state, replacement_phase::kWaiting, now);
     state.fenced_at = now;
+    state.first_fenced_at = state.first_fenced_at.value_or(now);
   }
 }
 
--- a/src/sassafraswick/failover/group_members.cc
+++ b/src/sassafraswick/failover/group_members.cc
@@ -103,7 +103,7 @@
   const instance_health* const primary = FindCurrentPrimary(group);
   for (const instance_health& instance : group) {
     const bool led =
-        &instance == primary ||
+        (&instance == primary && instance.status->term == state.members_term) ||
         (instance.led_term == state.members_term && instance.led_term != 0);
     if (led && !WasTermPrimary(state, ProcessOf(instance))) {
       state.term_primaries.push_back(ProcessOf(instance));
@@ -137,7 +137,9 @@
     }
   }
   // The instances that knew the term may all have left.
-  const term_number term = std::max(state.members_term, HighestTerm(group));
+  const term_number term =
+      std::max({state.members_term, HighestTerm(group), state.heard_term,
+                state.acknowledged.term});
   const bool learns =
       state.observation_started_at.has_value() &&
       now - *state.observation_started_at < settings.observation_period;
@@ -145,7 +147,8 @@
     state.term_primaries.clear();
     state.is_term_joined = false;
     const instance_health* const primary = FindCurrentPrimary(group);
-    const bool saw_begin = !is_first && !learns && primary != nullptr;
+    const bool saw_begin = !is_first && !learns && primary != nullptr &&
+                           primary->status->term == term;
     state.term_start = saw_begin
                            ? std::optional<log_point>(primary->status->received)
                            : std::nullopt;
@@ -178,7 +181,16 @@
       last = &instance;
     }
   }
-  return last;
+  const bool may_be_replaced = std::any_of(
+      group.begin(), group.end(), [last](const instance_health& instance) {
+        return &instance != last && MayLead(instance);
+      });
+  return may_be_replaced ? nullptr : last;
+}
+
+bool IsNewestTermHidden(const replacement_state& state,
+                        const group_health& group) {
+  return state.members_term > HighestTerm(group);
 }
 
 bool IsOtherProcess(const instance_status& earlier,
--- a/src/sassafraswick/failover/group_members.h
+++ b/src/sassafraswick/failover/group_members.h
@@ -21,11 +21,16 @@
                                   const process_key& process);
 
 /// Returns the instance whose process led `members_term` last, as long as that
-/// process runs; null if it isn't known. A term's next primary is the next
-/// process of the one before.
+/// process runs; null if it isn't known or another one may lead by now. A
+/// term's next primary is the next process of the one before.
 [[nodiscard]] const instance_health* FindLastPrimary(
     const replacement_state& state, const group_health& group);
 
+/// Returns whether no instance is known to be in the newest term. What was
+/// acknowledged in it is then not known either.
+[[nodiscard]] bool IsNewestTermHidden(const replacement_state& state,
+                                      const group_health& group);
+
 /// Returns whether a status is that of another process than an earlier status
 /// under the same identifier: a process' term never falls, and within a term it
 /// loses no entries.
--- a/src/sassafraswick/failover/loss_detection.cc
+++ b/src/sassafraswick/failover/loss_detection.cc
@@ -77,6 +77,11 @@
          !instance.refused_since.has_value();
 }
 
+bool MayLead(const instance_health& instance) {
+  const bool denies = IsResponsive(instance) && !instance.status->is_primary;
+  return instance.listed && instance.claims_primary && !denies;
+}
+
 bool HasEnded(const instance_health& instance) {
   return instance.replaced ||
          (instance.has_announced_stop && !instance.listed &&
--- a/src/sassafraswick/failover/loss_detection.h
+++ b/src/sassafraswick/failover/loss_detection.h
@@ -29,6 +29,10 @@
 /// has not ended since.
 [[nodiscard]] bool IsResponsive(const instance_health& instance);
 
+/// Returns whether a listed instance's entry says that it leads, and the
+/// instance has not denied it.
+[[nodiscard]] bool MayLead(const instance_health& instance);
+
 /// Returns whether an instance's process has ended for good: another one runs
 /// at its address, or it announced its stop, its entry is gone and nothing
 /// listens there. A next process at the address has its own entry.
--- a/src/sassafraswick/failover/promotion_order.cc
+++ b/src/sassafraswick/failover/promotion_order.cc
@@ -14,6 +14,10 @@
   if (has_left) {
     return order_end::kInstanceLeft;
   }
+  // It may lead out of this host's sight.
+  if (instance != nullptr && MayLead(*instance)) {
+    return order_end::kNone;
+  }
   // One that is down may be back in time.
   return now - order.sent_at < settings.order_lifetime ? order_end::kNone
                                                        : order_end::kTimedOut;
--- a/src/sassafraswick/failover/replacement.cc
+++ b/src/sassafraswick/failover/replacement.cc
@@ -29,12 +29,17 @@
 
 /// Returns whether a replica that resumes replication could confirm writes of a
 /// replaced primary: the replica is in an older term than the current primary,
-/// and a third instance may still be primary of that term.
+/// and a third instance may still be primary of that term; or a third may lead
+/// a later term than the current primary's.
 bool MayFollowOldPrimary(const group_health& group,
                          const instance_health& current_primary,
                          const instance_health& replica) {
-  if (replica.status->term == current_primary.status->term) {
-    return false;
+  const bool may_be_replaced = std::any_of(
+      group.begin(), group.end(), [&](const instance_health& other) {
+        return other.id != current_primary.id && MayLead(other);
+      });
+  if (may_be_replaced || replica.status->term == current_primary.status->term) {
+    return may_be_replaced;
   }
   return std::any_of(
       group.begin(), group.end(),
@@ -126,6 +131,7 @@
   state.paused.clear();
   state.fence_requests.clear();
   state.step_down_responses.clear();
+  state.first_fenced_at.reset();
   EnterPhase(state, replacement_phase::kFencing, now);
   return Fence(state, group, settings, now);
 }
@@ -265,7 +271,7 @@
   TrackMembers(state, group, settings, now);
   DropEndedPrimary(state, group);
   const bool replaced = state.phase != replacement_phase::kWatching &&
-                        HighestTerm(group) >= state.term;
+                        state.members_term >= state.term;
   UpdateOrder(state, group, settings, now);
   if (!state.order.has_value() &&
       state.phase == replacement_phase::kPromoting) {
@@ -294,6 +300,11 @@
 void RecordFenced(replacement_state& state, const group_health& group,
                   const replacement_action& action,
                   const instance_status& status, time_point now) {
+  // Other hosts may reach an instance that this one does not.
+  if (status.term > HighestTerm(group)) {
+    state.heard_term = std::max(state.heard_term, status.term);
+    state.heard_at = now;
+  }
   if (state.phase == replacement_phase::kWatching ||
       action.term != state.term) {
     return;
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -281,6 +281,9 @@
   std::map<std::string, step_down_response> step_down_responses;
   /// When the fence was complete. The primary has acknowledged no write since.
   time_point fenced_at;
+  /// When it was complete for the first time in this replacement. An instance
+  /// that joins has to be fenced, too.
+  std::optional<time_point> first_fenced_at;
   std::string chosen;
   choice_proof proof = choice_proof::kNone;
   /// The last promotion that was requested, while it may still take effect.
@@ -312,6 +315,10 @@
   /// An instance behind it lacks a commit whose acknowledgement a host has
   /// passed on. Set by the caller before `AdvanceReplacement`.
   log_point acknowledged;
+  /// Highest term that an instance's answer to another host has shown, and when
+  /// the last such answer arrived.
+  term_number heard_term = 0;
+  time_point heard_at;
   /// When actions were last sent in this phase.
   time_point last_action_at;
   /// Log entry of the primary that no replica has received yet, and when it was
--- a/src/sassafraswick/failover/successor_choice.cc
+++ b/src/sassafraswick/failover/successor_choice.cc
@@ -300,13 +300,15 @@
   const bool timed_out = waited >= settings.catch_up_timeout;
   const bool list_timed_out =
       !IsListComplete(state) && waited >= settings.list_timeout;
-  promotion_choice chosen =
-      ChooseProved(state, group, candidates, timed_out, list_timed_out);
+  const bool is_hidden = IsNewestTermHidden(state, group);
+  promotion_choice chosen = is_hidden ? promotion_choice()
+                                      : ChooseProved(state, group, candidates,
+                                                     timed_out, list_timed_out);
   if (!chosen.id.empty()) {
     return chosen;
   }
   const bool all_lack = AllLackAcknowledged(state, group, candidates);
-  if ((timed_out || list_timed_out || all_lack) &&
+  if ((timed_out || list_timed_out || all_lack) && !is_hidden &&
       CanPromoteOldPrimary(state, group)) {
     return {state.primary, choice_proof::kOldPrimary};
   }
@@ -318,13 +320,14 @@
   const bool is_empty = !candidates.empty() &&
                         candidates.front().end.position == 0 &&
                         MayHaveHadEntries(state, group);
-  if (!last_left_at.has_value() && !is_empty && !all_lack &&
+  if (!last_left_at.has_value() && !is_empty && !all_lack && !is_hidden &&
       !IsPrimaryAlone(state)) {
     return chosen;
   }
-  const time_point away_since =
-      std::max(last_left_at.value_or(state.fenced_at),
-               PrimaryAwaySince(state, group, now).value_or(time_point()));
+  const time_point away_since = std::max(
+      {last_left_at.value_or(state.first_fenced_at.value_or(state.fenced_at)),
+       is_hidden ? state.heard_at : time_point(),
+       PrimaryAwaySince(state, group, now).value_or(time_point())});
   chosen = ChooseUnproved(candidates, away_since, settings, now);
   const bool prefers_primary =
       !chosen.id.empty() && MayRunSteppedDown(state, group, settings, now);
