Recognise a witness by unbroken contact instead of one connection

With the change before, a host takes an instance's status for a proof only if the connection over which it came is older than the last proof.

A host notes each answer of an instance and the connection that it came over now.

--- a/src/sassafraswick/consistency/commit_proof.cc
+++ b/src/sassafraswick/consistency/commit_proof.cc
@@ -4,6 +4,17 @@
 
 namespace sassafraswick {
 
+void RecordAnswer(process_contact& contact, time_point connected_at,
+                  time_point answered_at) {
+  if (answered_at < contact.since) {
+    return;
+  }
+  const bool is_same = connected_at <= contact.answered_at + kMinRestartTime;
+  contact.since =
+      is_same ? std::min(contact.since, connected_at) : connected_at;
+  contact.answered_at = std::max(contact.answered_at, answered_at);
+}
+
 void RecordReplication(std::optional<replication_proof>& newest,
                        const replication_proof& proof) {
   if (!newest.has_value()) {
@@ -26,10 +37,10 @@
          acknowledged_at <= newest->requested_at + kCommitProofDuration;
 }
 
-time_point RunningSince(time_point seen_since, time_point connected_at,
+time_point RunningSince(time_point seen_since, time_point contact_since,
                         time_point list_current_at) {
-  const bool is_listed = list_current_at >= connected_at + kListReadDelay;
-  return is_listed ? std::min(seen_since, connected_at) : connected_at;
+  const bool is_listed = list_current_at >= contact_since + kListReadDelay;
+  return is_listed ? std::min(seen_since, contact_since) : contact_since;
 }
 
 bool IsWitness(const std::optional<replication_proof>& newest,
--- a/src/sassafraswick/consistency/commit_proof.h
+++ b/src/sassafraswick/consistency/commit_proof.h
@@ -43,6 +43,23 @@
 /// from the store before it sends it.
 inline constexpr duration kWitnessAge = std::chrono::milliseconds(25'000);
 
+/// Least time in which a process ends and another runs under its identifier.
+inline constexpr duration kMinRestartTime = std::chrono::milliseconds(250);
+
+/// Contact with one process of an instance.
+struct process_contact {
+  /// The process has run since then.
+  time_point since;
+  /// When it answered last.
+  time_point answered_at;
+};
+
+/// Records that an instance answered. It is the process that had answered
+/// before, unless another may have started since then.
+/// @param connected_at When the connection was opened over which it answered.
+void RecordAnswer(process_contact& contact, time_point connected_at,
+                  time_point answered_at);
+
 /// A time at which no fence by pauses was complete.
 struct replication_proof {
   /// Term of the instance that was not paused.
@@ -72,11 +89,11 @@
 /// have started under its identifier since its instance was first seen, which
 /// only a list tells that was current after its start.
 /// @param seen_since When the instance's process was first seen.
-/// @param connected_at When the connection was opened over which the status
-/// arrived.
+/// @param contact_since Since when the process that answered has been in
+/// contact.
 /// @param list_current_at When the known list of instances was last current.
 [[nodiscard]] time_point RunningSince(time_point seen_since,
-                                      time_point connected_at,
+                                      time_point contact_since,
                                       time_point list_current_at);
 
 /// Returns whether a promoter pauses a process before its fence counts as
--- a/src/sassafraswick/failover/replacement_state.h
+++ b/src/sassafraswick/failover/replacement_state.h
@@ -26,9 +26,8 @@
   log_point received;
   /// Term for which the instance paused replication; zero if it replicates.
   term_number paused_term = 0;
-  /// When the connection was opened over which the status arrived. The process
-  /// has run since then.
-  time_point connected_at;
+  /// Since when the host has been in contact with the process that reported it.
+  time_point contact_since;
 };
 
 /// State of an instance as known to the holder of the failover lease.
--- a/src/sassafraswick/gateway/connection_pool.h
+++ b/src/sassafraswick/gateway/connection_pool.h
@@ -140,6 +140,8 @@
       return;
     }
     --lease.target->busy;
+    RecordAnswer(lease.target->contact, lease.connection->ConnectedAt(),
+                 lease.connection->AnsweredAt());
     if (lease.leased_at.has_value()) {
       lease.target->line.Waiters().RecordUse(
           std::chrono::duration_cast<duration>(monotonic_clock::now() -
--- a/src/sassafraswick/gateway/pooled_connection.h
+++ b/src/sassafraswick/gateway/pooled_connection.h
@@ -131,6 +131,9 @@
     return connected_at_;
   }
 
+  /// When the target last answered over this connection.
+  [[nodiscard]] time_point AnsweredAt() const noexcept { return answered_at_; }
+
   /// Returns whether the target has closed the idle connection, or sent data
   /// without a request.
   [[nodiscard]] bool IsStale() {
@@ -239,6 +242,8 @@
     if (failure) {
       outcome.closed = !timed_out_;
       Close();
+    } else {
+      answered_at_ = monotonic_clock::now();
     }
     awaits_response_ = false;
     co_return outcome;
@@ -290,6 +295,7 @@
   std::shared_ptr<borrowed_connection> borrowed_;
   std::string organisation_;
   time_point connected_at_;
+  time_point answered_at_;
   std::string input_;
   std::optional<std::size_t> skipped_;
   typename Codec::result_reader reader_;
--- a/src/sassafraswick/gateway/target_group.h
+++ b/src/sassafraswick/gateway/target_group.h
@@ -569,7 +569,7 @@
     if (!status || !is_of_this_process) {
       co_return std::nullopt;
     }
-    status.value().connected_at = lease.connection->ConnectedAt();
+    status.value().contact_since = target->contact.since;
     ObserveStatus(*target, status.value(), requested_at);
     co_return status.value();
   }
@@ -881,8 +881,8 @@
     const time_point list_current_at =
         targets_current_at_ ? targets_current_at_() : time_point();
     return IsWitness(replication_,
-                     RunningSince(target.health.seen_since, status.connected_at,
-                                  list_current_at),
+                     RunningSince(target.health.seen_since,
+                                  status.contact_since, list_current_at),
                      requested_at);
   }
 
--- a/src/sassafraswick/gateway/target_state.h
+++ b/src/sassafraswick/gateway/target_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "sassafraswick/config/catalog.h"
+#include "sassafraswick/consistency/commit_proof.h"
 #include "sassafraswick/consistency/replica_progress.h"
 #include "sassafraswick/failover/replacement_state.h"
 #include "sassafraswick/fleet/zone_evacuation.h"
@@ -106,6 +107,7 @@
   /// When the instance's last response arrived, on any connection.
   time_point answered_at;
   instance_health health;
+  process_contact contact;
 
   /// Sequence number of the instance's latest claim to be the primary; a later
   /// claim has a higher one.
@@ -123,6 +125,7 @@
     health.listed = listed_before;
     health.highest_term = highest_term;
     progress = replica_progress();
+    contact = process_contact();
     answered_at = time_point();
     idle.clear();
   }
--- a/test/sassafraswick/consistency/commit_proof_test.cc
+++ b/test/sassafraswick/consistency/commit_proof_test.cc
@@ -80,6 +80,30 @@
   CHECK(RunningSince(At(4100), At(4000), At(9000)) == At(4000));
 }
 
+TEST_CASE(
+    "answers without a gap in which another could start are one process's",
+    "[commit_proof]") {
+  process_contact contact;
+  RecordAnswer(contact, At(0), At(10));
+  CHECK(contact.since == At(0));
+  SECTION("over a connection that was opened soon after") {
+    RecordAnswer(contact, At(260), At(300));
+    CHECK(contact.since == At(0));
+    CHECK(contact.answered_at == At(300));
+  }
+  SECTION("not over one that was opened later") {
+    RecordAnswer(contact, At(261), At(300));
+    CHECK(contact.since == At(261));
+    // An answer from before it is another process's.
+    RecordAnswer(contact, At(0), At(20));
+    CHECK(contact.since == At(261));
+  }
+  SECTION("over a connection that is older than the contact") {
+    RecordAnswer(contact, At(-100), At(20));
+    CHECK(contact.since == At(-100));
+  }
+}
+
 TEST_CASE("a host without any proof relies on instances that it has known",
           "[commit_proof]") {
   CHECK_FALSE(IsWitness(std::nullopt, At(0), At(1999)));
--- a/test/sassafraswick/failover/model.h
+++ b/test/sassafraswick/failover/model.h
@@ -151,7 +151,7 @@
       std::function<void(std::optional<status_response>)> on_response);
 
   /// Returns since when a host is connected to the process that answers.
-  time_point ConnectedAt(host& from, const instance& to) const;
+  time_point ContactSince(host& from, const instance& to) const;
 
   /// Answers for a process that has ended, if its port is closed or another
   /// process listens at its address.
--- a/test/sassafraswick/failover/model_hosts.cc
+++ b/test/sassafraswick/failover/model_hosts.cc
@@ -33,7 +33,7 @@
           }
           effect(to);
           status_response response = MakeResponse(to);
-          response.status.connected_at = ConnectedAt(from, to);
+          response.status.contact_since = ContactSince(from, to);
           const duration back = MessageDelay();
           if (Chance(1) || IsPartitioned(from.name, id)) {
             return;
@@ -42,7 +42,7 @@
         });
 }
 
-time_point model::ConnectedAt(host& from, const instance& to) const {
+time_point model::ContactSince(host& from, const instance& to) const {
   const auto found = from.targets.find(to.id);
   if (found == from.targets.end()) {
     return now_;
@@ -55,7 +55,8 @@
     connection = {&to, to.incarnation, now_, now_};
   }
   connection.used_at = now_;
-  return connection.opened_at;
+  RecordAnswer(found->second.contact, connection.opened_at, now_);
+  return found->second.contact.since;
 }
 
 void model::AnswerForEnded(host& from, const instance& ended,
@@ -108,6 +109,7 @@
   target.health = health;
   target.answered_at = time_point();
   target.connection = host_connection();
+  target.contact = sassafraswick::process_contact();
 }
 
 void model::HandleProcessChange(host& self, known_target& target) {
--- a/test/sassafraswick/failover/model_proofs.cc
+++ b/test/sassafraswick/failover/model_proofs.cc
@@ -114,7 +114,7 @@
   return found != self.targets.end() &&
          IsWitness(self.replication,
                    sassafraswick::RunningSince(found->second.health.seen_since,
-                                               status.connected_at,
+                                               status.contact_since,
                                                self.list_current_at),
                    requested_at);
 }
--- a/test/sassafraswick/failover/model_types.h
+++ b/test/sassafraswick/failover/model_types.h
@@ -149,6 +149,7 @@
   time_point requested_at;
   time_point answered_at;
   host_connection connection;
+  sassafraswick::process_contact contact;
 
   void RecordLeading(term_number term, time_point sent_at) {
     if (sent_at >= health.seen_since) {
